--- /dev/null
+++ b/changelog/changelog.go
@@ -0,0 +1,266 @@
+// Package changelog follows the feed of numbered events: the list of stores and purges.
+package changelog
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// Kinds of frames.
+const (
+	kindNothing = 0
+	kindWhole   = 1
+	kindChanges = 2
+	kindObject  = 3
+	kindGroup   = 4
+)
+
+const (
+	frameHead  = 9 // number and kind, counted by the length
+	recordLen  = 27
+	frameMost  = 1 << 20
+	silentMost = 2500 * time.Millisecond // the feed says something every second
+	dialMost   = 1 * time.Second
+	redialMin  = 50 * time.Millisecond
+	redialMost = 400 * time.Millisecond
+)
+
+var errFrame = errors.New("malformed frame")
+
+// Frame is one event of the feed; Event is nil where it says nothing new.
+type Frame struct {
+	Seq   uint64
+	Event core.Event
+}
+
+// ReadFrame reads one frame. The length is checked before anything is allocated.
+func ReadFrame(r io.Reader) (f Frame, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return f, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n < frameHead || n > frameMost {
+		return f, fmt.Errorf("%w: length %d", errFrame, n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return f, err
+	}
+	f.Seq = binary.BigEndian.Uint64(b)
+	kind, b := b[8], b[frameHead:]
+	switch kind {
+	case kindNothing:
+	case kindWhole, kindChanges:
+		if len(b)%recordLen != 0 {
+			return f, fmt.Errorf("%w: %d bytes of records", errFrame, len(b))
+		}
+		ev := core.Stores{Whole: kind == kindWhole}
+		for ; len(b) > 0; b = b[recordLen:] {
+			s, err := record(b[:recordLen])
+			if err != nil {
+				return f, err
+			}
+			ev.List = append(ev.List, s)
+		}
+		f.Event = ev
+	case kindObject:
+		if len(b) != 16 {
+			return f, fmt.Errorf("%w: a purge of %d bytes", errFrame, len(b))
+		}
+		f.Event = core.Purge{Object: binary.BigEndian.Uint64(b), At: float64(binary.BigEndian.Uint64(b[8:]))}
+	case kindGroup:
+		if len(b) != 10 {
+			return f, fmt.Errorf("%w: a purge of %d bytes", errFrame, len(b))
+		}
+		f.Event = core.Purge{Group: binary.BigEndian.Uint16(b), At: float64(binary.BigEndian.Uint64(b[2:]))}
+	default:
+		return f, fmt.Errorf("%w: kind %d", errFrame, kind)
+	}
+	return f, nil
+}
+
+func record(b []byte) (s core.Store, err error) {
+	states := []control.State{control.Ready, control.Draining, control.Gone}
+	if int(b[10]) >= len(states) {
+		return s, fmt.Errorf("%w: state %d", errFrame, b[10])
+	}
+	ip := net.IPv4(b[4], b[5], b[6], b[7])
+	s.Addr = net.JoinHostPort(ip.String(), strconv.Itoa(int(binary.BigEndian.Uint16(b[8:]))))
+	s.Member = control.Member{
+		ID: control.MemberID(binary.BigEndian.Uint32(b)), State: states[b[10]], Zone: int(b[11]), Kind: int(b[12]),
+		Cell: int(binary.BigEndian.Uint16(b[13:])), Weight: float64(binary.BigEndian.Uint32(b[15:])) / 1000,
+		Started: clock.Duration(float64(binary.BigEndian.Uint64(b[19:]) & (1<<62 - 1))),
+	}
+	return s, nil
+}
+
+// Names gives the settings' lists, by which known events name zones and kinds.
+type Names struct{ Zones, Kinds []string }
+
+type knownEvent struct {
+	Seq   uint64
+	Fleet *struct {
+		Full    bool
+		Servers []struct {
+			ID, Addr, Zone, Kind, State string
+			Cell                        int
+			Weight                      float64
+			StartedMs                   float64 `json:"started_ms"`
+		}
+	}
+	Invalidate *struct {
+		Object string
+		Bucket *uint16
+		Time   float64
+	}
+}
+
+// Known reads the events that the configuration keeps.
+func Known(text json.RawMessage, names Names) (seq uint64, events []core.Event, err error) {
+	var known struct {
+		Seq     uint64
+		Results []knownEvent
+	}
+	if len(text) == 0 {
+		return 0, nil, nil
+	}
+	if err := json.Unmarshal(text, &known); err != nil {
+		return 0, nil, fmt.Errorf("known: %w", err)
+	}
+	for i, k := range known.Results {
+		ev, err := k.event(names)
+		if err != nil {
+			return 0, nil, fmt.Errorf("known.results[%d].%w", i, err)
+		}
+		if ev != nil {
+			events = append(events, ev)
+		}
+	}
+	return known.Seq, events, nil
+}
+
+func (k knownEvent) event(names Names) (core.Event, error) {
+	if v := k.Invalidate; v != nil {
+		p := core.Purge{At: v.Time}
+		if v.Bucket != nil {
+			p.Group = *v.Bucket
+			return p, nil
+		}
+		var err error
+		if p.Object, err = strconv.ParseUint(v.Object, 16, 64); err != nil {
+			return nil, fmt.Errorf("invalidate.object: %q is no object", v.Object)
+		}
+		return p, nil
+	}
+	if k.Fleet == nil {
+		return nil, nil
+	}
+	ev := core.Stores{Whole: k.Fleet.Full}
+	for i, v := range k.Fleet.Servers {
+		id, err := strconv.ParseUint(strings.TrimPrefix(v.ID, "s-"), 16, 32)
+		if err != nil {
+			return nil, fmt.Errorf("fleet.servers[%d].id: %q is no id", i, v.ID)
+		}
+		m := control.Member{
+			ID: control.MemberID(id), Cell: v.Cell, Zone: place(names.Zones, v.Zone), Kind: place(names.Kinds, v.Kind),
+			Weight: v.Weight, Started: clock.Duration(max(0, v.StartedMs)),
+		}
+		switch v.State {
+		case "Ready":
+			m.State = control.Ready
+		case "Terminating":
+			m.State = control.Draining
+		case "Gone":
+			m.State = control.Gone
+		default:
+			return nil, fmt.Errorf("fleet.servers[%d].state: %q is no state", i, v.State)
+		}
+		if m.Zone < 0 || m.Kind < 0 {
+			return nil, fmt.Errorf("fleet.servers[%d]: zone %q or kind %q is not in the settings", i, v.Zone, v.Kind)
+		}
+		ev.List = append(ev.List, core.Store{Addr: v.Addr, Member: m})
+	}
+	return ev, nil
+}
+
+func place(list []string, name string) int {
+	for i, v := range list {
+		if v == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Feed follows the change log at Addr from the event after Seq.
+type Feed struct {
+	Addr string
+	Seq  uint64
+	Post func(core.Event)
+	Log  zerolog.Logger
+}
+
+// Run follows the feed until ctx ends, dialling anew whenever it breaks or falls silent.
+func (f *Feed) Run(ctx context.Context) error {
+	pause := redialMin
+	for ctx.Err() == nil {
+		got, err := f.follow(ctx)
+		if got {
+			pause = redialMin
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		f.Log.Warn().Err(err).Uint64("seq", f.Seq).Msg("change log broke off")
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, redialMost)
+	}
+	return nil
+}
+
+func (f *Feed) follow(ctx context.Context) (got bool, err error) {
+	c, err := (&net.Dialer{Timeout: dialMost}).DialContext(ctx, "tcp", f.Addr)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if _, err := c.Write(binary.BigEndian.AppendUint64(nil, f.Seq)); err != nil {
+		return false, err
+	}
+	for {
+		c.SetReadDeadline(time.Now().Add(silentMost))
+		fr, err := ReadFrame(c)
+		if err != nil {
+			return got, err
+		}
+		got = true
+		if fr.Event == nil || fr.Seq <= f.Seq {
+			continue // nothing new, or told already
+		}
+		if fr.Seq != f.Seq+1 { // the feed tells every later event, so this is worth a line, no more
+			f.Log.Warn().Uint64("number", fr.Seq).Uint64("after", f.Seq).Msg("change log skipped events")
+		}
+		f.Seq = fr.Seq
+		f.Post(fr.Event)
+	}
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"tealhitch.dev/tealhitch/control"
-	"tealhitch.dev/tealhitch/internal/wire"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/internal/wire"
 )
 
 func main() {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"tealhitch.dev/tealhitch/control"
+	"turnfork.dev/turnfork/control"
 )
 
 // A request misses while the location's link is full: it looks, is held, and leaves for a fill when a
--- /dev/null
+++ b/core/book.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+)
+
+// book enters an attempt's end: the first good one is the request's answer, and the module learns
+// of each.
+func (c *Core) book(e Ended) {
+	r := c.requests[e.ID]
+	if r == nil || e.N < 0 || e.N >= len(r.attempts) || r.attempts[e.N].over {
+		return // each attempt ends once
+	}
+	t := r.attempts[e.N]
+	t.over = true
+	r.open--
+	r.last = e.Result
+	if e.Result == control.OK && !r.answered {
+		a := Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Minted: e.Minted}
+		if e.Same {
+			a.Verdict, a.Body = Same, nil
+		}
+		c.answer(r, a)
+	}
+	if r.answered && r.open == 0 {
+		delete(c.requests, r.id)
+	}
+	c.tell(control.Outcome{
+		ID: e.ID, Attempt: e.N, Member: control.MemberID(t.to), Result: e.Result, Note: e.Note,
+		Latency: clock.Duration(max(0, c.now()-t.sent)), FirstByte: clock.Duration(e.Lag),
+		Closed: r.answered, Load: e.Load,
+	})
+}
+
+func (c *Core) bookProbe(p Probed) {
+	sent, ok := c.probes[p.Member]
+	if !ok {
+		return
+	}
+	delete(c.probes, p.Member)
+	c.tell(control.Probed{
+		Member: control.MemberID(p.Member), Result: p.Result, Latency: clock.Duration(c.now() - sent), Load: p.Load,
+	})
+}
--- /dev/null
+++ b/core/core.go
@@ -0,0 +1,199 @@
+// Package core takes requests from any front, lets the decision module decide, and has an upstream
+// carry the decisions out. It knows no wire. One goroutine owns the module, the table of requests
+// and the timers; fronts and upstreams talk to it with typed events.
+//
+// A request passes the stages take in, admit, route, send, relay and book, each in its own file.
+package core
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+)
+
+// eventsQueued bounds the events that wait for the core; who posts more waits.
+const eventsQueued = 4096
+
+// Options are what a core is made of.
+type Options struct {
+	Settings control.Settings
+	Classes  []string // names, in the settings' order
+	Seed     uint64
+	MaxOpen  int // requests in hand; more are refused; 0: 4096
+	Clock    *clock.Clock
+	Log      zerolog.Logger
+}
+
+// Core is the part between fronts and upstreams.
+type Core struct {
+	opt     Options
+	module  *control.Controller
+	up      Upstream
+	classes map[string]int
+	events  chan Event
+	done    chan struct{}
+	timers  timerHeap
+	acts    []control.Action
+	backlog []control.Event // for the module, once the present actions are carried out
+	busy    bool
+
+	requests map[control.RequestID]*request
+	byTag    map[tagKey]*request
+	lastID   control.RequestID
+	probes   map[uint32]float64 // member to the time its probe left
+	stats    Stats
+	idle     []chan<- struct{} // told once no request is in hand
+}
+
+// Stats counts what the core has done since its start.
+type Stats struct {
+	Taken, Served, Same, Refused, Failed, Left, Attempts, Probes int
+}
+
+// New returns a core that uses up for its attempts.
+func New(opt Options, up Upstream) (*Core, error) {
+	module, err := control.New(opt.Settings, opt.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if len(opt.Classes) != len(opt.Settings.Classes) {
+		return nil, fmt.Errorf("core: Classes: %d names for %d classes", len(opt.Classes), len(opt.Settings.Classes))
+	}
+	if opt.MaxOpen <= 0 || opt.MaxOpen > 4096 {
+		opt.MaxOpen = 4096
+	}
+	c := &Core{
+		opt: opt, module: module, up: up, classes: map[string]int{}, events: make(chan Event, eventsQueued),
+		done: make(chan struct{}), requests: map[control.RequestID]*request{}, byTag: map[tagKey]*request{},
+		probes: map[uint32]float64{},
+	}
+	for i, name := range opt.Classes {
+		c.classes[name] = i
+	}
+	return c, nil
+}
+
+// Post hands an event to the core; it may wait, and after the core's end it does nothing.
+func (c *Core) Post(ev Event) {
+	select {
+	case c.events <- ev:
+	case <-c.done:
+	}
+}
+
+// Run owns the core until ctx ends.
+func (c *Core) Run(ctx context.Context) error {
+	defer close(c.done)
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		c.Tick()
+		next := time.Hour
+		if len(c.timers) > 0 {
+			next = max(0, clock.Duration(c.timers[0].at-c.now()))
+		}
+		wake.Reset(next)
+		select {
+		case <-ctx.Done():
+			c.opt.Log.Info().Interface("stats", c.stats).Msg("core ends")
+			return nil
+		case ev := <-c.events:
+			c.Handle(ev)
+		case <-wake.C:
+		}
+	}
+}
+
+func (c *Core) now() float64 { return c.opt.Clock.Now() }
+
+// Handle takes one event. Only the goroutine that owns the core may call it.
+func (c *Core) Handle(ev Event) {
+	switch ev := ev.(type) {
+	case Ask:
+		c.takeIn(ev)
+	case Leave:
+		c.leave(ev)
+	case Ended:
+		c.book(ev)
+	case Probed:
+		c.bookProbe(ev)
+	case Stores:
+		c.up.Update(ev)
+		list := control.Members{Whole: ev.Whole}
+		for _, s := range ev.List {
+			list.List = append(list.List, s.Member)
+		}
+		c.tell(list)
+	case Purge:
+		ago := max(0, c.opt.Clock.Unix()-ev.At)
+		c.tell(control.Purged{Object: control.ObjectID(ev.Object), Group: ev.Group, Ago: clock.Duration(ago)})
+	case WhenIdle:
+		c.idle = append(c.idle, ev.Tell)
+	case Query:
+		ev.Reply <- c.stats // buffered by its maker
+	}
+	if len(c.byTag) == 0 {
+		for _, tell := range c.idle {
+			close(tell)
+		}
+		c.idle = nil
+	}
+}
+
+// Tick handles the timers that are due. Only the goroutine that owns the core may call it.
+func (c *Core) Tick() {
+	for len(c.timers) > 0 && c.timers[0].at <= c.now() {
+		t := heap.Pop(&c.timers).(timer)
+		if t.of == nil {
+			c.tell(control.Woken{Token: t.token})
+		} else if !t.of.over {
+			c.timeOut(t.of)
+		}
+	}
+}
+
+// tell hands the module an event and carries out what it wants done. Events that arise on the way
+// are handed on afterwards, in order: the module is never entered twice.
+func (c *Core) tell(ev control.Event) {
+	c.backlog = append(c.backlog, ev)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.backlog) > 0 {
+		next := c.backlog[0]
+		c.backlog = c.backlog[1:]
+		c.acts = c.module.Handle(clock.Duration(c.now()), next, c.acts[:0])
+		for _, a := range c.acts {
+			c.route(a)
+		}
+	}
+	c.backlog = nil
+	c.busy = false
+}
+
+// timer is due at a time: for the module with a token, or as the time-out of an attempt.
+type timer struct {
+	at    float64
+	token uint64
+	of    *attempt
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
--- /dev/null
+++ b/core/route.go
@@ -0,0 +1,29 @@
+package core
+
+import (
+	"container/heap"
+
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+)
+
+// route carries one decision of the module to where it is done. It decides nothing.
+func (c *Core) route(a control.Action) {
+	switch a := a.(type) {
+	case control.Attempt:
+		c.send(a)
+	case control.Refuse:
+		c.relay(a.ID, Answer{Verdict: Refused, Reason: GivenUp, RetryAfter: clock.Ms(a.RetryAfter)})
+	case control.Fail:
+		c.relay(a.ID, Answer{Verdict: Failed, Reason: GivenUp})
+	case control.Cancel:
+		c.cancel(a)
+	case control.Probe:
+		c.stats.Probes++
+		c.probes[uint32(a.To)] = c.now()
+		c.up.Probe(uint32(a.To))
+	case control.Wake:
+		heap.Push(&c.timers, timer{at: clock.Ms(a.At), token: a.Token})
+	case control.Watch: // the list comes by itself
+	}
+}
--- /dev/null
+++ b/core/send.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"container/heap"
+
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+)
+
+// send makes one attempt. The module numbers a request's attempts from 0; so does the table.
+func (c *Core) send(a control.Attempt) {
+	r := c.requests[a.ID]
+	if r == nil {
+		c.opt.Log.Error().Uint64("request", uint64(a.ID)).Msg("attempt for a request not in hand")
+		return
+	}
+	t := &attempt{of: r, key: Key{r.id, len(r.attempts)}, to: uint32(a.To), sent: c.now()}
+	r.attempts = append(r.attempts, t)
+	r.open++
+	// Guards the promise that a request whose leave has run out starts no new attempt: the module
+	// hears that nothing was sent, and the client gets its answer now.
+	if r.NotAfter > 0 && c.opt.Clock.Unix() > r.NotAfter || r.answered {
+		t.over = true
+		r.open--
+		if !r.answered {
+			c.answer(r, Answer{Verdict: Failed, Reason: Expired})
+		}
+		c.tell(control.Outcome{ID: r.id, Attempt: t.key.N, Member: a.To, Result: control.Unsent, Closed: true})
+		return
+	}
+	c.stats.Attempts++
+	if a.Timeout > 0 {
+		heap.Push(&c.timers, timer{at: t.sent + clock.Ms(a.Timeout), of: t})
+	}
+	c.up.Send(Send{
+		Key: t.key, To: t.to, Source: uint32(a.Source), Fill: a.Source != a.To, Txn: r.Txn, Class: r.Class,
+		Name: r.Name, Part: r.Part, Keep: a.Keep, Join: a.Join, Timeout: clock.Ms(a.Timeout),
+		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, NotAfter: r.NotAfter,
+	})
+}
+
+// cancel gives one attempt up as the module asked.
+func (c *Core) cancel(a control.Cancel) {
+	if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
+		c.drop(r.attempts[a.Attempt], control.Cancelled)
+	}
+}
+
+// timeOut ends an attempt whose time has run out.
+func (c *Core) timeOut(t *attempt) { c.drop(t, control.TimedOut) }
+
+func (c *Core) drop(t *attempt, as control.Result) {
+	if !t.over && !t.asked {
+		t.asked = true
+		c.up.Drop(t.key, as)
+	}
+}
--- /dev/null
+++ b/core/takein.go
@@ -0,0 +1,51 @@
+package core
+
+import "turnfork.dev/turnfork/control"
+
+// takeIn is the first stage: a request gets its place in the table, or its answer at once.
+func (c *Core) takeIn(a Ask) {
+	c.stats.Taken++
+	key := tagKey{a.From, a.Tag}
+	if c.byTag[key] != nil {
+		// A front that names two open requests alike is broken; the first stays as it is.
+		c.opt.Log.Error().Uint64("tag", a.Tag).Msg("front used the tag of an open request")
+		return
+	}
+	class, ok := c.classes[a.Class]
+	if !ok {
+		c.stats.Failed++
+		a.From.Answer(a.Tag, Answer{Verdict: Failed, Reason: UnknownClass})
+		return
+	}
+	if len(c.requests) >= c.opt.MaxOpen {
+		c.stats.Refused++
+		a.From.Answer(a.Tag, Answer{Verdict: Refused, Reason: Crowded, RetryAfter: 50})
+		return
+	}
+	c.lastID++
+	r := &request{Ask: a, id: c.lastID}
+	c.requests[r.id] = r
+	c.byTag[key] = r
+	c.admit(r, class)
+}
+
+// leave is a client's withdrawal: nothing more is owed.
+func (c *Core) leave(l Leave) {
+	r := c.byTag[tagKey{l.From, l.Tag}]
+	if r == nil {
+		return // its answer crossed the withdrawal
+	}
+	c.stats.Left++
+	c.finish(r)
+	c.tell(control.Left{ID: r.id})
+}
+
+// finish marks a request as answered; its entry stays until its attempts have ended.
+func (c *Core) finish(r *request) {
+	r.answered = true
+	r.Body = nil
+	delete(c.byTag, tagKey{r.From, r.Tag})
+	if r.open == 0 {
+		delete(c.requests, r.id)
+	}
+}
--- /dev/null
+++ b/core/types.go
@@ -0,0 +1,187 @@
+package core
+
+import "turnfork.dev/turnfork/control"
+
+// Front is where requests come from. Answer must not block and is called once for each Ask that the
+// front has not withdrawn with Leave.
+type Front interface {
+	Answer(tag uint64, a Answer)
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served  Verdict = iota // the bytes
+	Same                   // the client's copy is the one
+	Refused                // trying again is harmless
+	Failed
+)
+
+// Reason says why a request was not served.
+type Reason uint8
+
+// The reasons.
+const (
+	NoReason     Reason = iota
+	GivenUp             // the module gave it up before its deadline
+	Deadline            // its time ran out
+	UnknownClass        // no class of that name
+	Crowded             // too many requests in hand
+	Expired             // its leave to be sent on ran out
+	NoStore             // its last attempt failed
+)
+
+// Answer is a request's final answer.
+type Answer struct {
+	Verdict    Verdict
+	Reason     Reason
+	Body       []byte
+	Tag        string  // of the copy
+	Minted     float64 // Unix ms at which the origin gave out this copy; 0: not told
+	RetryAfter float64 // ms that the client should stay away; 0: no advice
+	Ran        bool    // it was sent on, and may have run
+}
+
+// Upstream carries out attempts and probes. Its methods must not block, nor post events before
+// they return from the caller's goroutine.
+type Upstream interface {
+	// Send makes an attempt; exactly one Ended follows.
+	Send(a Send)
+	// Drop gives an attempt up. Its Ended comes only once nothing of it can still reach the store
+	// behind a later attempt: that is, after the wire was told.
+	Drop(k Key, as control.Result)
+	// Probe asks a store for its report; exactly one Probed follows.
+	Probe(member uint32)
+	// Update tells of the stores.
+	Update(s Stores)
+}
+
+// Key names one attempt of a request.
+type Key struct {
+	ID control.RequestID
+	N  int
+}
+
+// Send is one attempt.
+type Send struct {
+	Key
+	To, Source uint32
+	Fill       bool // a miss is filled from Source
+	Txn, Class string
+	Name       string // of the object, as the client wrote it
+	Part       uint32
+	Keep       uint8
+	Join       bool
+	Timeout    float64 // ms
+	MaxAge     float64 // ms; 0: the class's fresh time
+	Known      string  // tag of the client's copy
+	Body       []byte
+	NotAfter   float64 // Unix ms after which it must not leave; 0: none
+}
+
+// Store is one entry of the list.
+type Store struct {
+	Addr   string
+	Member control.Member
+}
+
+// Event is something that happened; see the types below.
+type Event interface{ event() }
+
+// Ask is a request that a front has taken whole.
+type Ask struct {
+	From     Front
+	Tag      uint64 // the front's name for it
+	Txn      string
+	Class    string
+	Name     string
+	Object   uint64
+	Part     uint32
+	Group    uint16
+	SizeKB   float64
+	At, Left float64 // when its last byte came, and how long the client waits from then on
+	Repeat   bool
+	Known    string
+	Body     []byte
+	NotAfter float64 // Unix ms after which no new attempt starts; 0: none
+}
+
+// Leave tells that the client no longer waits.
+type Leave struct {
+	From Front
+	Tag  uint64
+}
+
+// Ended tells how an attempt ended.
+type Ended struct {
+	Key
+	Result control.Result
+	Note   control.Note
+	Lag    float64 // ms waited for the source
+	Load   *control.Load
+	Body   []byte
+	Tag    string
+	Minted float64
+	Same   bool
+}
+
+// Probed tells how a probe ended.
+type Probed struct {
+	Member uint32
+	Result control.Result
+	Load   *control.Load
+}
+
+// Stores tells of the list of stores: all of it, or what changed.
+type Stores struct {
+	Whole bool
+	List  []Store
+}
+
+// Purge tells that an object (or with none, a group) was purged at a Unix time in ms.
+type Purge struct {
+	Object uint64
+	Group  uint16
+	At     float64
+}
+
+// WhenIdle has Tell closed once no request is in hand.
+type WhenIdle struct{ Tell chan<- struct{} }
+
+// Query asks for the counts; Reply must have room for one.
+type Query struct{ Reply chan<- Stats }
+
+func (Ask) event()      {}
+func (Leave) event()    {}
+func (Ended) event()    {}
+func (Probed) event()   {}
+func (Stores) event()   {}
+func (Purge) event()    {}
+func (WhenIdle) event() {}
+func (Query) event()    {}
+
+type tagKey struct {
+	from Front
+	tag  uint64
+}
+
+type request struct {
+	Ask
+	id       control.RequestID
+	answered bool
+	attempts []*attempt
+	open     int // attempts without an end
+	last     control.Result
+}
+
+type attempt struct {
+	of     *request
+	key    Key
+	to     uint32
+	sent   float64
+	over   bool
+	asked  bool // its drop is under way
+	expire bool
+}
--- /dev/null
+++ b/front/fastcgi/fastcgi.go
@@ -0,0 +1,464 @@
+// Package fastcgi is the platform's front: FastCGI 1.0 in the Responder role, many requests on one
+// connection, answers in any order.
+package fastcgi
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/core"
+)
+
+// Options are what a front is made of.
+type Options struct {
+	Post     func(core.Event) // to the core
+	Clock    *clock.Clock
+	Log      zerolog.Logger
+	MaxConns int                          // connections at once; 0: 300
+	MaxBytes int64                        // answers that wait to be written, on all connections; 0: 48 MB
+	Tap      func(conn net.Conn) net.Conn // wraps each connection, for recording; nil: none
+}
+
+const (
+	writeLimit = 3 * time.Second // a client that takes nothing for so long loses its connection
+	idleMost   = 5 * time.Minute // clients close idle connections long before
+)
+
+// Front serves one listener.
+type Front struct {
+	opt Options
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	waiting  int64
+	draining bool
+}
+
+// New returns a front that hands its requests to opt.Post.
+func New(opt Options) *Front {
+	if opt.MaxConns <= 0 {
+		opt.MaxConns = 300
+	}
+	if opt.MaxBytes <= 0 {
+		opt.MaxBytes = 48 << 20
+	}
+	return &Front{opt: opt, conns: map[*conn]struct{}{}}
+}
+
+// Serve accepts until the listener closes or ctx ends, and returns once all its connections have
+// ended. The end of ctx closes them at once.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() {
+		l.Close()
+		f.CloseAll()
+	})
+	defer stop()
+	var pause time.Duration
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+				return g.Wait()
+			}
+			// Guards against a full table of descriptors ending the front: it waits for room.
+			f.opt.Log.Warn().Err(err).Msg("accept failed")
+			pause = min(max(2*pause, 5*time.Millisecond), 500*time.Millisecond)
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		pause = 0
+		f.Start(g, nc)
+	}
+}
+
+// Start serves one connection in the group.
+func (f *Front) Start(g *errgroup.Group, nc net.Conn) {
+	if f.opt.Tap != nil {
+		nc = f.opt.Tap(nc)
+	}
+	c := &conn{
+		front: f, net: nc, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+	}
+	f.mu.Lock()
+	full := len(f.conns) >= f.opt.MaxConns
+	if !full {
+		f.conns[c] = struct{}{}
+	}
+	f.mu.Unlock()
+	if full {
+		f.opt.Log.Warn().Int("connections", f.opt.MaxConns).Msg("too many connections")
+		nc.Close()
+		return
+	}
+	g.Go(func() error { c.read(); return nil })
+	g.Go(func() error { c.write(); return nil })
+}
+
+// CloseAll closes every connection.
+func (f *Front) CloseAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.net.Close()
+	}
+}
+
+// Open counts the requests that are not answered.
+func (f *Front) Open() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.mu.Lock()
+		n += len(c.open) + len(c.out)
+		c.mu.Unlock()
+	}
+	return n
+}
+
+func (f *Front) hold(n int64) (ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting += n
+	return f.waiting <= f.opt.MaxBytes
+}
+
+// request is one request being read or waiting for its answer.
+type request struct {
+	params []byte
+	body   []byte
+	ready  bool // its parameters are whole
+	asked  bool // the core has it
+	keep   bool
+	tag    uint64
+}
+
+type conn struct {
+	front *Front
+	net   net.Conn
+	ended chan struct{} // closed when the reader ends
+
+	mu      sync.Mutex
+	open    map[uint16]*request
+	tags    uint64
+	out     [][]byte
+	closing bool // once all is written
+	dead    bool
+	wake    chan struct{}
+}
+
+// read is the reader goroutine.
+func (c *conn) read() {
+	defer c.end()
+	r := bufio.NewReaderSize(c.net, 8<<10)
+	buf := new([contentMost + 255]byte)
+	for {
+		c.net.SetReadDeadline(time.Now().Add(idleMost))
+		rec, err := readRecord(r, buf)
+		if err == nil {
+			err = c.take(rec)
+		}
+		if err != nil {
+			if errors.Is(err, errRecord) {
+				c.front.opt.Log.Warn().Err(err).Stringer("from", c.net.RemoteAddr()).Msg("connection dropped")
+			} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+				c.front.opt.Log.Debug().Err(err).Msg("connection ended")
+			}
+			return
+		}
+	}
+}
+
+// end closes the connection and withdraws what is open on it.
+func (c *conn) end() {
+	c.net.Close()
+	f := c.front
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	c.mu.Lock()
+	c.dead = true
+	var left []uint64
+	for _, q := range c.open {
+		if q.asked {
+			left = append(left, q.tag)
+		}
+	}
+	c.open = map[uint16]*request{}
+	var held int64
+	for _, b := range c.out {
+		held += int64(len(b))
+	}
+	c.out = nil
+	c.mu.Unlock()
+	f.hold(-held)
+	close(c.ended)
+	for _, tag := range left {
+		f.opt.Post(core.Leave{From: c, Tag: tag})
+	}
+}
+
+// take handles one record.
+func (c *conn) take(rec record) error {
+	if rec.id == 0 {
+		return c.manage(rec)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.open[rec.id]
+	switch rec.kind {
+	case typeBegin:
+		if len(rec.data) < 8 {
+			return fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", errRecord, len(rec.data))
+		}
+		role, keep := uint16(rec.data[0])<<8|uint16(rec.data[1]), rec.data[2]&flagKeepConn != 0
+		switch {
+		case q != nil:
+			return fmt.Errorf("%w: request %d begun twice", errRecord, rec.id)
+		case role != roleResponder:
+			c.send(appendEnd(nil, rec.id, 0, protoRole))
+		case len(c.open) >= requestsAtOnce:
+			c.send(appendEnd(nil, rec.id, 0, protoOverload))
+		default:
+			c.tags++
+			c.open[rec.id] = &request{keep: keep, tag: c.tags<<16 | uint64(rec.id)}
+		}
+	case typeAbort:
+		if q != nil {
+			delete(c.open, rec.id)
+			if q.asked {
+				c.mu.Unlock()
+				c.front.opt.Post(core.Leave{From: c, Tag: q.tag})
+				c.mu.Lock()
+			}
+			c.send(appendEnd(nil, rec.id, 1, protoComplete))
+		}
+	case typeParams:
+		switch {
+		case q == nil || q.ready: // of a request that has ended, or was not taken
+		case len(rec.data) == 0:
+			q.ready = true
+		case len(q.params)+len(rec.data) > paramsMost:
+			return fmt.Errorf("%w: parameters of more than %d bytes", errRecord, paramsMost)
+		default:
+			q.params = append(q.params, rec.data...)
+		}
+	case typeStdin:
+		switch {
+		case q == nil || q.asked:
+		case len(rec.data) == 0:
+			if !q.ready {
+				return fmt.Errorf("%w: body ends before the parameters", errRecord)
+			}
+			return c.ask(rec.id, q)
+		case len(q.body)+len(rec.data) > bodyMost:
+			return fmt.Errorf("%w: a body of more than %d bytes", errRecord, bodyMost)
+		default:
+			q.body = append(q.body, rec.data...)
+		}
+	case typeData:
+	default:
+		return fmt.Errorf("%w: type %d", errRecord, rec.kind)
+	}
+	return nil
+}
+
+// manage answers a management record.
+func (c *conn) manage(rec record) error {
+	if rec.kind != typeGetValues {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.send(appendRecord(nil, typeUnknown, 0, []byte{rec.kind, 0, 0, 0, 0, 0, 0, 0}))
+		return nil
+	}
+	var b []byte
+	err := pairs(rec.data, func(name, _ string) {
+		switch name {
+		case "FCGI_MAX_CONNS":
+			b = appendPair(b, name, strconv.Itoa(c.front.opt.MaxConns))
+		case "FCGI_MAX_REQS":
+			b = appendPair(b, name, strconv.Itoa(c.front.opt.MaxConns*requestsAtOnce))
+		case "FCGI_MPXS_CONNS":
+			b = appendPair(b, name, "1")
+		}
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.send(appendRecord(nil, typeValues, 0, b))
+	return err
+}
+
+// ask hands a whole request to the core, or answers it here. It holds the lock on entry and return.
+func (c *conn) ask(id uint16, q *request) error {
+	at := c.front.opt.Clock.Now()
+	a := core.Ask{From: c, Tag: q.tag, At: at, Body: q.body}
+	script, bad := "", ""
+	number := func(name, value string, bits int, base int) uint64 {
+		v, err := strconv.ParseUint(value, base, bits)
+		if err != nil && bad == "" {
+			bad = fmt.Sprintf("%s: %.40q", name, value)
+		}
+		return v
+	}
+	float := func(name, value string) float64 {
+		v, err := strconv.ParseFloat(value, 64)
+		if (err != nil || !(v >= 0 && v < 1e12)) && bad == "" {
+			bad = fmt.Sprintf("%s: %.40q", name, value)
+		}
+		return v
+	}
+	err := pairs(q.params, func(name, value string) {
+		switch name {
+		case "SCRIPT_NAME":
+			script = value
+		case "HTTP_X_TXN":
+			number(name, value, 64, 16)
+			a.Txn = value
+		case "HTTP_X_TTL_MS":
+			a.Left = float(name, value)
+		case "HTTP_X_ROW":
+			a.Object = number(name, value, 64, 16)
+			a.Name = value
+		case "HTTP_X_BLOCK":
+			a.Part = uint32(number(name, value, 32, 10))
+		case "HTTP_X_FAMILY":
+			a.Group = uint16(number(name, value, 16, 10))
+		case "HTTP_X_WORKING_SET_KB":
+			a.SizeKB = float(name, value)
+		case "HTTP_X_CACHED":
+			a.Known = cleanTag(value)
+		}
+	})
+	q.params = nil
+	if err != nil {
+		return err
+	}
+	var ok bool
+	a.Class, ok = strings.CutPrefix(script, "/v1/")
+	switch {
+	case script == "/healthz":
+		c.reply(id, "200 OK", "", []byte("ok\n"))
+	case !ok:
+		c.reply(id, "404 Not Found", "", nil)
+	case bad != "" || a.Txn == "" || a.Name == "" || a.Left <= 0:
+		c.front.opt.Log.Warn().Str("field", bad).Str("txn", a.Txn).Msg("request with unusable fields")
+		c.reply(id, "400 Bad Request", "", nil)
+	default:
+		q.asked, q.body = true, nil
+		c.mu.Unlock()
+		c.front.opt.Post(a)
+		c.mu.Lock()
+	}
+	return nil
+}
+
+// cleanTag takes the quotes off a tag and passes on none that a store could not read.
+func cleanTag(v string) string {
+	v = strings.Trim(strings.TrimPrefix(v, "W/"), `"`)
+	if _, err := strconv.ParseUint(v, 16, 64); err != nil {
+		return ""
+	}
+	return v
+}
+
+// Answer is the core's final answer to a request.
+func (c *conn) Answer(tag uint64, a core.Answer) {
+	id := uint16(tag)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := c.open[id]
+	if q == nil || q.tag != tag {
+		return // withdrawn
+	}
+	head := ""
+	if a.RetryAfter > 0 {
+		head = "X-Throttle-Ms: " + strconv.FormatInt(max(1, int64(a.RetryAfter)), 10) + "\r\n"
+	}
+	switch a.Verdict {
+	case core.Served:
+		c.reply(id, "200 OK", head, a.Body)
+	case core.Same:
+		c.reply(id, "200 OK", "X-Keep: 1\r\n", nil)
+	case core.Refused:
+		c.reply(id, "503 Service Unavailable", head, nil)
+	default:
+		status := "502 Bad Gateway"
+		switch a.Reason {
+		case core.Deadline, core.Expired:
+			status = "504 Gateway Timeout"
+		case core.UnknownClass:
+			status = "404 Not Found"
+		}
+		c.reply(id, status, head, nil)
+	}
+}
+
+// reply writes the one answer of a request and forgets it.
+func (c *conn) reply(id uint16, status, head string, body []byte) {
+	q := c.open[id]
+	delete(c.open, id)
+	text := "Status: " + status + "\r\nContent-Type: application/octet-stream\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\n" + head + "\r\n"
+	c.closing = c.closing || q != nil && !q.keep
+	c.send(appendStdout(make([]byte, 0, len(text)+len(body)+64+len(body)/8000), id, []byte(text), body))
+}
+
+// send queues bytes for the writer; a client that leaves too much unread is dropped.
+func (c *conn) send(b []byte) {
+	if c.dead {
+		return
+	}
+	if !c.front.hold(int64(len(b))) {
+		c.front.hold(-int64(len(b)))
+		c.front.opt.Log.Warn().Msg("too much waits to be written: slow client dropped")
+		c.dead = true
+		c.net.Close()
+		return
+	}
+	c.out = append(c.out, b)
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write is the writer goroutine.
+func (c *conn) write() {
+	for {
+		select {
+		case <-c.ended:
+			return
+		case <-c.wake:
+		}
+		c.mu.Lock()
+		out, last := c.out, c.closing && len(c.open) == 0
+		c.out = nil
+		c.mu.Unlock()
+		var n int64
+		for _, b := range out {
+			n += int64(len(b))
+		}
+		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+		bufs := net.Buffers(out)
+		_, err := bufs.WriteTo(c.net)
+		c.front.hold(-n)
+		if err != nil || last {
+			c.net.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/front/fastcgi/record.go
@@ -0,0 +1,126 @@
+package fastcgi
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Record types of FastCGI 1.0.
+const (
+	typeBegin     = 1
+	typeAbort     = 2
+	typeEnd       = 3
+	typeParams    = 4
+	typeStdin     = 5
+	typeStdout    = 6
+	typeData      = 8
+	typeGetValues = 9
+	typeValues    = 10
+	typeUnknown   = 11
+)
+
+const (
+	version        = 1
+	roleResponder  = 1
+	flagKeepConn   = 1
+	protoComplete  = 0
+	protoCantMux   = 1
+	protoOverload  = 2
+	protoRole      = 3
+	headerLen      = 8
+	contentMost    = 65535
+	paramsMost     = 16 << 10 // bytes of one request's parameters
+	bodyMost       = 64 << 10 // a write carries up to 48,000
+	requestsAtOnce = 32
+)
+
+var errRecord = errors.New("malformed record")
+
+type record struct {
+	kind byte
+	id   uint16
+	data []byte // valid until the next record is read
+}
+
+// readRecord reads one record into buf, which holds any content there is.
+func readRecord(r *bufio.Reader, buf *[contentMost + 255]byte) (record, error) {
+	var h [headerLen]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		if err == io.ErrUnexpectedEOF {
+			err = fmt.Errorf("%w: cut inside a header", errRecord)
+		}
+		return record{}, err
+	}
+	if h[0] != version {
+		return record{}, fmt.Errorf("%w: version %d", errRecord, h[0])
+	}
+	n, pad := int(binary.BigEndian.Uint16(h[4:])), int(h[6])
+	if _, err := io.ReadFull(r, buf[:n+pad]); err != nil {
+		return record{}, fmt.Errorf("%w: cut inside the content: %v", errRecord, err)
+	}
+	return record{h[1], binary.BigEndian.Uint16(h[2:]), buf[:n]}, nil
+}
+
+func appendRecord(b []byte, kind byte, id uint16, data []byte) []byte {
+	b = append(b, version, kind, byte(id>>8), byte(id), byte(len(data)>>8), byte(len(data)), 0, 0)
+	return append(b, data...)
+}
+
+// appendStdout appends an answer's stream, its end and the request's end.
+func appendStdout(b []byte, id uint16, head, body []byte) []byte {
+	b = appendRecord(b, typeStdout, id, head)
+	for len(body) > 0 {
+		n := min(len(body), contentMost&^7)
+		b = appendRecord(b, typeStdout, id, body[:n])
+		body = body[n:]
+	}
+	b = appendRecord(b, typeStdout, id, nil)
+	return appendEnd(b, id, 0, protoComplete)
+}
+
+func appendEnd(b []byte, id uint16, app uint32, proto byte) []byte {
+	var body [8]byte
+	binary.BigEndian.PutUint32(body[:], app)
+	body[4] = proto
+	return appendRecord(b, typeEnd, id, body[:])
+}
+
+// pairs calls fn for each name-value pair.
+func pairs(b []byte, fn func(name, value string)) error {
+	for len(b) > 0 {
+		var n [2]int
+		for i := range n {
+			if len(b) == 0 {
+				return fmt.Errorf("%w: cut inside a length", errRecord)
+			}
+			if b[0] < 128 {
+				n[i], b = int(b[0]), b[1:]
+				continue
+			}
+			if len(b) < 4 {
+				return fmt.Errorf("%w: cut inside a length", errRecord)
+			}
+			n[i], b = int(binary.BigEndian.Uint32(b)&0x7fffffff), b[4:]
+		}
+		if n[0] > len(b) || n[1] > len(b)-n[0] {
+			return fmt.Errorf("%w: a pair of %d and %d bytes in %d", errRecord, n[0], n[1], len(b))
+		}
+		fn(string(b[:n[0]]), string(b[n[0]:n[0]+n[1]]))
+		b = b[n[0]+n[1]:]
+	}
+	return nil
+}
+
+func appendPair(b []byte, name, value string) []byte {
+	for _, s := range []string{name, value} {
+		if len(s) < 128 {
+			b = append(b, byte(len(s)))
+		} else {
+			b = binary.BigEndian.AppendUint32(b, uint32(len(s))|1<<31)
+		}
+	}
+	return append(append(b, name...), value...)
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"tealhitch.dev/tealhitch/control"
+	"turnfork.dev/turnfork/control"
 )
 
 type env struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"math"
 	"time"
 
-	"tealhitch.dev/tealhitch/control"
+	"turnfork.dev/turnfork/control"
 )
 
 // MaxFrame bounds the frame a peer may announce.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"tealhitch.dev/tealhitch/control"
+	"turnfork.dev/turnfork/control"
 )
 
 func unhex(t testing.TB, s string) []byte {
--- /dev/null
+++ b/upstream/resp/conn.go
@@ -0,0 +1,256 @@
+package resp
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// conn is one connection. The pool's lock guards all but net and the goroutines' own buffers.
+type conn struct {
+	pool    *Pool
+	peer    *peer
+	net     net.Conn
+	open    map[string]*attempt // by ID
+	stale   map[string]bool     // IDs given up here, whose answer may still come
+	out     []chunk
+	queued  int
+	wake    chan struct{}
+	leaving bool // takes no new work
+	broken  bool
+	silent  bool    // work was given up here and nothing has come since
+	heard   float64 // last byte
+	lastUse float64
+}
+
+// chunk is what one attempt has to write.
+type chunk struct {
+	of    *attempt
+	bytes []byte
+	drop  bool
+}
+
+// staleMost bounds the IDs remembered; a connection with more takes no new work.
+const staleMost = 4096
+
+func newConn(p *Pool, q *peer, nc net.Conn) *conn {
+	now := p.now()
+	return &conn{
+		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]bool{},
+		wake: make(chan struct{}, 1), heard: now, lastUse: now,
+	}
+}
+
+// used tells whether an ID can't be used on this connection: an answer to it that comes now may be
+// that of an earlier attempt which was given up.
+func (c *conn) used(wire string) bool { return c.open[wire] != nil || c.stale[wire] }
+
+func (c *conn) queue(a *attempt, b []byte) {
+	c.out = append(c.out, chunk{of: a, bytes: b, drop: a.dropped})
+	c.queued += len(b)
+	c.lastUse = c.pool.now()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *conn) unqueue(a *attempt) {
+	for i, k := range c.out {
+		if k.of == a {
+			c.queued -= len(k.bytes)
+			c.out = append(c.out[:i], c.out[i+1:]...)
+			return
+		}
+	}
+}
+
+// closeIfDone closes a connection that takes no more work once its work has ended.
+func (c *conn) closeIfDone() {
+	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && !c.broken {
+		c.net.Close() // the reader takes it off the peer
+	}
+}
+
+// write is the writer goroutine.
+func (c *conn) write(wake <-chan struct{}) {
+	p := c.pool
+	defer p.wg.Done()
+	var buf []byte
+	for range wake {
+		p.mu.Lock()
+		take := c.out
+		c.out, c.queued = nil, 0
+		for _, k := range take {
+			k.of.writing = true
+		}
+		broken := c.broken
+		p.mu.Unlock()
+		if broken {
+			return
+		}
+		buf = buf[:0]
+		for _, k := range take {
+			buf = append(buf, k.bytes...)
+		}
+		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+		if _, err := c.net.Write(buf); err != nil {
+			c.net.Close() // abandons all that is open on it; the reader tells
+			return
+		}
+		if cap(buf) > 1<<20 {
+			buf = nil
+		}
+		var ended []core.Event
+		p.mu.Lock()
+		for _, k := range take {
+			if k.drop && !k.of.over { // the DROP is out: from now on another attempt may leave
+				if len(c.stale) < staleMost {
+					c.stale[k.of.wire] = true
+				} else {
+					c.leaving = true
+				}
+				if ev := p.end(k.of, k.of.as); ev != nil {
+					ended = append(ended, ev)
+				}
+			}
+		}
+		p.mu.Unlock()
+		for _, ev := range ended {
+			p.post(ev)
+		}
+	}
+}
+
+// read is the reader goroutine; it owns the connection's end.
+func (c *conn) read() {
+	p := c.pool
+	defer p.wg.Done()
+	r := bufio.NewReaderSize(c.net, 16<<10)
+	var err error
+	for err == nil {
+		var a answer
+		if a, err = readAnswer(r); err == nil {
+			var ev core.Event
+			if ev, err = c.take(a); ev != nil {
+				p.post(ev)
+			}
+		}
+	}
+	c.net.Close()
+	p.mu.Lock()
+	c.broken = true
+	p.conns--
+	for i, x := range c.peer.conns {
+		if x == c {
+			c.peer.conns = append(c.peer.conns[:i], c.peer.conns[i+1:]...)
+			break
+		}
+	}
+	var ended []core.Event
+	lost := len(c.open)
+	for _, a := range c.open {
+		res := control.Broken
+		switch {
+		case !a.writing: // no byte of it has left
+			res = control.Unreached
+		case a.dropped: // the close has told the store
+			res = a.as
+		}
+		if ev := p.end(a, res); ev != nil {
+			ended = append(ended, ev)
+		}
+	}
+	expected := c.leaving || p.ctx.Err() != nil
+	close(c.wake)
+	c.wake = nil
+	p.mu.Unlock()
+	if !expected || lost > 0 {
+		p.opt.Log.Info().Err(err).Str("store", fmt.Sprintf("s-%08x", c.peer.id)).Int("lost", lost).Msg("connection ended")
+	}
+	for _, ev := range ended {
+		p.post(ev)
+	}
+}
+
+// take books one answer.
+func (c *conn) take(a answer) (core.Event, error) {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.heard, c.silent = p.now(), false
+	t := c.open[a.id]
+	if t == nil {
+		if c.stale[a.id] || strings.HasPrefix(a.id, probePrefix) {
+			delete(c.stale, a.id) // the answer to what was given up, too late
+			return nil, nil
+		}
+		return nil, fmt.Errorf("%w: %s for an id not in use", errWire, a.word)
+	}
+	if t.probe {
+		ev := p.end(t, control.Errored)
+		if got, ok := ev.(core.Probed); ok {
+			switch a.word {
+			case "READY":
+				got.Result = control.OK
+			case "AILING":
+			default:
+				return ev, fmt.Errorf("%w: %.20q to a probe", errWire, a.word)
+			}
+			got.Load = a.fields.load()
+			ev = got
+		}
+		return ev, nil
+	}
+	res, ok := words[a.word]
+	if !ok {
+		return p.end(t, control.Errored), fmt.Errorf("%w: word %.20q", errWire, a.word)
+	}
+	ev, _ := p.end(t, res).(core.Ended)
+	ev.Note, ev.Lag, ev.Load = notes[a.fields.get("why")], a.fields.number("lag"), a.fields.load()
+	ev.Tag, ev.Minted, ev.Body, ev.Same = a.fields.get("tag"), a.fields.number("minted"), a.body, a.word == "NOMOD"
+	return ev, nil
+}
+
+const probePrefix = "p-"
+
+func probeName(n uint64) string { return probePrefix + strconv.FormatUint(n, 10) }
+
+// encode words an attempt as a GET.
+func encode(s core.Send) []byte {
+	f := make([]byte, 0, 160)
+	f = append(f, "lane="...)
+	f = append(f, s.Class...)
+	f = append(f, ",name="...)
+	f = append(f, s.Name...)
+	f = append(f, ",piece="...)
+	f = strconv.AppendUint(f, uint64(s.Part), 10)
+	f = append(f, ",ttl="...)
+	f = strconv.AppendInt(f, max(1, int64(s.Timeout)), 10)
+	if s.Fill {
+		f = append(f, ",via="...)
+		f = append(f, fmt.Sprintf("s-%08x", s.Source)...)
+	}
+	if s.Keep > 0 {
+		f = append(f, ",tier="...)
+		f = strconv.AppendUint(f, uint64(s.Keep), 10)
+	}
+	if s.MaxAge > 0 { // rounded down: 0 would ask for the class's own limit, which is wider
+		f = append(f, ",fresh="...)
+		f = strconv.AppendInt(f, max(1, int64(s.MaxAge)), 10)
+	}
+	if s.Join {
+		f = append(f, ",opts=j"...)
+	}
+	if s.Known != "" {
+		f = append(f, ",known="...)
+		f = append(f, s.Known...)
+	}
+	return appendCommand(make([]byte, 0, len(f)+len(s.Body)+96), "GET", s.Txn, string(f), string(s.Body))
+}
--- /dev/null
+++ b/upstream/resp/resp.go
@@ -0,0 +1,406 @@
+// Package resp is the upstream that speaks with stores, parents and the origin in RESP arrays: many
+// attempts share a connection by their IDs.
+package resp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// Options set the limits of an upstream.
+type Options struct {
+	DialTimeout  float64 // ms until a connection that is not up counts as unreached
+	IdleClose    float64 // ms after which stores close idle connections; we do so somewhat earlier
+	ProbeTimeout float64 // ms
+	Streams      int     // attempts on one connection
+	MaxConns     int     // connections in all
+	Clock        *clock.Clock
+	Log          zerolog.Logger
+	Dial         func(ctx context.Context, network, addr string) (net.Conn, error) // nil: net.Dialer
+}
+
+const (
+	idlePart     = 0.8             // of the idle time, after which this side closes: no request crosses a close
+	writeLimit   = 2 * time.Second // a store that takes nothing for so long loses the connection
+	queuedMost   = 2 << 20         // bytes that wait for one connection's writer
+	silentMost   = 1500.0          // ms without a byte, with work given up in silence, until a connection is left
+	sweepEvery   = 250 * time.Millisecond
+	connsPerPeer = 8
+)
+
+// Pool is the upstream. Events go to its sink, always from goroutines of its own.
+type Pool struct {
+	opt  Options
+	post func(core.Event)
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+
+	mu       sync.Mutex
+	peers    map[uint32]*peer
+	attempts map[core.Key]*attempt
+	probes   uint64
+	conns    int
+	late     chan core.Event // what a call from the core found at once
+}
+
+// peer is one store, parent or origin.
+type peer struct {
+	id      uint32
+	addr    string
+	gone    bool
+	conns   []*conn
+	dialing bool
+	waiting []*attempt // for a connection
+}
+
+// attempt is a GET or a probe.
+type attempt struct {
+	core.Send
+	wire     string // its ID on the wire
+	member   uint32
+	probe    bool
+	on       *conn
+	writing  bool // it is in a buffer that the writer has taken, or written
+	dropped  bool
+	as       control.Result // of a dropped one
+	over     bool
+	deadline float64
+	bytes    []byte
+}
+
+// New returns a pool that lives until Close.
+func New(opt Options, post func(core.Event)) *Pool {
+	if opt.Dial == nil {
+		opt.Dial = (&net.Dialer{}).DialContext
+	}
+	p := &Pool{
+		opt: opt, post: post, peers: map[uint32]*peer{}, attempts: map[core.Key]*attempt{},
+		late: make(chan core.Event, 8192),
+	}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.wg.Add(2)
+	go p.sweep()
+	go func() {
+		defer p.wg.Done()
+		for {
+			select {
+			case ev := <-p.late:
+				p.post(ev)
+			case <-p.ctx.Done():
+				return
+			}
+		}
+	}()
+	return p
+}
+
+// Close closes every connection and waits for the pool's goroutines.
+func (p *Pool) Close() {
+	p.stop()
+	p.mu.Lock()
+	for _, q := range p.peers {
+		for _, c := range q.conns {
+			c.net.Close()
+		}
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+func (p *Pool) now() float64 { return p.opt.Clock.Now() }
+
+// soon posts an event from the pool's own goroutine, for calls that must not post themselves.
+func (p *Pool) soon(ev core.Event) {
+	select {
+	case p.late <- ev:
+	case <-p.ctx.Done():
+	default: // Guards against the core and this queue waiting for each other.
+		go p.post(ev)
+	}
+}
+
+// Update tells of the stores. A store that is gone keeps its connections until its work has ended.
+func (p *Pool) Update(s core.Stores) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.Whole {
+		for _, q := range p.peers {
+			q.gone = true
+		}
+	}
+	for _, e := range s.List {
+		id := uint32(e.Member.ID)
+		q := p.peers[id]
+		if q == nil {
+			q = &peer{id: id}
+			p.peers[id] = q
+		}
+		// Guards against sending one store's work to another: an address may be used again, so
+		// connections belong to an id at an address.
+		if q.addr != e.Addr {
+			for _, c := range q.conns {
+				c.leaving = true
+			}
+			q.addr = e.Addr
+		}
+		q.gone = e.Member.State == control.Gone
+	}
+	for id, q := range p.peers {
+		if q.gone {
+			for _, c := range q.conns {
+				c.leaving = true
+				c.closeIfDone()
+			}
+			if len(q.conns) == 0 && !q.dialing {
+				delete(p.peers, id)
+			}
+		}
+	}
+}
+
+// Send makes an attempt.
+func (p *Pool) Send(s core.Send) {
+	a := &attempt{Send: s, wire: s.Txn, member: s.To}
+	p.mu.Lock()
+	q := p.peers[s.To]
+	if q == nil || p.attempts[s.Key] != nil {
+		p.mu.Unlock()
+		p.soon(core.Ended{Key: s.Key, Result: control.Unsent})
+		return
+	}
+	p.attempts[s.Key] = a
+	a.bytes = encode(s)
+	ended := p.place(q, a)
+	p.mu.Unlock()
+	for _, ev := range ended {
+		p.soon(ev)
+	}
+}
+
+// Probe asks a store for its report.
+func (p *Pool) Probe(member uint32) {
+	p.mu.Lock()
+	q := p.peers[member]
+	if q == nil {
+		p.mu.Unlock()
+		p.soon(core.Probed{Member: member, Result: control.Unreached})
+		return
+	}
+	p.probes++
+	a := &attempt{wire: probeName(p.probes), member: member, probe: true, deadline: p.now() + p.opt.ProbeTimeout}
+	a.bytes = appendCommand(nil, "LOAD", a.wire)
+	ended := p.place(q, a)
+	p.mu.Unlock()
+	for _, ev := range ended {
+		p.soon(ev)
+	}
+	p.after(p.opt.ProbeTimeout, func() { p.giveUp(a, control.TimedOut) })
+}
+
+func (p *Pool) after(ms float64, f func()) {
+	time.AfterFunc(clock.Duration(ms), func() {
+		if p.ctx.Err() == nil {
+			f()
+		}
+	})
+}
+
+// Drop gives an attempt up.
+func (p *Pool) Drop(k core.Key, as control.Result) {
+	p.mu.Lock()
+	a := p.attempts[k]
+	p.mu.Unlock()
+	if a != nil {
+		if ev := p.drop(a, as); ev != nil {
+			p.soon(ev)
+		}
+	}
+}
+
+func (p *Pool) giveUp(a *attempt, as control.Result) {
+	if ev := p.drop(a, as); ev != nil {
+		p.post(ev)
+	}
+}
+
+// drop takes back what has not left, which is proven not to have run; for the rest it has DROP
+// written, and the end is told once it is.
+func (p *Pool) drop(a *attempt, as control.Result) core.Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.over || a.dropped {
+		return nil
+	}
+	switch {
+	case a.on == nil: // waits for a connection
+		if q := p.peers[a.member]; q != nil {
+			for i, w := range q.waiting {
+				if w == a {
+					q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+					break
+				}
+			}
+		}
+		if a.probe {
+			return p.end(a, control.Unreached)
+		}
+		return p.end(a, control.Unsent)
+	case !a.writing:
+		a.on.unqueue(a)
+		if a.probe {
+			return p.end(a, as)
+		}
+		return p.end(a, control.Unsent)
+	case a.probe:
+		a.on.silent = true
+		return p.end(a, as)
+	}
+	a.dropped, a.as = true, as
+	a.on.silent = a.on.silent || as == control.TimedOut || as == control.Cancelled
+	a.on.queue(a, appendCommand(nil, "DROP", a.wire))
+	return nil
+}
+
+// end makes the event of an attempt's end; the caller posts it without the lock.
+func (p *Pool) end(a *attempt, res control.Result) core.Event {
+	if a.over {
+		return nil
+	}
+	a.over = true
+	a.bytes = nil
+	if c := a.on; c != nil {
+		if c.open[a.wire] == a {
+			delete(c.open, a.wire)
+		}
+		c.lastUse = p.now()
+		c.closeIfDone()
+	}
+	if a.probe {
+		return core.Probed{Member: a.member, Result: res}
+	}
+	delete(p.attempts, a.Key)
+	return core.Ended{Key: a.Key, Result: res}
+}
+
+// place puts an attempt on a connection, or has one dialled.
+func (p *Pool) place(q *peer, a *attempt) (ended []core.Event) {
+	if c := q.pick(a.wire, p.opt.Streams); c != nil {
+		a.on = c
+		c.open[a.wire] = a
+		c.queue(a, a.bytes)
+		return nil
+	}
+	if q.dialing {
+		q.waiting = append(q.waiting, a)
+		return nil
+	}
+	if p.conns >= p.opt.MaxConns || len(q.conns) >= connsPerPeer {
+		if ev := p.end(a, control.Unreached); ev != nil {
+			ended = append(ended, ev)
+		}
+		return ended
+	}
+	q.waiting = append(q.waiting, a)
+	q.dialing = true
+	p.conns++
+	p.wg.Add(1)
+	go p.dial(q, q.addr)
+	return nil
+}
+
+// pick gives the connection with fewest attempts that can still take one of this ID.
+func (q *peer) pick(wire string, streams int) (best *conn) {
+	for _, c := range q.conns {
+		if !c.leaving && !c.broken && len(c.open) < streams && c.queued < queuedMost && !c.used(wire) &&
+			(best == nil || len(c.open) < len(best.open)) {
+			best = c
+		}
+	}
+	return best
+}
+
+func (p *Pool) dial(q *peer, addr string) {
+	defer p.wg.Done()
+	ctx, cancel := context.WithTimeout(p.ctx, clock.Duration(p.opt.DialTimeout))
+	nc, err := p.opt.Dial(ctx, "tcp", addr)
+	cancel()
+	var ended []core.Event
+	p.mu.Lock()
+	q.dialing = false
+	waiting := q.waiting
+	q.waiting = nil
+	if err == nil && p.ctx.Err() != nil {
+		nc.Close()
+		err = p.ctx.Err()
+	}
+	if err != nil {
+		p.conns--
+		for _, a := range waiting {
+			if ev := p.end(a, control.Unreached); ev != nil {
+				ended = append(ended, ev)
+			}
+		}
+	} else {
+		c := newConn(p, q, nc)
+		c.leaving = q.gone || q.addr != addr
+		q.conns = append(q.conns, c)
+		p.wg.Add(2)
+		go c.read()
+		go c.write(c.wake)
+		for _, a := range waiting {
+			if !a.over {
+				ended = append(ended, p.place(q, a)...)
+			}
+		}
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.opt.Log.Debug().Err(err).Str("addr", addr).Int("waiting", len(waiting)).Msg("dial failed")
+	}
+	for _, ev := range ended {
+		p.post(ev)
+	}
+}
+
+// sweep closes connections that are idle or silent.
+func (p *Pool) sweep() {
+	defer p.wg.Done()
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := p.now()
+		p.mu.Lock()
+		for id, q := range p.peers {
+			for _, c := range q.conns {
+				idle := p.opt.IdleClose > 0 && now-c.lastUse > idlePart*p.opt.IdleClose
+				// A connection on which work was given up and nothing has come since may lead to a
+				// machine that vanished: new work asks with a new connection, whose failure proves that
+				// nothing ran.
+				if c.silent && now-c.heard > silentMost && now-c.lastUse > silentMost/2 {
+					c.leaving = true
+				}
+				if idle {
+					c.leaving = true
+				}
+				c.closeIfDone()
+			}
+			if q.gone && len(q.conns) == 0 && !q.dialing {
+				delete(p.peers, id)
+			}
+		}
+		p.mu.Unlock()
+	}
+}
