Judge a cache by its requests alone, and free the slots of silent fills

A trace of every request given up showed two things. The silent cache was usable again within moments of each ejection, since probeDone called alive() and a hung box still answers probes. And the window was shut: all its slots were fills at the silent cache, counted by fillsLate as late fills of slow sources.

Changed: a probe's answer brings its report and clears nothing; an overdue fill at a silent cache gives its slot back (freeSlot); an overdue attempt whose cache was heard once is looked at again rather than left to its deadline.

Concluded: the refusals came from the guards, not from the fair queue or WRC.

--- a/control/control.go
+++ b/control/control.go
@@ -228,8 +228,7 @@
 		return
 	}
 	m := c.members[i]
-	if ev.Result == OK {
-		m.alive(c.now)
+	if ev.Result == OK { // a probe is answered beside the queue: it clears no member of work left unanswered
 		if ev.Load != nil {
 			m.load, m.reported = *ev.Load, c.now
 		}
@@ -702,14 +701,20 @@
 		return
 	}
 	a := r.attempts[n]
-	a.suspected = true
-	if a.to.heard < a.sent {
+	since := max(a.sent, a.looked) // silence is counted from the last look
+	a.looked = c.now
+	if a.to.heard < since {
 		a.to.fault(c.now)
-	} else if a.source != a.to && a.source.heard < a.sent && !c.isOrigin(a.source) {
+		c.freeSlot(a)
+	} else if a.source != a.to && a.source.heard < a.sent && since == a.sent && !c.isOrigin(a.source) {
 		a.source.fault(c.now)
 	} else if !c.set.CanRunTwo || n > 0 || c.now+r.sending > r.arrived+r.aim() {
-		return // both are alive: a further copy would only add work
+		// Both are alive: a further copy would only add work. A member heard once after the send may have
+		// fallen silent since, so the attempt is looked at again instead of waiting out the deadline.
+		c.wake(c.now+c.patience(r, a.to), r.ID, uint64(n))
+		return
 	}
+	a.suspected = true
 	if c.set.CanRunTwo && c.mayRepeat(r) {
 		c.release(r)
 	} else if c.set.CanCancel {
@@ -717,6 +722,16 @@
 	}
 }
 
+// freeSlot takes an attempt out of the window. One at a silent cache brings no bytes through the link: kept
+// there, a few of them look like slow sources and hold up the fills of every live cache.
+func (c *Controller) freeSlot(a *attempt) {
+	if a.slot {
+		a.slot = false
+		c.fills = slices.DeleteFunc(c.fills, func(x *attempt) bool { return x == a })
+		c.window.w--
+	}
+}
+
 // again goes on with a request whose last attempt has failed.
 func (c *Controller) again(r *request, last *attempt) {
 	if len(r.attempts) >= c.set.MaxAttempts || c.now >= r.deadline-r.sending || !c.mayRepeat(r) {
--- /dev/null
+++ b/control/silent_test.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// silentPair is a front with two caches, a parent and an origin, and a learned lateness of near 0.
+func silentPair(t *testing.T) *Controller {
+	t.Helper()
+	c, err := New(Settings{
+		Fronts: 1, Zone: 1, FrontsByZone: []int{0, 1}, ZoneHub: []int{0, 0}, Kinds: 3, ParentKind: 1, OriginKind: 2,
+		Quantum: time.Millisecond, ClientKBps: 1000, WeightsTold: true, MaxAttempts: 8, CanCancel: true,
+		NotesTold: true, Classes: []Class{{Aim: time.Second, Deadline: 5 * time.Second, Worth: 1}},
+	}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.lateness[0] = spread{mean: 0.01, n: 1}
+	c.Handle(10*time.Second, Members{Whole: true, List: []Member{
+		{ID: 7, Zone: 1, Weight: 10, State: Ready}, {ID: 8, Zone: 1, Weight: 10, State: Ready},
+		{ID: 9, Zone: 0, Kind: 1, Weight: 10, State: Ready}, {ID: 10, Zone: 0, Kind: 2, Weight: 10, State: Ready},
+	}}, nil)
+	return c
+}
+
+// A box that hangs answers probes and no request. Probes that cleared it sent it a share of the work
+// again and again, for the whole of the hang.
+func TestProbeClearsNoSilentMember(t *testing.T) {
+	c := silentPair(t)
+	m := c.members[0]
+	m.eject(11 * time.Second)
+	c.Handle(11*time.Second+time.Millisecond, Probed{Member: m.ID, Load: &Load{Held: 3, Busy: 0.5, Hits: -1, Link: -1}}, nil)
+	if m.usable(c.now) || !m.trial || m.load.Held != 3 {
+		t.Errorf("after a probe's answer: usable %v, trial %v, load %+v", m.usable(c.now), m.trial, m.load)
+	}
+}
+
+// Fills at a silent cache kept their slots and counted as late fills of slow sources: the window
+// closed to every live cache and a fifth of all requests was refused.
+func TestSilentCacheGivesSlotsBack(t *testing.T) {
+	c := silentPair(t)
+	now := 10 * time.Second
+	for i := range 6 {
+		c.Handle(now, Request{ID: RequestID(i + 1), Object: ObjectID(i * 77), SizeKB: 50, Left: 5 * time.Second}, nil)
+	}
+	held := c.window.w
+	if held == 0 || held != len(c.fills) {
+		t.Fatalf("%d slots for %d fills", held, len(c.fills))
+	}
+	for now < 11*time.Second { // nothing is ever answered; every timer comes
+		now += 10 * time.Millisecond
+		for i := range 6 {
+			for n := range 8 {
+				c.Handle(now, Woken{Token: uint64(i+1)<<8 | uint64(n)}, nil)
+			}
+		}
+	}
+	for _, a := range c.fills {
+		if now > a.sent+a.of.sending+time.Second {
+			t.Errorf("a fill at the silent cache %d still holds a slot", a.to.ID)
+		}
+	}
+	if c.window.w != len(c.fills) || c.window.w < 0 {
+		t.Errorf("window counts %d, fills under way %d", c.window.w, len(c.fills))
+	}
+}
+
+// One answer shortly after a send showed the member alive, and the attempt then waited for its
+// deadline: it is looked at again instead.
+func TestOverdueIsLookedAtAgain(t *testing.T) {
+	c := silentPair(t)
+	var sent Attempt
+	for _, a := range c.Handle(10*time.Second, Request{ID: 1, Object: 5, SizeKB: 50, Left: 5 * time.Second}, nil) {
+		if a, ok := a.(Attempt); ok {
+			sent = a
+		}
+	}
+	i, _ := c.find(sent.To)
+	for _, m := range c.members {
+		m.heard = 10*time.Second + time.Millisecond
+	}
+	again := false
+	for _, a := range c.Handle(10*time.Second+500*time.Millisecond, Woken{Token: 1 << 8}, nil) {
+		if w, ok := a.(Wake); ok && w.Token == 1<<8 {
+			again = true
+		}
+		if _, ok := a.(Cancel); ok {
+			t.Error("cancelled while the member was alive")
+		}
+	}
+	if !again {
+		t.Fatal("not looked at again")
+	}
+	cancelled := false
+	for _, a := range c.Handle(11*time.Second, Woken{Token: 1 << 8}, nil) {
+		if _, ok := a.(Cancel); ok {
+			cancelled = true
+		}
+	}
+	if !cancelled || c.members[i].errors == 0 {
+		t.Error("silence since the first look was not noticed")
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -39,8 +39,9 @@
 	of         *request
 	to, source *member
 	sent       time.Duration
-	slot       bool    // it holds a slot of the window
-	cost       float64 // charged to the source's cold budget, given back on a hit
+	looked     time.Duration // when it was last found overdue with its member alive
+	slot       bool          // it holds a slot of the window
+	cost       float64       // charged to the source's cold budget, given back on a hit
 	over       bool
 	result     Result
 	mayHaveRun bool
