--- a/core/takein.go
+++ b/core/takein.go
@@ -23,7 +23,7 @@
 		return
 	}
 	c.lastID++
-	r := &request{Ask: a, id: c.lastID}
+	r := &request{Ask: a, id: c.lastID, write: c.opt.Settings.Classes[class].Write}
 	c.requests[r.id] = r
 	c.byTag[key] = r
 	c.admit(r, class)
--- a/core/types.go
+++ b/core/types.go
@@ -78,7 +78,7 @@
 	MaxAge     float64 // ms; 0: the class's fresh time
 	Known      string  // tag of the client's copy
 	Body       []byte
-	NotAfter   float64 // Unix ms after which it must not leave; 0: none
+	Write      bool // it runs at the origin and is not kept
 }
 
 // Store is one entry of the list.
@@ -170,6 +170,7 @@
 type request struct {
 	Ask
 	id       control.RequestID
+	write    bool
 	answered bool
 	attempts []*attempt
 	open     int // attempts without an end
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -12,12 +12,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/front"
 )
 
 // Options are what a front is made of.
@@ -37,12 +39,10 @@
 
 // Front serves one listener.
 type Front struct {
-	opt Options
-
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	waiting  int64
-	draining bool
+	opt    Options
+	server front.Server
+	budget front.Budget
+	open   atomic.Int64 // requests without an answer, and answers not yet written
 }
 
 // New returns a front that hands its requests to opt.Post.
@@ -53,88 +53,32 @@
 	if opt.MaxBytes <= 0 {
 		opt.MaxBytes = 48 << 20
 	}
-	return &Front{opt: opt, conns: map[*conn]struct{}{}}
+	return &Front{
+		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
+		budget: front.Budget{Most: opt.MaxBytes},
+	}
 }
 
 // Serve accepts until the listener closes or ctx ends, and returns once all its connections have
 // ended. The end of ctx closes them at once.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	g, ctx := errgroup.WithContext(ctx)
-	stop := context.AfterFunc(ctx, func() {
-		l.Close()
-		f.CloseAll()
-	})
-	defer stop()
-	var pause time.Duration
-	for {
-		nc, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-				return g.Wait()
-			}
-			// Guards against a full table of descriptors ending the front: it waits for room.
-			f.opt.Log.Warn().Err(err).Msg("accept failed")
-			pause = min(max(2*pause, 5*time.Millisecond), 500*time.Millisecond)
-			select {
-			case <-time.After(pause):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		pause = 0
-		f.Start(g, nc)
-	}
+	return f.server.Serve(ctx, l, f.handle)
 }
 
-// Start serves one connection in the group.
-func (f *Front) Start(g *errgroup.Group, nc net.Conn) {
-	if f.opt.Tap != nil {
-		nc = f.opt.Tap(nc)
-	}
+// Handle serves one connection until it ends.
+func (f *Front) Handle(nc net.Conn) { f.server.Handle(nc, f.handle) }
+
+// Open counts the requests that are not answered, or whose answer is not yet written.
+func (f *Front) Open() int { return int(f.open.Load()) }
+
+func (f *Front) handle(nc net.Conn) {
 	c := &conn{
 		front: f, net: nc, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
-	f.mu.Lock()
-	full := len(f.conns) >= f.opt.MaxConns
-	if !full {
-		f.conns[c] = struct{}{}
-	}
-	f.mu.Unlock()
-	if full {
-		f.opt.Log.Warn().Int("connections", f.opt.MaxConns).Msg("too many connections")
-		nc.Close()
-		return
-	}
-	g.Go(func() error { c.read(); return nil })
+	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
-}
-
-// CloseAll closes every connection.
-func (f *Front) CloseAll() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.conns {
-		c.net.Close()
-	}
-}
-
-// Open counts the requests that are not answered.
-func (f *Front) Open() (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for c := range f.conns {
-		c.mu.Lock()
-		n += len(c.open) + len(c.out)
-		c.mu.Unlock()
-	}
-	return n
-}
-
-func (f *Front) hold(n int64) (ok bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.waiting += n
-	return f.waiting <= f.opt.MaxBytes
+	c.read()
+	g.Wait()
 }
 
 // request is one request being read or waiting for its answer.
@@ -187,9 +131,6 @@
 func (c *conn) end() {
 	c.net.Close()
 	f := c.front
-	f.mu.Lock()
-	delete(f.conns, c)
-	f.mu.Unlock()
 	c.mu.Lock()
 	c.dead = true
 	var left []uint64
@@ -198,14 +139,13 @@
 			left = append(left, q.tag)
 		}
 	}
+	f.open.Add(-int64(len(c.open) + len(c.out)))
 	c.open = map[uint16]*request{}
-	var held int64
 	for _, b := range c.out {
-		held += int64(len(b))
+		f.budget.Give(len(b))
 	}
 	c.out = nil
 	c.mu.Unlock()
-	f.hold(-held)
 	close(c.ended)
 	for _, tag := range left {
 		f.opt.Post(core.Leave{From: c, Tag: tag})
@@ -236,10 +176,11 @@
 		default:
 			c.tags++
 			c.open[rec.id] = &request{keep: keep, tag: c.tags<<16 | uint64(rec.id)}
+			c.front.open.Add(1)
 		}
 	case typeAbort:
 		if q != nil {
-			delete(c.open, rec.id)
+			c.forget(rec.id)
 			if q.asked {
 				c.mu.Unlock()
 				c.front.opt.Post(core.Leave{From: c, Tag: q.tag})
@@ -410,26 +351,33 @@
 // reply writes the one answer of a request and forgets it.
 func (c *conn) reply(id uint16, status, head string, body []byte) {
 	q := c.open[id]
-	delete(c.open, id)
+	c.forget(id)
 	text := "Status: " + status + "\r\nContent-Type: application/octet-stream\r\nContent-Length: " +
 		strconv.Itoa(len(body)) + "\r\n" + head + "\r\n"
 	c.closing = c.closing || q != nil && !q.keep
 	c.send(appendStdout(make([]byte, 0, len(text)+len(body)+64+len(body)/8000), id, []byte(text), body))
 }
 
+func (c *conn) forget(id uint16) {
+	if c.open[id] != nil {
+		delete(c.open, id)
+		c.front.open.Add(-1)
+	}
+}
+
 // send queues bytes for the writer; a client that leaves too much unread is dropped.
 func (c *conn) send(b []byte) {
 	if c.dead {
 		return
 	}
-	if !c.front.hold(int64(len(b))) {
-		c.front.hold(-int64(len(b)))
+	if !c.front.budget.Take(len(b)) {
 		c.front.opt.Log.Warn().Msg("too much waits to be written: slow client dropped")
 		c.dead = true
 		c.net.Close()
 		return
 	}
 	c.out = append(c.out, b)
+	c.front.open.Add(1)
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -448,14 +396,15 @@
 		out, last := c.out, c.closing && len(c.open) == 0
 		c.out = nil
 		c.mu.Unlock()
-		var n int64
+		n, count := 0, len(out)
 		for _, b := range out {
-			n += int64(len(b))
+			n += len(b)
 		}
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
 		bufs := net.Buffers(out)
 		_, err := bufs.WriteTo(c.net)
-		c.front.hold(-n)
+		c.front.budget.Give(n)
+		c.front.open.Add(-int64(count))
 		if err != nil || last {
 			c.net.Close()
 			return
--- /dev/null
+++ b/front/signed/manage.go
@@ -0,0 +1,231 @@
+package signed
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strings"
+	"time"
+
+	"turnfork.dev/turnfork/token"
+)
+
+// ConfigKeys is the name under which the replicated store keeps the keys.
+const ConfigKeys = "keys"
+
+// ConfigPolicy is the name under which it keeps the policy.
+const ConfigPolicy = "policy"
+
+// Policy is what an operator may change while the gateway runs.
+type Policy struct {
+	LeewayMs     float64 `json:"leeway_ms"`     // that clocks may differ by, either way
+	TokenSeconds float64 `json:"token_seconds"` // that an issued token may last
+}
+
+func (p Policy) check() error {
+	switch {
+	case !(p.LeewayMs >= 0 && p.LeewayMs <= 300000):
+		return fmt.Errorf("leeway_ms: 0 to 300000")
+	case !(p.TokenSeconds > 0 && p.TokenSeconds <= 366*24*3600):
+		return fmt.Errorf("token_seconds: more than 0, a year at most")
+	}
+	return nil
+}
+
+const manageMost = 3 * time.Second
+
+// IssueRequest asks for a token or a signed URL.
+type IssueRequest struct {
+	Kind      token.Kind `json:"kind"`            // jws or hmac
+	Key       string     `json:"key,omitempty"`   // "": the newest that signs
+	URI       string     `json:"uri"`             // with scheme and host for jws, a path with its query for hmac
+	Regex     string     `json:"regex,omitempty"` // jws: in place of the one URI
+	Seconds   float64    `json:"seconds"`         // how long it is valid
+	SingleUse bool       `json:"single_use"`      // has a jti; signed URLs always have a nonce
+	Renew     int        `json:"renew,omitempty"` // jws: seconds of a renewed package, by cookie
+}
+
+// Issued is the answer to it.
+type Issued struct {
+	Key     string  `json:"key"`
+	ID      string  `json:"id,omitempty"`
+	Expires float64 `json:"expires"`
+	Token   string  `json:"token,omitempty"`
+	URL     string  `json:"url"`
+}
+
+// Issue signs what is asked for, at now in Unix seconds. id is the jti or nonce to use.
+func Issue(ring *token.Ring, q IssueRequest, now, most float64, id string) (out Issued, err error) {
+	if !(q.Seconds > 0 && q.Seconds <= most) {
+		return out, fmt.Errorf("seconds: more than 0, %v at most", most)
+	}
+	if q.Key == "" {
+		if q.Key, err = ring.Signer(q.Kind, now); err != nil {
+			return out, fmt.Errorf("kind: no key of kind %q signs", q.Kind)
+		}
+	}
+	out = Issued{Key: q.Key, Expires: float64(int64(now + q.Seconds))}
+	u, err := url.Parse(q.URI)
+	if err != nil || !token.Canonical(u.Path) || u.RawPath != "" || u.Fragment != "" {
+		return out, fmt.Errorf("uri: not in canonical form")
+	}
+	if q.Kind == token.HMAC {
+		rest, err := token.ParseQuery(u.RawQuery)
+		if err != nil {
+			return out, fmt.Errorf("uri: %w", err)
+		}
+		out.ID = id
+		out.URL, err = ring.IssueURL(q.Key, u.Path, rest, out.Expires, id)
+		return out, err
+	}
+	if u.Scheme == "" || u.Host == "" {
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	u.Host = strings.ToLower(u.Host)
+	c := token.Claims{Expires: &out.Expires, IssuedAt: &now, Container: token.HashContainer(u.String())}
+	if q.Regex != "" {
+		c.Container = "regex:" + q.Regex
+	}
+	if q.SingleUse {
+		out.ID, c.ID = id, id
+	}
+	if q.Renew > 0 {
+		c.Renew, c.Transport = q.Renew, 1
+	}
+	if out.Token, err = ring.IssuePackage(q.Key, c); err != nil {
+		return out, err
+	}
+	sep := "?"
+	if u.RawQuery != "" {
+		sep = "&"
+	}
+	out.URL = u.String() + sep + token.ParamPackage + "=" + out.Token
+	return out, nil
+}
+
+// manage answers the operator's endpoints and the health check.
+func (f *Front) manage(m *message) []byte {
+	if m.path == "/healthz" {
+		return answer(200, "text/plain", "", 3, []byte("ok\n"), m.close)
+	}
+	if f.opt.Operator == "" {
+		return errorAnswer(404, "not_found", "no such path", "", m.close)
+	}
+	secret, _ := strings.CutPrefix(m.header["authorization"], "Bearer ")
+	// Digests have one length, so the comparison tells nothing of the secret's.
+	got, want := sha256.Sum256([]byte(secret)), sha256.Sum256([]byte(f.opt.Operator))
+	if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		return errorAnswer(401, "missing", "for the operator alone", "WWW-Authenticate: Bearer\r\n", m.close)
+	}
+	if m.method != "POST" {
+		return errorAnswer(405, "method", "this takes POST", "Allow: POST\r\n", m.close)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), manageMost)
+	defer cancel()
+	now := f.opt.Clock.Unix()
+	var (
+		out any = map[string]bool{"ok": true}
+		err error
+	)
+	switch m.path {
+	case "/-/tokens":
+		var q IssueRequest
+		if err = readJSON(m.body, &q); err == nil {
+			out, err = Issue(f.ring.Load(), q, now/1000, f.policy.Load().TokenSeconds, rand.Text())
+		}
+	case "/-/revocations":
+		var q struct {
+			Key, ID string
+			Until   float64 // Unix seconds; 0: as long as a token may last
+		}
+		if err = readJSON(m.body, &q); err != nil {
+			break
+		}
+		if q.Key == "" || q.ID == "" {
+			err = fmt.Errorf("key and id: missing")
+			break
+		}
+		if q.Until == 0 {
+			q.Until = now/1000 + f.policy.Load().TokenSeconds
+		}
+		if e := f.opt.Claims.Revoke(ctx, token.Grant{Key: q.Key, ID: q.ID}.Use(), q.Until*1000+f.policy.Load().LeewayMs); e != nil {
+			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+		}
+	case "/-/keys":
+		var keys []token.Key
+		if err = readJSON(m.body, &keys); err != nil {
+			break
+		}
+		if _, err = token.NewRing(keys); err != nil {
+			break
+		}
+		if e := f.opt.Claims.Put(ctx, ConfigKeys, keys); e != nil {
+			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+		}
+	case "/-/policy":
+		p := *f.policy.Load()
+		if err = readJSON(m.body, &p); err != nil {
+			break
+		}
+		if err = p.check(); err != nil {
+			break
+		}
+		if e := f.opt.Claims.Put(ctx, ConfigPolicy, p); e != nil {
+			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+		}
+	default:
+		return errorAnswer(404, "not_found", "no such path", "", m.close)
+	}
+	if err != nil {
+		return errorAnswer(400, "malformed", err.Error(), "", m.close)
+	}
+	body, err := json.Marshal(out)
+	if err != nil {
+		return errorAnswer(502, "failed", "the answer can't be written", "", m.close)
+	}
+	body = append(body, '\n')
+	return answer(200, "application/json", "Cache-Control: no-store\r\n", len(body), body, m.close)
+}
+
+func readJSON(b []byte, into any) error {
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("the body can't be read: %w", err)
+	}
+	return nil
+}
+
+// Changed takes configuration from the replicated store; what can't be used is left aside with a log
+// line, and what was in force stays so.
+func (f *Front) Changed(name string, value json.RawMessage) {
+	var err error
+	switch name {
+	case ConfigKeys:
+		var keys []token.Key
+		var ring *token.Ring
+		if err = json.Unmarshal(value, &keys); err == nil {
+			if ring, err = token.NewRing(keys); err == nil {
+				f.SetRing(ring)
+			}
+		}
+	case ConfigPolicy:
+		var p Policy
+		if err = json.Unmarshal(value, &p); err == nil {
+			if err = p.check(); err == nil {
+				f.policy.Store(&p)
+			}
+		}
+	default:
+		return
+	}
+	if err != nil {
+		f.opt.Log.Error().Err(err).Str("name", name).Msg("configuration of the replicated store not taken")
+		return
+	}
+	f.opt.Log.Info().Str("name", name).Msg("configuration changed")
+}
--- /dev/null
+++ b/front/signed/object.go
@@ -0,0 +1,81 @@
+package signed
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/token"
+)
+
+// path is /v1/CLASS/OBJECT/PART; the query may tell the object's group and size, under the signature.
+type path struct {
+	class, object, part string
+}
+
+const objectDigits = 16
+
+func objectPath(p string) (o path, ok bool) {
+	rest, ok := strings.CutPrefix(p, "/v1/")
+	if !ok || !token.Canonical(p) {
+		return o, false
+	}
+	parts := strings.Split(rest, "/")
+	if len(parts) != 3 {
+		return o, false
+	}
+	return path{parts[0], parts[1], parts[2]}, true
+}
+
+// ask words the request for the core.
+func (o path) ask(q token.Query, m *message) (a core.Ask, err error) {
+	a.Class, a.Name = o.class, o.object
+	if a.Object, err = strconv.ParseUint(o.object, 16, 64); err != nil || len(o.object) != objectDigits {
+		return a, fmt.Errorf("the object is no %d hexadecimal digits", objectDigits)
+	}
+	part, err := strconv.ParseUint(o.part, 10, 32)
+	if err != nil || strconv.FormatUint(part, 10) != o.part { // one spelling for one part
+		return a, fmt.Errorf("the part is no number")
+	}
+	a.Part = uint32(part)
+	if v := q.Get("group"); v != "" {
+		group, err := strconv.ParseUint(v, 10, 16)
+		if err != nil {
+			return a, fmt.Errorf("group: no number")
+		}
+		a.Group = uint16(group)
+	}
+	if v := q.Get("kb"); v != "" {
+		if a.SizeKB, err = strconv.ParseFloat(v, 64); err != nil || !(a.SizeKB >= 0 && a.SizeKB < 1e9) {
+			return a, fmt.Errorf("kb: no size")
+		}
+	}
+	if v := m.header["x-ttl-ms"]; v != "" {
+		if a.Left, err = strconv.ParseFloat(v, 64); err != nil || !(a.Left >= 1 && a.Left < 1e9) {
+			return a, fmt.Errorf("X-Ttl-Ms: no time")
+		}
+	}
+	a.Known = known(m.header["if-none-match"])
+	var txn [8]byte
+	rand.Read(txn[:])
+	a.Txn = hex.EncodeToString(txn[:])
+	return a, nil
+}
+
+// known gives the one tag of a client's copy; a list or a star is passed over, which costs bytes only.
+func known(v string) string {
+	v = strings.TrimPrefix(v, "W/")
+	if len(v) < 2 || v[0] != '"' || v[len(v)-1] != '"' {
+		return ""
+	}
+	v = v[1 : len(v)-1]
+	for _, c := range []byte(v) {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-') {
+			return ""
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/front/signed/signed.go
@@ -0,0 +1,518 @@
+// Package signed is the front for riders' phones: HTTP/1.1 with signed URLs and tokens. A request is
+// judged once, when it has come whole; what is valid then goes the same way as on any front.
+package signed
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/token"
+)
+
+// Claims is where single-use tokens are claimed and revocations are kept.
+type Claims interface {
+	Claim(ctx context.Context, name, owner string, until float64) (bool, error)
+	Release(ctx context.Context, name, owner string) (bool, error)
+	Revoke(ctx context.Context, name string, until float64) error
+	Revoked(name string) bool
+	Put(ctx context.Context, name string, value any) error
+}
+
+// Class is what the front has to know of a class.
+type Class struct {
+	Name     string
+	Deadline float64 // ms
+	Write    bool    // takes POST, and a token of a single use
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Post      func(core.Event)
+	Clock     *clock.Clock
+	Log       zerolog.Logger
+	Classes   []Class
+	Ring      *token.Ring
+	Claims    Claims
+	Leeway    float64 // ms that clocks may differ by, either way
+	Scheme    string  // of the URIs that clients see; "": http
+	Operator  string  // the secret of the issuing endpoint; "": there is none
+	TokenMost float64 // s that an issued token may last; 0: one day
+	MaxConns  int     // 0: 200
+	MaxBytes  int64   // answers that wait to be written; 0: 24 MB
+	ClaimMost float64 // ms that a claim may take; 0: 1000
+	Tap       func(net.Conn) net.Conn
+}
+
+const (
+	bodyMost     = 48000 // a write's
+	headWait     = 10 * time.Second
+	idleWait     = 60 * time.Second
+	writeLimit   = 5 * time.Second
+	pipelineMost = 4
+	claimMargin  = 60000 // ms that a claim outlives expiry and leeway
+	releases     = 64    // claims being given back at once
+)
+
+// Front serves one listener.
+type Front struct {
+	opt     Options
+	server  front.Server
+	budget  front.Budget
+	classes map[string]Class
+	ring    atomic.Pointer[token.Ring]
+	policy  atomic.Pointer[Policy]
+	open    atomic.Int64
+	release chan struct{}
+}
+
+// New returns a front.
+func New(opt Options) *Front {
+	if opt.MaxConns <= 0 {
+		opt.MaxConns = 200
+	}
+	if opt.MaxBytes <= 0 {
+		opt.MaxBytes = 24 << 20
+	}
+	if opt.ClaimMost <= 0 {
+		opt.ClaimMost = 1000
+	}
+	if opt.Scheme == "" {
+		opt.Scheme = "http"
+	}
+	if opt.TokenMost <= 0 {
+		opt.TokenMost = 24 * 3600
+	}
+	f := &Front{
+		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
+		budget: front.Budget{Most: opt.MaxBytes}, classes: map[string]Class{}, release: make(chan struct{}, releases),
+	}
+	for _, c := range opt.Classes {
+		f.classes[c.Name] = c
+	}
+	f.ring.Store(opt.Ring)
+	f.policy.Store(&Policy{LeewayMs: opt.Leeway, TokenSeconds: opt.TokenMost})
+	return f
+}
+
+// SetRing changes the keys; requests that come whole from now on are judged by them.
+func (f *Front) SetRing(r *token.Ring) { f.ring.Store(r) }
+
+// Serve accepts until the listener closes or ctx ends, and returns once all connections have ended.
+func (f *Front) Serve(ctx context.Context, l net.Listener) error {
+	return f.server.Serve(ctx, l, f.handle)
+}
+
+// Handle serves one connection until it ends.
+func (f *Front) Handle(nc net.Conn) { f.server.Handle(nc, f.handle) }
+
+// Open counts the requests whose answer is not yet written.
+func (f *Front) Open() int { return int(f.open.Load()) }
+
+// slot is one request's place in the order of answers.
+type slot struct {
+	tag    uint64
+	msg    message
+	class  Class
+	grant  token.Grant
+	claim  string // the name of its claim, if it has one
+	owner  string
+	asked  bool
+	done   bool
+	ready  chan struct{}
+	answer []byte
+}
+
+type conn struct {
+	front *Front
+	net   net.Conn
+	queue chan *slot
+	ended chan struct{} // closed when the writer ends
+
+	unwritten atomic.Int64 // requests whose answer is not yet written
+
+	mu   sync.Mutex
+	open map[uint64]*slot
+	tags uint64
+}
+
+func (f *Front) handle(nc net.Conn) {
+	c := &conn{
+		front: f, net: nc, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
+	}
+	var g errgroup.Group
+	g.Go(func() error { c.write(); return nil })
+	c.read()
+	g.Wait()
+}
+
+// read is the reader goroutine.
+func (c *conn) read() {
+	defer close(c.queue)
+	r := bufio.NewReaderSize(c.net, 4<<10)
+	for {
+		c.net.SetReadDeadline(time.Now().Add(idleWait))
+		if _, err := r.Peek(1); err != nil {
+			c.gone(err)
+			return
+		}
+		c.net.SetReadDeadline(time.Now().Add(headWait))
+		m, err := readMessage(r, bodyMost, c.goOn)
+		s := &slot{msg: m, ready: make(chan struct{})}
+		if b, ok := isBad(err); ok {
+			c.front.opt.Log.Warn().Int("status", b.status).Str("what", b.text).Stringer("from", c.net.RemoteAddr()).
+				Msg("request can't be read")
+			s.msg.close = true
+			c.front.open.Add(1)
+			s.finish(errorAnswer(b.status, "malformed", b.text, "", true))
+			c.push(s)
+			c.drain(r)
+			return
+		}
+		if err != nil {
+			c.gone(err)
+			return
+		}
+		c.front.open.Add(1)
+		if !c.push(s) {
+			return
+		}
+		c.take(s)
+		if s.msg.close {
+			c.drain(r)
+			return
+		}
+	}
+}
+
+// goOn lets a client send the body it holds back. Where earlier answers are still to come it says
+// nothing, as the bytes could fall among theirs; such a client sends after a while by itself.
+func (c *conn) goOn() {
+	if c.unwritten.Load() == 0 {
+		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+		c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// drain waits for the client to close after the last answer, and tells of one that leaves before it.
+func (c *conn) drain(r *bufio.Reader) {
+	c.net.SetReadDeadline(time.Now().Add(idleWait))
+	_, err := r.Peek(1)
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		c.gone(err)
+	}
+}
+
+// gone withdraws what is open: the client no longer reads.
+func (c *conn) gone(err error) {
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.front.opt.Log.Debug().Err(err).Msg("connection ended")
+	}
+	c.net.Close()
+	c.mu.Lock()
+	var left []uint64
+	for tag, s := range c.open {
+		if s.asked {
+			left = append(left, tag)
+		}
+		s.finish(nil)
+		delete(c.open, tag)
+	}
+	c.mu.Unlock()
+	for _, tag := range left {
+		c.front.opt.Post(core.Leave{From: c, Tag: tag})
+	}
+}
+
+func (c *conn) push(s *slot) bool {
+	select {
+	case c.queue <- s:
+		c.unwritten.Add(1)
+		return true
+	case <-c.ended:
+		c.front.open.Add(-1)
+		return false
+	}
+}
+
+// finish gives a slot its bytes, once.
+func (s *slot) finish(b []byte) {
+	if !s.done {
+		s.done = true
+		s.answer = b
+		close(s.ready)
+	}
+}
+
+// reply finishes a slot whose answer is known without the core.
+func (c *conn) reply(s *slot, b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.finish(b)
+}
+
+// write is the writer goroutine: answers leave in the order of the requests.
+func (c *conn) write() {
+	defer c.net.Close()
+	defer func() {
+		close(c.ended)
+		for range c.queue { // the reader's push may have come just before the end
+			c.front.open.Add(-1)
+		}
+	}()
+	for s := range c.queue {
+		<-s.ready
+		held := len(s.answer)
+		if !c.front.budget.Take(held) {
+			c.front.opt.Log.Warn().Msg("too much waits to be written: slow client dropped")
+			c.front.open.Add(-1)
+			c.net.Close()
+			return
+		}
+		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+		_, err := c.net.Write(s.answer)
+		c.front.budget.Give(held)
+		c.front.open.Add(-1)
+		c.unwritten.Add(-1)
+		if err != nil || s.msg.close || s.answer == nil {
+			return
+		}
+	}
+}
+
+// take judges a request and hands it to the core, or answers it here.
+func (c *conn) take(s *slot) {
+	f, m := c.front, &s.msg
+	at := f.opt.Clock.Now()
+	if strings.HasPrefix(m.path, "/-/") || m.path == "/healthz" {
+		c.reply(s, f.manage(m))
+		return
+	}
+	object, ok := objectPath(m.path)
+	if !ok {
+		if !token.Canonical(m.path) {
+			c.reply(s, errorAnswer(400, "malformed", "the path is not in canonical form", "", m.close))
+		} else {
+			c.reply(s, errorAnswer(404, "not_found", "no such path", "", m.close))
+		}
+		return
+	}
+	now := f.opt.Clock.Unix()
+	grant, rest, err := f.ring.Load().Verify(token.Request{
+		Scheme: f.opt.Scheme, Host: m.host, Path: m.path, RawQuery: m.query, Cookie: m.cookie(token.ParamPackage),
+	}, now/1000, f.policy.Load().LeewayMs/1000)
+	if err != nil {
+		c.reply(s, rejected(err, m.close))
+		f.opt.Log.Info().Err(err).Str("path", m.path).Msg("token not accepted")
+		return
+	}
+	if grant.ID != "" && f.opt.Claims.Revoked(grant.Use()) {
+		c.reply(s, errorAnswer(403, "revoked", "the token was revoked", "", m.close))
+		return
+	}
+	class, ok := f.classes[object.class]
+	if !ok {
+		c.reply(s, errorAnswer(404, "unknown_class", "no such class", "", m.close))
+		return
+	}
+	method := "GET"
+	if class.Write {
+		method = "POST"
+	}
+	if m.method != method && !(m.method == "HEAD" && !class.Write) {
+		c.reply(s, errorAnswer(405, "method", "this class takes "+method, "Allow: "+method+"\r\n", m.close))
+		return
+	}
+	ask, err := object.ask(rest, m)
+	if err != nil {
+		c.reply(s, errorAnswer(400, "malformed", err.Error(), "", m.close))
+		return
+	}
+	s.class, s.grant = class, grant
+	ask.From, ask.At, ask.Body = c, at, m.body
+	if ask.Left == 0 || ask.Left > class.Deadline {
+		ask.Left = class.Deadline
+	}
+	// Validity was judged above, once; this only keeps new attempts from starting too late.
+	ask.NotAfter = grant.Expires*1000 + f.policy.Load().LeewayMs
+	if class.Write && !c.claim(s, ask.Left) {
+		return
+	}
+	c.mu.Lock()
+	c.tags++
+	s.tag = c.tags
+	ask.Tag, s.asked = s.tag, true
+	c.open[s.tag] = s
+	c.mu.Unlock()
+	f.opt.Post(ask)
+}
+
+// claim makes a write's token used before anything is sent. Without an answer from the store nothing
+// is sent either: the token may be taken, so the client has to come with it again.
+func (c *conn) claim(s *slot, left float64) bool {
+	f, m := c.front, &s.msg
+	if s.grant.ID == "" {
+		c.reply(s, errorAnswer(403, "bad_claim", "this class needs a token of a single use, with a jti", "", m.close))
+		return false
+	}
+	s.claim, s.owner = s.grant.Use(), rand.Text()
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
+	defer cancel()
+	until := s.grant.Expires*1000 + 2*f.policy.Load().LeewayMs + claimMargin
+	ok, err := f.opt.Claims.Claim(ctx, s.claim, s.owner, until)
+	switch {
+	case err != nil:
+		f.opt.Log.Warn().Err(err).Msg("claim not made")
+		c.reply(s, errorAnswer(503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n", m.close))
+	case !ok:
+		c.reply(s, errorAnswer(403, "replayed", "the token has been used", "", m.close))
+	}
+	return err == nil && ok
+}
+
+// Answer is the core's final answer to a request.
+func (c *conn) Answer(tag uint64, a core.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.open[tag]
+	if s == nil {
+		return // withdrawn
+	}
+	delete(c.open, tag)
+	s.finish(c.front.word(s, a))
+	// A refusal promises that nothing ran, so the token may be used again. Everything else stays
+	// claimed: what ran, and what is in doubt.
+	if a.Verdict == core.Refused && s.claim != "" {
+		c.front.giveBack(s.claim, s.owner)
+	}
+}
+
+// giveBack releases a claim without holding up the core. Past the bound it stays claimed.
+func (f *Front) giveBack(name, owner string) {
+	select {
+	case f.release <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-f.release }()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, err := f.opt.Claims.Release(ctx, name, owner); err != nil {
+			f.opt.Log.Warn().Err(err).Msg("claim not given back")
+		}
+	}()
+}
+
+// word maps a final answer to a response.
+func (f *Front) word(s *slot, a core.Answer) []byte {
+	head := ""
+	if a.Tag != "" {
+		head = "ETag: \"" + a.Tag + "\"\r\n"
+	}
+	if g := s.grant.Claims; g.Transport == 1 && g.Renew > 0 && (a.Verdict == core.Served || a.Verdict == core.Same) {
+		if next, err := f.ring.Load().Renewed(s.grant, f.opt.Clock.Unix()/1000); err == nil {
+			head += "Set-Cookie: " + token.ParamPackage + "=" + next + "; Path=" + cookiePath(s.msg.path, g.Depth) +
+				"; Max-Age=" + strconv.Itoa(g.Renew) + "; HttpOnly\r\n"
+		}
+	}
+	closes := s.msg.close
+	switch a.Verdict {
+	case core.Served:
+		body := a.Body
+		if s.msg.method == "HEAD" {
+			return answer(200, "application/octet-stream", head, len(body), nil, closes)
+		}
+		return answer(200, "application/octet-stream", head, len(body), body, closes)
+	case core.Same:
+		return answer(304, "", head, 0, nil, closes)
+	case core.Refused:
+		head := "Retry-After: " + strconv.Itoa(max(1, int((a.RetryAfter+999)/1000))) + "\r\n"
+		if a.RetryAfter > 0 {
+			head += "X-Throttle-Ms: " + strconv.Itoa(max(1, int(a.RetryAfter))) + "\r\n"
+		}
+		return errorAnswer(503, "refused", "not now; nothing has run", head, closes)
+	}
+	switch a.Reason {
+	case core.UnknownClass:
+		return errorAnswer(404, "unknown_class", "no such class", "", closes)
+	case core.Deadline:
+		return errorAnswer(504, "deadline", "no answer in time", "", closes)
+	case core.Expired:
+		return errorAnswer(403, "expired", "the token expired before the request could be sent on", "", closes)
+	}
+	return errorAnswer(502, "upstream_failed", "the store failed", "", closes)
+}
+
+// cookiePath keeps the leading segments of a path, as cdnistd says; 0 keeps none.
+func cookiePath(path string, depth int) string {
+	at := 0
+	for ; depth > 0; depth-- {
+		next := strings.IndexByte(path[at+1:], '/')
+		if next < 0 {
+			break
+		}
+		at += 1 + next
+	}
+	if at == 0 {
+		return "/"
+	}
+	return path[:at]
+}
+
+// rejected maps a token's rejection to a response.
+func rejected(err error, closes bool) []byte {
+	why := token.WhyOf(err)
+	text := strings.TrimPrefix(err.Error(), "token: ")
+	switch why {
+	case token.Missing:
+		return errorAnswer(401, string(why), text, "WWW-Authenticate: URISigning realm=\"turnfork\"\r\n", closes)
+	case token.Malformed:
+		return errorAnswer(400, string(why), text, "", closes)
+	}
+	return errorAnswer(403, string(why), text, "", closes)
+}
+
+var statuses = map[int]string{
+	200: "OK", 201: "Created", 204: "No Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
+	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 414: "URI Too Long",
+	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}
+
+func answer(status int, kind, head string, length int, body []byte, closes bool) []byte {
+	b := make([]byte, 0, 256+len(head)+len(body))
+	b = append(b, "HTTP/1.1 "+strconv.Itoa(status)+" "+statuses[status]+"\r\n"...)
+	if kind != "" {
+		b = append(b, "Content-Type: "+kind+"\r\n"...)
+	}
+	if status != 304 && status != 204 {
+		b = append(b, "Content-Length: "+strconv.Itoa(length)+"\r\n"...)
+	}
+	if closes {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, head...)
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+func errorAnswer(status int, code, text, head string, closes bool) []byte {
+	body, _ := json.Marshal(map[string]string{"error": code, "detail": text})
+	body = append(body, '\n')
+	return answer(status, "application/json", "Cache-Control: no-store\r\n"+head, len(body), body, closes)
+}
--- /dev/null
+++ b/upstream/both/both.go
@@ -0,0 +1,78 @@
+// Package both sends each attempt by the upstream that reaches its store.
+package both
+
+import (
+	"sync"
+
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// Chosen is an upstream that reaches some stores.
+type Chosen interface {
+	core.Upstream
+	Has(member uint32) bool
+}
+
+// Upstream uses First for the stores that it has and Rest for all others.
+type Upstream struct {
+	First Chosen
+	Rest  core.Upstream
+
+	mu    sync.Mutex
+	first map[core.Key]struct{} // attempts that First has, until they end
+}
+
+// Send makes an attempt.
+func (u *Upstream) Send(s core.Send) {
+	if u.First.Has(s.To) {
+		u.mu.Lock()
+		if u.first == nil {
+			u.first = map[core.Key]struct{}{}
+		}
+		u.first[s.Key] = struct{}{}
+		u.mu.Unlock()
+		u.First.Send(s)
+		return
+	}
+	u.Rest.Send(s)
+}
+
+// Drop gives an attempt up.
+func (u *Upstream) Drop(k core.Key, as control.Result) {
+	u.mu.Lock()
+	_, first := u.first[k]
+	u.mu.Unlock()
+	if first {
+		u.First.Drop(k, as)
+		return
+	}
+	u.Rest.Drop(k, as)
+}
+
+// Probe asks a store.
+func (u *Upstream) Probe(member uint32) {
+	if u.First.Has(member) {
+		u.First.Probe(member)
+		return
+	}
+	u.Rest.Probe(member)
+}
+
+// Update tells both of the stores.
+func (u *Upstream) Update(s core.Stores) {
+	u.First.Update(s)
+	u.Rest.Update(s)
+}
+
+// Seen wraps the sink of events, to forget the attempts that have ended.
+func (u *Upstream) Seen(post func(core.Event)) func(core.Event) {
+	return func(ev core.Event) {
+		if e, ok := ev.(core.Ended); ok {
+			u.mu.Lock()
+			delete(u.first, e.Key)
+			u.mu.Unlock()
+		}
+		post(ev)
+	}
+}
--- /dev/null
+++ b/upstream/web/web.go
@@ -0,0 +1,262 @@
+// Package web is the upstream for stores that speak HTTP, such as object stores; where a store wants
+// it, requests are signed with AWS Signature Version 4.
+package web
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// Store is how one store is reached.
+type Store struct {
+	Base   string // such as http://127.0.0.1:9000/bucket
+	Signer *Signer
+}
+
+// Options are what an upstream is made of.
+type Options struct {
+	Stores      map[uint32]Store
+	DialTimeout float64 // ms
+	IdleClose   float64 // ms
+	Probe       string  // path asked by a probe; "": the base itself
+	MaxConns    int     // to one store
+	Clock       *clock.Clock
+	Log         zerolog.Logger
+}
+
+const (
+	bodyMost     = 256 << 10
+	probeTimeout = 240 // ms
+	probesMost   = 32
+)
+
+// Upstream carries attempts out as HTTP requests: GET for a part, POST for a write. The object is
+// asked for as BASE/CLASS/OBJECT/PART, with the attempt's terms in X- headers.
+type Upstream struct {
+	opt    Options
+	post   func(core.Event)
+	client *http.Client
+	ctx    context.Context
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+	probes atomic.Int64
+
+	mu   sync.Mutex
+	open map[core.Key]*attempt
+}
+
+type attempt struct {
+	cancel  context.CancelFunc
+	dropped bool
+	as      control.Result
+}
+
+// New returns an upstream that lives until Close.
+func New(opt Options, post func(core.Event)) *Upstream {
+	u := &Upstream{opt: opt, post: post, open: map[core.Key]*attempt{}}
+	u.ctx, u.stop = context.WithCancel(context.Background())
+	dialer := &net.Dialer{Timeout: clock.Duration(opt.DialTimeout)}
+	u.client = &http.Client{
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxConnsPerHost: opt.MaxConns, MaxIdleConnsPerHost: max(1, opt.MaxConns/2),
+			IdleConnTimeout: clock.Duration(0.8 * opt.IdleClose), DisableCompression: true,
+			MaxResponseHeaderBytes: 16 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return u
+}
+
+// Close gives up what is open and waits for it.
+func (u *Upstream) Close() {
+	u.stop()
+	u.wg.Wait()
+	u.client.CloseIdleConnections()
+}
+
+// Update does nothing: the stores of this upstream are the operator's.
+func (u *Upstream) Update(core.Stores) {}
+
+// Has tells whether a store is reached by this upstream.
+func (u *Upstream) Has(id uint32) bool { _, ok := u.opt.Stores[id]; return ok }
+
+// Send makes an attempt.
+func (u *Upstream) Send(s core.Send) {
+	ctx, cancel := context.WithCancel(u.ctx)
+	a := &attempt{cancel: cancel}
+	u.mu.Lock()
+	u.open[s.Key] = a
+	u.mu.Unlock()
+	u.wg.Add(1)
+	go func() {
+		defer u.wg.Done()
+		defer cancel()
+		ev := u.run(ctx, s)
+		u.mu.Lock()
+		delete(u.open, s.Key)
+		// A drop's end is told here, once the request's connection is closed or has given its answer.
+		if a.dropped && ev.Result != control.OK && ev.Result != control.Unreached {
+			ev = core.Ended{Key: s.Key, Result: a.as}
+		}
+		u.mu.Unlock()
+		u.post(ev)
+	}()
+}
+
+// Drop gives an attempt up: its connection is closed, which abandons it.
+func (u *Upstream) Drop(k core.Key, as control.Result) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if a := u.open[k]; a != nil && !a.dropped {
+		a.dropped, a.as = true, as
+		a.cancel()
+	}
+}
+
+func (u *Upstream) run(ctx context.Context, s core.Send) core.Ended {
+	end := core.Ended{Key: s.Key, Result: control.Unsent}
+	store, ok := u.opt.Stores[s.To]
+	if !ok {
+		return end
+	}
+	var wrote atomic.Bool // some byte may have left
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }})
+	method := http.MethodGet
+	if len(s.Body) > 0 || s.Write {
+		method = http.MethodPost
+	}
+	target := strings.TrimSuffix(store.Base, "/") + "/" + s.Class + "/" + url.PathEscape(s.Name) + "/" +
+		strconv.FormatUint(uint64(s.Part), 10)
+	// The body has no GetBody, so the transport can't send a write a second time by itself.
+	req, err := http.NewRequestWithContext(ctx, method, target, struct{ io.Reader }{bytes.NewReader(s.Body)})
+	if err != nil {
+		return end
+	}
+	req.ContentLength = int64(len(s.Body))
+	if len(s.Body) == 0 {
+		req.Body = http.NoBody
+	}
+	req.Header.Set("X-Txn", s.Txn)
+	if s.MaxAge > 0 {
+		req.Header.Set("Cache-Control", "max-age="+strconv.Itoa(int(s.MaxAge/1000)))
+	}
+	if s.Known != "" {
+		req.Header.Set("If-None-Match", `"`+s.Known+`"`)
+	}
+	if store.Signer != nil {
+		store.Signer.Sign(req, s.Body, time.UnixMilli(int64(u.opt.Clock.Unix())))
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		end.Result = control.Broken
+		if !wrote.Load() {
+			end.Result = control.Unreached // no connection came up, so nothing ran
+		} else if ctx.Err() != nil {
+			end.Result = control.Cancelled
+		}
+		return end
+	}
+	defer resp.Body.Close()
+	body, err := readAll(resp.Body)
+	if err != nil {
+		end.Result = control.Errored
+		if ctx.Err() != nil {
+			end.Result = control.Cancelled
+		}
+		return end
+	}
+	end.Tag = strings.Trim(resp.Header.Get("ETag"), `"`)
+	switch {
+	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated || resp.StatusCode == http.StatusNoContent:
+		end.Result, end.Note, end.Body = control.OK, control.Hit, body
+	case resp.StatusCode == http.StatusNotModified:
+		end.Result, end.Note, end.Same = control.OK, control.Hit, true
+	case resp.StatusCode == http.StatusNotFound:
+		end.Result = control.Miss
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		end.Result = control.Full
+	default:
+		end.Result = control.Errored
+		u.opt.Log.Debug().Int("status", resp.StatusCode).Str("store", store.Base).Msg("store failed")
+	}
+	// A status proves nothing of a write but its refusal: what the store may have done stays in doubt.
+	if s.Write && end.Result == control.Miss {
+		end.Result = control.Errored
+	}
+	return end
+}
+
+var errLong = errors.New("web: the answer is too long")
+
+func readAll(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, bodyMost+1))
+	if err == nil && len(b) > bodyMost {
+		err = errLong
+	}
+	return b, err
+}
+
+// Probe asks whether a store answers; it gives no report.
+func (u *Upstream) Probe(member uint32) {
+	store, ok := u.opt.Stores[member]
+	u.wg.Add(1)
+	go func() {
+		defer u.wg.Done()
+		ev := core.Probed{Member: member, Result: control.Unreached}
+		if n := u.probes.Add(1); ok && n <= probesMost {
+			ev.Result = u.probe(store)
+		}
+		u.probes.Add(-1)
+		u.post(ev)
+	}()
+}
+
+func (u *Upstream) probe(store Store) control.Result {
+	ctx, cancel := context.WithTimeout(u.ctx, probeTimeout*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, strings.TrimSuffix(store.Base, "/")+"/"+u.opt.Probe, nil)
+	if err != nil {
+		return control.Unreached
+	}
+	if store.Signer != nil {
+		store.Signer.Sign(req, nil, time.UnixMilli(int64(u.opt.Clock.Unix())))
+	}
+	resp, err := u.client.Do(req)
+	if err != nil {
+		if ctx.Err() != nil {
+			return control.TimedOut
+		}
+		return control.Unreached
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= 500 {
+		return control.Errored
+	}
+	return control.OK
+}
+
+// Check tells whether a store's base can be used.
+func (s Store) Check() error {
+	u, err := url.Parse(s.Base)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" || u.RawQuery != "" {
+		return fmt.Errorf("%q is no HTTP address", s.Base)
+	}
+	return nil
+}
