--- /dev/null
+++ b/config/operator.go
@@ -0,0 +1,404 @@
+package config
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/replica"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/upstream/web"
+)
+
+// Operator is an operator's file: the second front, its keys, the stores and the replicated store.
+type Operator struct {
+	Name           string        `toml:"name"`
+	Listen         string        `toml:"listen"`  // of the signed front
+	FastCGI        string        `toml:"fastcgi"` // of the platform's front; "": none
+	Scheme         string        `toml:"scheme"`  // of the URIs that clients see
+	LeewayS        float64       `toml:"leeway_s"`
+	TokenS         float64       `toml:"token_s"` // the longest that an issued token may last
+	OperatorSecret string        `toml:"operator_secret"`
+	OperatorFile   string        `toml:"operator_secret_file"`
+	Limits         Limits        `toml:"limits"`
+	Module         Module        `toml:"module"`
+	Classes        []Class       `toml:"class"`
+	Stores         []Store       `toml:"store"`
+	Signers        []NamedSigner `toml:"signer"`
+	Keys           []KeyEntry    `toml:"key"`
+	Replica        Replica       `toml:"replica"`
+
+	dir string
+}
+
+// Limits is the size of the machine.
+type Limits struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB int     `toml:"memory_mb"`
+	Sockets  int     `toml:"sockets"`
+}
+
+// Module is what the decision module has to know of the site.
+type Module struct {
+	FlowKBps     float64 `toml:"flow_kb_per_s"`
+	MaxAttempts  int     `toml:"max_attempts"`
+	Probes       *bool   `toml:"probes"`
+	MaxRetryMs   float64 `toml:"max_retry_after_ms"`
+	DialMs       float64 `toml:"dial_timeout_ms"`
+	IdleS        float64 `toml:"idle_close_s"`
+	MaxOpen      int     `toml:"max_open"`
+	Fronts       int     `toml:"gateways"` // that share the stores
+	PurgeDoneS   float64 `toml:"purge_done_s"`
+	ColdS        float64 `toml:"cold_s"`
+	ColdShare    float64 `toml:"cold_share"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallS        float64 `toml:"fall_s"`
+}
+
+// Class is one class of requests.
+type Class struct {
+	Name       string  `toml:"name"`
+	AimMs      float64 `toml:"aim_ms"`
+	AimStretch float64 `toml:"aim_stretch"`
+	DeadlineMs float64 `toml:"deadline_ms"`
+	Worth      float64 `toml:"worth"`
+	LateWorth  float64 `toml:"late_worth"`
+	FreshS     float64 `toml:"fresh_s"`
+	Write      bool    `toml:"write"`
+	Unsafe     bool    `toml:"unsafe"`
+}
+
+// Store is a cache, a parent or the origin.
+type Store struct {
+	ID     uint32  `toml:"id"`
+	Kind   string  `toml:"kind"` // cache, parent or origin
+	Addr   string  `toml:"addr"` // of a RESP store
+	Base   string  `toml:"base"` // of an HTTP store
+	Signer string  `toml:"signer"`
+	Weight float64 `toml:"weight"`
+}
+
+// NamedSigner signs requests onward.
+type NamedSigner struct {
+	Name string `toml:"name"`
+	web.Signer
+	SecretFile string `toml:"secret_key_file"`
+}
+
+// KeyEntry is a key, with its secrets here or in files of their own.
+type KeyEntry struct {
+	token.Key
+	SecretFile  string `toml:"secret_file"`
+	PublicFile  string `toml:"public_file"`
+	PrivateFile string `toml:"private_file"`
+}
+
+// Replica is this member of the replicated store; without members it is alone and in memory.
+type Replica struct {
+	ID      string           `toml:"id"`
+	Dir     string           `toml:"dir"`
+	Listen  string           `toml:"listen"`
+	CA      string           `toml:"ca_file"`
+	Cert    string           `toml:"cert_file"`
+	Key     string           `toml:"key_file"`
+	Members []replica.Member `toml:"member"`
+}
+
+// DefaultLeeway is how much clocks may differ, in seconds, where the file says nothing.
+const DefaultLeeway = 10
+
+const (
+	zoneHub  = 0
+	zoneHere = 1
+)
+
+var kinds = map[string]int{"cache": 0, "parent": 1, "origin": 2}
+
+// LoadOperator reads an operator's file. Files that it names are looked for beside it.
+func LoadOperator(path string) (*Operator, error) {
+	text, err := readSmall(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return ParseOperator(string(text), filepath.Dir(path))
+}
+
+func readSmall(path string) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > fileMost {
+		return nil, fmt.Errorf("%s: %d bytes, %d at most", path, info.Size(), fileMost)
+	}
+	return os.ReadFile(path)
+}
+
+// ParseOperator reads an operator's file from text. Errors name the field.
+func ParseOperator(text, dir string) (*Operator, error) {
+	o := &Operator{LeewayS: DefaultLeeway, dir: dir}
+	meta, err := toml.Decode(text, o)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if left := meta.Undecoded(); len(left) > 0 {
+		return nil, fmt.Errorf("config: %s: no such field", left[0])
+	}
+	if err := o.check(); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return o, nil
+}
+
+func (o *Operator) check() error {
+	if err := address("listen", o.Listen); err != nil {
+		return err
+	}
+	if o.FastCGI != "" {
+		if err := address("fastcgi", o.FastCGI); err != nil {
+			return err
+		}
+	}
+	if o.Scheme == "" {
+		o.Scheme = "http"
+	}
+	if o.Scheme != "http" && o.Scheme != "https" {
+		return fmt.Errorf("scheme: %q is neither http nor https", o.Scheme)
+	}
+	if !(o.LeewayS >= 0 && o.LeewayS <= 300) {
+		return fmt.Errorf("leeway_s: %v is not within 0 to 300", o.LeewayS)
+	}
+	if o.TokenS < 0 || math.IsNaN(o.TokenS) {
+		return fmt.Errorf("token_s: %v is negative", o.TokenS)
+	}
+	if err := o.file("operator_secret", &o.OperatorSecret, o.OperatorFile); err != nil {
+		return err
+	}
+	if o.OperatorSecret != "" && len(o.OperatorSecret) < 16 {
+		return fmt.Errorf("operator_secret: 16 characters at least")
+	}
+	if len(o.Classes) == 0 {
+		return fmt.Errorf("class: none given")
+	}
+	for i, c := range o.Classes {
+		if c.Name == "" || !token.Canonical("/"+c.Name) {
+			return fmt.Errorf("class[%d].name: %q can't stand in a path", i, c.Name)
+		}
+		if !(c.DeadlineMs > 0 && c.DeadlineMs < 1e7) {
+			return fmt.Errorf("class[%d].deadline_ms: %v is no time", i, c.DeadlineMs)
+		}
+	}
+	signers := map[string]bool{}
+	for i := range o.Signers {
+		s := &o.Signers[i]
+		where := fmt.Sprintf("signer[%d].", i)
+		if err := o.file(where+"secret_key", &s.SecretKey, s.SecretFile); err != nil {
+			return err
+		}
+		if s.Name == "" || s.AccessKey == "" || s.SecretKey == "" || s.Region == "" || s.Service == "" {
+			return fmt.Errorf("%sname, access_key, secret_key, region and service are all needed", where)
+		}
+		signers[s.Name] = true
+	}
+	if len(o.Stores) == 0 {
+		return fmt.Errorf("store: none given")
+	}
+	seen := map[uint32]bool{}
+	for i, s := range o.Stores {
+		where := fmt.Sprintf("store[%d].", i)
+		if _, ok := kinds[s.Kind]; !ok {
+			return fmt.Errorf("%skind: %q is not cache, parent or origin", where, s.Kind)
+		}
+		if s.ID == 0 || seen[s.ID] {
+			return fmt.Errorf("%sid: %d is 0 or there twice", where, s.ID)
+		}
+		seen[s.ID] = true
+		switch {
+		case (s.Addr == "") == (s.Base == ""):
+			return fmt.Errorf("%saddr: either addr or base", where)
+		case s.Addr != "":
+			if err := address(where+"addr", s.Addr); err != nil {
+				return err
+			}
+		default:
+			if err := (web.Store{Base: s.Base}).Check(); err != nil {
+				return fmt.Errorf("%sbase: %w", where, err)
+			}
+		}
+		if s.Signer != "" && !signers[s.Signer] {
+			return fmt.Errorf("%ssigner: no signer %q", where, s.Signer)
+		}
+	}
+	for i := range o.Keys {
+		k := &o.Keys[i]
+		where := fmt.Sprintf("key[%d].", i)
+		for _, f := range []struct {
+			name, path string
+			into       *string
+		}{{"secret", k.SecretFile, &k.Secret}, {"public", k.PublicFile, &k.Public}, {"private", k.PrivateFile, &k.Private}} {
+			if err := o.file(where+f.name, f.into, f.path); err != nil {
+				return err
+			}
+		}
+	}
+	if _, err := o.Ring(); err != nil {
+		return err
+	}
+	return o.checkReplica()
+}
+
+func (o *Operator) checkReplica() error {
+	r := o.Replica
+	if len(r.Members) == 0 {
+		return nil
+	}
+	for name, v := range map[string]string{
+		"id": r.ID, "dir": r.Dir, "ca_file": r.CA, "cert_file": r.Cert, "key_file": r.Key,
+	} {
+		if v == "" {
+			return fmt.Errorf("replica.%s: missing", name)
+		}
+	}
+	if err := address("replica.listen", r.Listen); err != nil {
+		return err
+	}
+	for i, m := range r.Members {
+		if m.ID == "" {
+			return fmt.Errorf("replica.member[%d].id: missing", i)
+		}
+		if err := address(fmt.Sprintf("replica.member[%d].addr", i), m.Addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// file puts a file's content in place of a field.
+func (o *Operator) file(field string, into *string, path string) error {
+	if path == "" {
+		return nil
+	}
+	b, err := readSmall(o.Path(path))
+	if err != nil {
+		return fmt.Errorf("%s_file: %w", field, err)
+	}
+	*into = strings.TrimSpace(string(b))
+	return nil
+}
+
+// Path gives a path in the file as seen from here.
+func (o *Operator) Path(p string) string {
+	if filepath.IsAbs(p) {
+		return p
+	}
+	return filepath.Join(o.dir, p)
+}
+
+// Ring makes the keys ready.
+func (o *Operator) Ring() (*token.Ring, error) {
+	keys := make([]token.Key, len(o.Keys))
+	for i, k := range o.Keys {
+		keys[i] = k.Key
+	}
+	return token.NewRing(keys)
+}
+
+// TLS reads the certificates of the replicated store's links.
+func (o *Operator) TLS() (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(o.Path(o.Replica.Cert), o.Path(o.Replica.Key))
+	if err != nil {
+		return nil, fmt.Errorf("config: replica.cert_file: %w", err)
+	}
+	ca, err := readSmall(o.Path(o.Replica.CA))
+	if err != nil {
+		return nil, fmt.Errorf("config: replica.ca_file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, fmt.Errorf("config: replica.ca_file: no certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool}, nil
+}
+
+// HTTPStores gives the stores that speak HTTP.
+func (o *Operator) HTTPStores() map[uint32]web.Store {
+	out := map[uint32]web.Store{}
+	for _, s := range o.Stores {
+		if s.Base == "" {
+			continue
+		}
+		w := web.Store{Base: s.Base}
+		for _, k := range o.Signers {
+			if k.Name == s.Signer && s.Signer != "" {
+				signer := k.Signer
+				w.Signer = &signer
+			}
+		}
+		out[s.ID] = w
+	}
+	return out
+}
+
+// Node words the file as a node's configuration, for the same core and module.
+func (o *Operator) Node(seed uint64) Node {
+	m := o.Module
+	n := Node{
+		Name: o.Name, Listen: o.FastCGI, Seed: seed, Cores: o.Limits.Cores, MemoryMB: o.Limits.MemoryMB,
+		Sockets: o.Limits.Sockets, MaxOpen: m.MaxOpen, DialTimeout: or(m.DialMs, 400), IdleClose: or(m.IdleS, 15) * 1000,
+		Streams: 100,
+	}
+	fronts := max(1, m.Fronts)
+	parents := -1
+	ev := core.Stores{Whole: true}
+	for _, s := range o.Stores {
+		kind, zone := kinds[s.Kind], zoneHub
+		if s.Kind == "cache" {
+			zone = zoneHere
+		}
+		if s.Kind == "parent" {
+			parents = kind
+		}
+		ev.List = append(ev.List, core.Store{Addr: s.Addr, Member: control.Member{
+			ID: control.MemberID(s.ID), Zone: zone, Kind: kind, Weight: or(s.Weight, 10), State: control.Ready,
+		}})
+	}
+	n.Known = []core.Event{ev}
+	n.Settings = control.Settings{
+		Fronts: fronts, Zone: zoneHere, FrontsByZone: []int{0, fronts}, ZoneHub: []int{zoneHub, zoneHub}, Kinds: len(kinds),
+		ParentKind: parents, OriginKind: kinds["origin"], Quantum: 2 * time.Millisecond, ClientKBps: m.FlowKBps,
+		WeightsTold: true, MaxAttempts: int(or(float64(m.MaxAttempts), 8)), CanCancel: true,
+		CanProbe: m.Probes == nil || *m.Probes, CanRetryAfter: true, MaxRetryAfter: clock.Duration(or(m.MaxRetryMs, 500)),
+		Direct: true, NotesTold: true, DrainGrace: 250 * time.Millisecond, ColdShare: m.ColdShare,
+		ColdFor: clock.Duration(m.ColdS * 1000), FallMultiple: or(m.FallMultiple, 4), FallFor: clock.Duration(or(m.FallS, 1) * 1000),
+		ParentColdFrom: m.ColdShare, ParentColdFor: clock.Duration(m.ColdS * 1000), ParentFall: 2,
+		PurgeGrace: time.Second, PurgeDone: clock.Duration(or(m.PurgeDoneS, 6) * 1000),
+	}
+	for _, c := range o.Classes {
+		class := control.Class{
+			Aim: clock.Duration(or(c.AimMs, c.DeadlineMs/4)), AimStretch: c.AimStretch, Deadline: clock.Duration(c.DeadlineMs),
+			Worth: or(c.Worth, 1), LateWorth: c.LateWorth, Fresh: clock.Duration(c.FreshS * 1000), Write: c.Write,
+		}
+		if c.Unsafe || c.Write { // what is not known to be harmless is taken for unsafe
+			class.Effect = control.Unsafe
+		}
+		n.Settings.Classes = append(n.Settings.Classes, class)
+		n.Classes = append(n.Classes, c.Name)
+	}
+	return n
+}
+
+func or(v, other float64) float64 {
+	if v > 0 {
+		return v
+	}
+	return other
+}
--- a/turnfork.go
+++ b/turnfork.go
@@ -1,15 +1,18 @@
 // Package turnfork is a cache gateway: fronts take requests, a core with the decision module says
-// which store each goes to, and an upstream speaks with the stores. [Run] is the whole of it; the
+// which store each goes to, and upstreams speak with the stores. [Run] is the whole of it; the
 // packages below can also be put together in other ways.
 package turnfork
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,16 +22,33 @@
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front/fastcgi"
+	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/replica"
+	"turnfork.dev/turnfork/upstream/both"
 	"turnfork.dev/turnfork/upstream/resp"
+	"turnfork.dev/turnfork/upstream/web"
 )
 
 // Config is what a gateway is made of.
 type Config struct {
-	Node  config.Node
-	Log   zerolog.Logger
-	Clock *clock.Clock    // nil: the system's
-	Stop  <-chan struct{} // closed: end in good order; the end of Run's context ends at once
-	Ready chan<- net.Addr // told the front's address once it listens; nil: nobody asks
+	Node     config.Node
+	Operator *config.Operator // the second front and what goes with it; nil on the platform
+	Log      zerolog.Logger
+	Clock    *clock.Clock                            // nil: the system's
+	Stop     <-chan struct{}                         // closed: end in good order; the end of Run's context ends at once
+	Ready    func(Addrs)                             // told once the fronts listen; nil: nobody asks
+	Tap      func(front string, c net.Conn) net.Conn // wraps the fronts' connections, for recording; nil: none
+}
+
+// Addrs are the addresses that the fronts listen on, nil where a front is off.
+type Addrs struct {
+	FastCGI, Signed net.Addr
+	Fronts          Fronts
+}
+
+// Fronts take connections from elsewhere than their listener.
+type Fronts struct {
+	FastCGI, Signed func(net.Conn) // each returns when the connection has ended; nil: off
 }
 
 const (
@@ -38,6 +58,7 @@
 	memoryPart    = 0.6                     // of the memory limit, for the collector to aim at
 	frontPart     = 0.4                     // of the descriptors
 	upstreamPart  = 0.4
+	connsPerStore = 16
 )
 
 // Limit sets the runtime to a machine of so many cores and MB.
@@ -50,6 +71,12 @@
 	}
 }
 
+// serving is a front that can be served and asked what it still owes.
+type serving interface {
+	Serve(ctx context.Context, l net.Listener) error
+	Open() int
+}
+
 // Run serves until ctx ends, or until Stop is closed and what was taken is answered.
 func Run(ctx context.Context, cfg Config) error {
 	node := cfg.Node
@@ -59,30 +86,35 @@
 	if node.Sockets <= 0 {
 		node.Sockets = 1024
 	}
-	var up *resp.Pool
-	gate := &lateUpstream{}
+	// The upstreams post to the core and the core sends by the upstreams: the core is made first.
+	up := &struct{ core.Upstream }{}
 	c, err := core.New(core.Options{
 		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: cfg.Clock,
 		Log: cfg.Log,
-	}, gate)
+	}, up)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	up = resp.New(resp.Options{
+	mix := &both.Upstream{}
+	post := c.Post
+	if cfg.Operator != nil {
+		post = mix.Seen(post)
+	}
+	pool := resp.New(resp.Options{
 		DialTimeout: node.DialTimeout, IdleClose: node.IdleClose, ProbeTimeout: probeTimeout, Streams: node.Streams,
 		MaxConns: int(upstreamPart * float64(node.Sockets)), Clock: cfg.Clock, Log: cfg.Log,
-	}, c.Post)
-	defer up.Close()
-	gate.Upstream = up
-
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", node.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	}, post)
+	defer pool.Close()
+	up.Upstream = pool
+	if cfg.Operator != nil {
+		stores := web.New(web.Options{
+			Stores: cfg.Operator.HTTPStores(), DialTimeout: node.DialTimeout, IdleClose: node.IdleClose,
+			MaxConns: connsPerStore, Clock: cfg.Clock, Log: cfg.Log,
+		}, post)
+		defer stores.Close()
+		mix.First, mix.Rest = stores, pool
+		up.Upstream = mix
 	}
-	defer l.Close()
-	front := fastcgi.New(fastcgi.Options{
-		Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: int(frontPart * float64(node.Sockets)),
-	})
 	for _, ev := range node.Known {
 		c.Handle(ev) // nothing else runs yet
 	}
@@ -90,37 +122,152 @@
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	g, ctx := errgroup.WithContext(ctx)
+	var (
+		fronts    []serving
+		listeners []net.Listener
+		addrs     Addrs
+	)
+	listen := func(field, addr string, f serving) (net.Addr, error) {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", field, err)
+		}
+		fronts, listeners = append(fronts, f), append(listeners, l)
+		return l.Addr(), nil
+	}
+	defer func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}()
+	tap := func(name string) func(net.Conn) net.Conn {
+		if cfg.Tap == nil {
+			return nil
+		}
+		return func(nc net.Conn) net.Conn { return cfg.Tap(name, nc) }
+	}
+
+	var changed atomic.Pointer[signed.Front]
+	store, err := openReplica(cfg, func(name string, value json.RawMessage) {
+		if f := changed.Load(); f != nil {
+			f.Changed(name, value)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+
+	if node.Listen != "" {
+		f := fastcgi.New(fastcgi.Options{
+			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: int(frontPart * float64(node.Sockets)), Tap: tap("fastcgi"),
+		})
+		if addrs.FastCGI, err = listen("listen", node.Listen, f); err != nil {
+			return err
+		}
+		addrs.Fronts.FastCGI = f.Handle
+	}
+	if o := cfg.Operator; o != nil {
+		ring, err := o.Ring()
+		if err != nil {
+			return err
+		}
+		part := frontPart
+		if node.Listen != "" {
+			part /= 2
+		}
+		f := signed.New(signed.Options{
+			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
+			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
+			MaxConns: int(part * float64(node.Sockets)), Tap: tap("signed"),
+		})
+		changed.Store(f)
+		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
+			var value json.RawMessage
+			if ok, err := store.Get(name, &value); ok && err == nil {
+				f.Changed(name, value)
+			}
+		}
+		if addrs.Signed, err = listen("listen", o.Listen, f); err != nil {
+			return err
+		}
+		addrs.Fronts.Signed = f.Handle
+	}
+
 	g.Go(func() error { return c.Run(ctx) })
 	if node.Changelog != "" {
 		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Post: c.Post, Log: cfg.Log}
 		g.Go(func() error { return feed.Run(ctx) })
 	}
-	g.Go(func() error { return front.Serve(ctx, l) })
+	for i, f := range fronts {
+		g.Go(func() error { return f.Serve(ctx, listeners[i]) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-cfg.Stop:
-			drain(ctx, cfg, l, front, c, longest(node))
+			drain(ctx, cfg, listeners, fronts, longest(node))
 			end()
 		}
 		return nil
 	})
 	if cfg.Ready != nil {
-		cfg.Ready <- l.Addr()
+		cfg.Ready(addrs)
+	}
+	for _, l := range listeners {
+		cfg.Log.Info().Str("name", node.Name).Stringer("listen", l.Addr()).Msg("serving")
 	}
-	cfg.Log.Info().Str("name", node.Name).Stringer("listen", l.Addr()).Msg("serving")
 	return g.Wait()
 }
 
+// openReplica opens this member of the replicated store: alone and in memory unless the operator's
+// file names members.
+func openReplica(cfg Config, changed func(string, json.RawMessage)) (*replica.Store, error) {
+	opt := replica.Options{Clock: cfg.Clock, Log: cfg.Log, Changed: changed}
+	if o := cfg.Operator; o != nil && len(o.Replica.Members) > 0 {
+		conf, err := o.TLS()
+		if err != nil {
+			return nil, err
+		}
+		l, err := net.Listen("tcp", o.Replica.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("replica.listen: %w", err)
+		}
+		opt.ID, opt.Members, opt.Listener, opt.TLS, opt.Dir = o.Replica.ID, o.Replica.Members, l, conf, o.Path(o.Replica.Dir)
+		s, err := replica.Open(opt)
+		if err != nil {
+			return nil, errors.Join(err, l.Close())
+		}
+		return s, nil
+	}
+	return replica.Open(opt)
+}
+
+func classes(n config.Node) (out []signed.Class) {
+	for i, c := range n.Settings.Classes {
+		out = append(out, signed.Class{Name: n.Classes[i], Deadline: clock.Ms(c.Deadline), Write: c.Write})
+	}
+	return out
+}
+
 // drain takes requests through the stated window, then waits until all are answered and written, as
 // long as the platform allows.
-func drain(ctx context.Context, cfg Config, l net.Listener, front *fastcgi.Front, c *core.Core, most time.Duration) {
+func drain(ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, most time.Duration) {
 	cfg.Log.Info().Msg("asked to stop")
 	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
 	defer cancel()
 	wait(ctx, stopAccepting)
-	l.Close()
-	for ctx.Err() == nil && front.Open() > 0 {
+	for _, l := range listeners {
+		l.Close()
+	}
+	for ctx.Err() == nil {
+		open := 0
+		for _, f := range fronts {
+			open += f.Open()
+		}
+		if open == 0 {
+			break
+		}
 		wait(ctx, 10*time.Millisecond)
 	}
 	wait(ctx, 20*time.Millisecond) // the last answer's way out
@@ -139,6 +286,3 @@
 	}
 	return max(most, 3*time.Second)
 }
-
-// lateUpstream stands in until the pool is made, which needs the core first.
-type lateUpstream struct{ core.Upstream }
