--- a/cmd/turnfork/main.go
+++ b/cmd/turnfork/main.go
@@ -1,27 +1,10 @@
-// Command turnfork is the gateway: NODE_CONFIG names its configuration.
+// Command turnfork is the gateway; without arguments it serves as NODE_CONFIG says.
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork"
-	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/internal/cli"
 )
 
-func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	node, err := config.Load(os.Getenv("NODE_CONFIG"), os.Getenv)
-	if err != nil {
-		log.Fatal().Err(err).Msg("configuration")
-	}
-	turnfork.Limit(node.Cores, node.MemoryMB)
-	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer done()
-	if err := turnfork.Run(context.Background(), turnfork.Config{Node: node, Log: log, Stop: stop.Done()}); err != nil {
-		log.Fatal().Err(err).Msg("gateway ended")
-	}
-}
+func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -33,6 +33,9 @@
 	Put(ctx context.Context, name string, value any) error
 }
 
+// DefaultTokenSeconds is the longest that an issued token lasts where the operator says nothing.
+const DefaultTokenSeconds = 24 * 3600
+
 // Class is what the front has to know of a class.
 type Class struct {
 	Name     string
@@ -95,7 +98,7 @@
 		opt.Scheme = "http"
 	}
 	if opt.TokenMost <= 0 {
-		opt.TokenMost = 24 * 3600
+		opt.TokenMost = DefaultTokenSeconds
 	}
 	f := &Front{
 		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,171 @@
+// Package standin is a small store for tests and the example: it speaks RESP as stores do and keeps
+// nothing.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Call is one command that came.
+type Call struct {
+	Verb, ID string
+	Fields   map[string]string
+	Body     []byte
+}
+
+// Store answers GETs by its Handle.
+type Store struct {
+	// Handle words the answer to a GET; ok false leaves it unanswered. It may block: each GET has a
+	// goroutine of its own.
+	Handle func(c Call) (word, fields string, body []byte, ok bool)
+
+	l     net.Listener
+	mu    sync.Mutex
+	calls []Call
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// Listen starts a store on an address.
+func Listen(addr string, handle func(Call) (string, string, []byte, bool)) (*Store, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{Handle: handle, l: l, conns: map[net.Conn]struct{}{}}
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[c] = struct{}{}
+			s.mu.Unlock()
+			s.wg.Add(1)
+			go func() { defer s.wg.Done(); s.serve(c) }()
+		}
+	}()
+	return s, nil
+}
+
+// Addr is where the store listens.
+func (s *Store) Addr() string { return s.l.Addr().String() }
+
+// Calls gives the commands that came with a verb.
+func (s *Store) Calls(verb string) (out []Call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
+		if c.Verb == verb {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Cut resets every connection, as a dying process does.
+func (s *Store) Cut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Close ends the store. GETs that its Handle holds must have been let go.
+func (s *Store) Close() {
+	s.l.Close()
+	s.Cut()
+	s.wg.Wait()
+}
+
+func (s *Store) serve(c net.Conn) {
+	defer c.Close()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	var out sync.Mutex
+	for {
+		words, err := read(r)
+		if err != nil || len(words) < 2 {
+			return
+		}
+		call := Call{Verb: string(words[0]), ID: string(words[1]), Fields: map[string]string{}}
+		if len(words) > 3 {
+			call.Body = words[3]
+		}
+		if len(words) > 2 {
+			for _, f := range strings.Split(string(words[2]), ",") {
+				if k, v, ok := strings.Cut(f, "="); ok {
+					call.Fields[k] = v
+				}
+			}
+		}
+		s.mu.Lock()
+		s.calls = append(s.calls, call)
+		s.mu.Unlock()
+		answer := func(word, fields string, body []byte) {
+			out.Lock()
+			defer out.Unlock()
+			fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
+				len(call.ID), call.ID, len(word), word, len(fields), fields, len(body), body)
+		}
+		switch call.Verb {
+		case "PING", "LOAD":
+			answer("READY", "rep=inflight:0;util:0.1", nil)
+		case "GET":
+			s.wg.Add(1)
+			go func() {
+				defer s.wg.Done()
+				if word, fields, body, ok := s.Handle(call); ok {
+					answer(word, fields, body)
+				}
+			}()
+		}
+	}
+}
+
+func read(r *bufio.Reader) (words [][]byte, err error) {
+	length := func(kind byte) (int, error) {
+		line, err := r.ReadString('\n')
+		if err != nil || len(line) < 4 || line[0] != kind {
+			return 0, io.ErrUnexpectedEOF
+		}
+		n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+		if err != nil || n < 0 || n > 1<<20 {
+			return 0, io.ErrUnexpectedEOF
+		}
+		return n, nil
+	}
+	n, err := length('*')
+	if err != nil {
+		return nil, err
+	}
+	for range n {
+		size, err := length('$')
+		if err != nil {
+			return nil, err
+		}
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return nil, err
+		}
+		words = append(words, b[:size])
+	}
+	return words, nil
+}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -2,55 +2,31 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"errors"
 	"fmt"
-	"math/big"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/internal/standin"
 )
 
 // authority makes a test's own certificates.
 func authority(t testing.TB) func() *tls.Config {
 	t.Helper()
-	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	make, err := standin.Authority()
 	if err != nil {
 		t.Fatal(err)
 	}
-	ca := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "members"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, ca, ca, &caKey.PublicKey, caKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	root, _ := x509.ParseCertificate(der)
-	pool := x509.NewCertPool()
-	pool.AddCert(root)
 	return func() *tls.Config {
-		key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-		leaf := &x509.Certificate{
-			SerialNumber: big.NewInt(time.Now().UnixNano()), NotBefore: ca.NotBefore, NotAfter: ca.NotAfter,
-			IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		}
-		der, err := x509.CreateCertificate(rand.Reader, leaf, root, &key.PublicKey, caKey)
+		conf, err := make()
 		if err != nil {
 			t.Fatal(err)
 		}
-		return &tls.Config{
-			Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
-		}
+		return conf
 	}
 }
 
--- /dev/null
+++ b/signed_test.go
@@ -0,0 +1,563 @@
+package turnfork
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/replica"
+	"turnfork.dev/turnfork/token"
+)
+
+const operatorSecret = "a secret for the operator"
+
+// site is a gateway with the second front before a stand-in store, on loopback, with a clock that the
+// test sets.
+type site struct {
+	t     *testing.T
+	clock *clock.Clock
+	store *standin.Store
+	ring  *token.Ring
+	addr  string
+	runs  atomic.Int64 // of ride-end
+	stop  func()
+}
+
+const start = 1.8e12 // Unix ms
+
+// hold lets a test keep a GET unanswered; a nil handler answers at once.
+func newSite(t *testing.T, handle func(standin.Call) (string, string, []byte, bool)) *site {
+	t.Helper()
+	s := &site{t: t, clock: clock.Manual(start)}
+	var err error
+	s.store, err = standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		if c.Fields["lane"] == "ride-end" {
+			s.runs.Add(1)
+		}
+		if handle != nil {
+			return handle(c)
+		}
+		return "ACK", "tag=00000000000000aa,why=local,minted=1799999990000", []byte("piece " + c.Fields["piece"]), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
+	o, err := config.ParseOperator(fmt.Sprintf(`
+listen = "127.0.0.1:0"
+operator_secret = %q
+[[class]]
+name = "firmware"
+aim_ms = 600
+deadline_ms = 5000
+[[class]]
+name = "ride-end"
+deadline_ms = 3000
+write = true
+[[store]]
+id = 1
+kind = "cache"
+addr = %q
+[[store]]
+id = 2
+kind = "origin"
+addr = %q
+[[key]]
+id = "url"
+kind = "hmac"
+secret = %q
+[[key]]
+id = "pack"
+kind = "jws"
+alg = "HS256"
+issuer = "dala"
+audience = "gateways"
+secret = %q
+`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, secret), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ring, err = o.Ring(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ready, ended := make(chan Addrs, 1), make(chan error, 1)
+	go func() {
+		ended <- Run(ctx, Config{
+			Node: o.Node(1), Operator: o, Log: zerolog.Nop(), Clock: s.clock, Ready: func(a Addrs) { ready <- a },
+		})
+	}()
+	select {
+	case a := <-ready:
+		s.addr = a.Signed.String()
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	s.stop = sync.OnceFunc(func() { cancel(); <-ended; s.store.Close() })
+	t.Cleanup(s.stop)
+	return s
+}
+
+// do asks with a method and gives the status, the error's code and the body.
+func (s *site) do(method, url string, body string, head ...string) (int, string, string) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.addr+url, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(head); i += 2 {
+		req.Header.Set(head[i], head[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	var e struct{ Error string }
+	json.Unmarshal(b, &e)
+	return resp.StatusCode, e.Error, string(b)
+}
+
+func (s *site) url(path string, seconds float64, nonce string) string {
+	s.t.Helper()
+	u, err := s.ring.IssueURL("url", path, nil, s.clock.Unix()/1000+seconds, nonce)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return u
+}
+
+func (s *site) pack(path string, change func(*token.Claims)) string {
+	s.t.Helper()
+	exp := s.clock.Unix()/1000 + 60
+	c := token.Claims{Expires: &exp, Container: token.HashContainer("http://" + s.addr + path)}
+	if change != nil {
+		change(&c)
+	}
+	p, err := s.ring.IssuePackage("pack", c)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return path + "?" + token.ParamPackage + "=" + p
+}
+
+func (s *site) expect(what string, status int, code string, method, url string, head ...string) {
+	s.t.Helper()
+	if got, gotCode, _ := s.do(method, url, "", head...); got != status || gotCode != code {
+		s.t.Errorf("%s: %d %q, want %d %q", what, got, gotCode, status, code)
+	}
+}
+
+const tile = "/v1/firmware/7f3a9c21e0b4d655/3"
+const rideEnd = "/v1/ride-end/00000000000000e1/0"
+
+func TestTokensAtTheFront(t *testing.T) {
+	s := newSite(t, nil)
+	if code, _, body := s.do("GET", s.url(tile, 60, "n1"), ""); code != 200 || body != "piece 3" {
+		t.Fatalf("signed URL: %d %q", code, body)
+	}
+	good := s.pack(tile, nil)
+	s.expect("package", 200, "", "GET", good)
+	s.expect("again: no single use", 200, "", "GET", good)
+	s.expect("no token", 401, "missing", "GET", tile)
+	s.expect("another path", 403, "bad_signature", "GET", strings.Replace(s.url(tile, 60, "n"), "/3?", "/4?", 1))
+	s.expect("another URI", 403, "wrong_uri", "GET", strings.Replace(good, "/3?", "/4?", 1))
+	s.expect("cut signature", 403, "bad_signature", "GET", strings.TrimRight(s.url(tile, 60, "n"), "=")[:len(s.url(tile, 60, "n"))-1])
+	s.expect("forged package", 403, "bad_signature", "GET", good[:len(good)-6]+"AAAAAA")
+	s.expect("no package at all", 400, "malformed", "GET", tile+"?"+token.ParamPackage+"=abc")
+	none := base64.RawURLEncoding.EncodeToString([]byte(`{"alg":"none","kid":"pack"}`))
+	s.expect("alg none", 400, "malformed", "GET", tile+"?"+token.ParamPackage+"="+none+".e30.")
+	s.expect("two tokens", 400, "malformed", "GET", good+"&"+strings.SplitN(s.url(tile, 60, "n"), "?", 2)[1])
+	s.expect("path not canonical", 400, "malformed", "GET", strings.Replace(s.url(tile, 60, "n"), "/v1/", "/v1/x/../", 1))
+	s.expect("unknown class", 404, "unknown_class", "GET", s.url("/v1/helppages/7f3a9c21e0b4d655/0", 60, "n"))
+	s.expect("another audience", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { c.Audience = []string{"x"} }))
+	s.expect("unknown version", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { v := 2; c.Version = &v }))
+	s.expect("critical claim", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { c.Critical = []string{"cdniip"} }))
+	s.expect("regex", 200, "", "GET", s.pack(tile, func(c *token.Claims) { c.Container = "regex:http://[^/]+/v1/firmware/.*" }))
+	s.expect("regex of a part", 403, "wrong_uri", "GET", s.pack(tile, func(c *token.Claims) { c.Container = "regex:/v1/" }))
+
+	// Clocks differ: ten seconds of leeway both ways.
+	u := s.url(tile, 5, "n2")
+	early := s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 + 9; c.NotBefore = &v })
+	s.expect("from a clock 9 s ahead", 200, "", "GET", early)
+	s.expect("from one 11 s ahead", 403, "not_yet_valid", "GET",
+		s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 + 11; c.IssuedAt = &v }))
+	s.clock.Advance(14000)
+	s.expect("9 s past expiry", 200, "", "GET", u)
+	s.clock.Advance(2000)
+	s.expect("11 s past expiry", 403, "expired", "GET", u)
+	s.expect("an expired package", 403, "expired", "GET", s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 - 11; c.Expires = &v }))
+}
+
+func TestRideEndRunsOnce(t *testing.T) {
+	s := newSite(t, nil)
+	u := s.url(rideEnd, 60, "once")
+	s.expect("GET of a write", 405, "method", "GET", u)
+	var wg sync.WaitGroup
+	var served, replayed atomic.Int64
+	for range 8 { // at once
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			switch code, _, _ := s.do("POST", u, "ride"); code {
+			case 200:
+				served.Add(1)
+			case 403:
+				replayed.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	s.expect("later", 403, "replayed", "POST", u)
+	s.clock.Advance(69000)
+	s.expect("within the leeway", 403, "replayed", "POST", u)
+	s.clock.Advance(20000)
+	s.expect("after it", 403, "expired", "POST", u)
+	s.expect("a package without jti", 403, "bad_claim", "POST", s.pack(rideEnd, nil))
+	if served.Load() != 1 || replayed.Load() != 7 || s.runs.Load() != 1 {
+		t.Errorf("served %d, replayed %d, ran %d times", served.Load(), replayed.Load(), s.runs.Load())
+	}
+}
+
+// A store that dies with ride-end in hand leaves its outcome in doubt: it is not sent again, the client
+// hears 502 and the token stays used.
+func TestRideEndInDoubtStaysClaimed(t *testing.T) {
+	var s *site
+	s = newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+		s.store.Cut()
+		return "", "", nil, false
+	})
+	u := s.url(rideEnd, 60, "doubt")
+	s.expect("first", 502, "upstream_failed", "POST", u)
+	s.expect("again", 403, "replayed", "POST", u)
+	if s.runs.Load() != 1 {
+		t.Errorf("ran %d times", s.runs.Load())
+	}
+}
+
+// A refusal promises that nothing ran, so the token serves again.
+func TestRefusedRideEndMayComeAgain(t *testing.T) {
+	var full atomic.Bool
+	full.Store(true)
+	s := newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+		if full.Load() {
+			return "AGAIN", "-", nil, true
+		}
+		return "ACK", "tag=0a,minted=1,why=pulled", nil, true
+	})
+	u := s.url(rideEnd, 600, "later")
+	done := make(chan struct{})
+	go func() { // the module waits a little between tries; time has to pass for it
+		for {
+			select {
+			case <-done:
+				return
+			default:
+				s.clock.Advance(5)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	if code, _, _ := s.do("POST", u, ""); code != 503 && code != 504 {
+		t.Errorf("full store: %d", code)
+	}
+	full.Store(false)
+	code := 403
+	for i := 0; i < 2000 && code == 403; i++ { // the claim is given back just after the answer
+		code, _, _ = s.do("POST", u, "")
+		time.Sleep(time.Millisecond)
+	}
+	close(done)
+	if code != 200 && code != 503 {
+		t.Errorf("after the refusal: %d", code)
+	}
+}
+
+// A token that expires in the middle of a request: what is under way finishes, and no new attempt starts.
+func TestExpiryMidRequest(t *testing.T) {
+	arrived, let := make(chan struct{}, 8), make(chan string, 8)
+	s := newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+		arrived <- struct{}{}
+		return <-let, "tag=0a,why=local,minted=1", []byte("late"), true
+	})
+	type result struct {
+		code int
+		err  string
+	}
+	ask := func(u string) chan result {
+		out := make(chan result, 1)
+		go func() {
+			code, e, _ := s.do("GET", u, "")
+			out <- result{code, e}
+		}()
+		<-arrived
+		return out
+	}
+	a := ask(s.url(tile, -8, "a")) // within the leeway for two seconds more
+	s.clock.Advance(2500)
+	let <- "ACK"
+	if got := <-a; got.code != 200 {
+		t.Errorf("an answer under way was lost: %+v", got)
+	}
+	b := ask(s.url("/v1/firmware/7f3a9c21e0b4d655/4", -5, "b"))
+	before := len(s.store.Calls("GET"))
+	s.clock.Advance(2500 + 2600)
+	let <- "NOENT"
+	if got := <-b; got.code == 200 {
+		t.Errorf("after expiry: %+v", got)
+	}
+	d := ask(s.url("/v1/firmware/7f3a9c21e0b4d655/5", -8, "d"))
+	before++
+	s.clock.Advance(2500)
+	let <- "NOENT" // the module fills a miss at once; here it may not
+	if got := <-d; got.code != 403 || got.err != "expired" {
+		t.Errorf("a miss after expiry: %+v", got)
+	}
+	if n := len(s.store.Calls("GET")); n != before {
+		t.Errorf("%d attempts started after expiry", n-before)
+	}
+}
+
+func TestOperatorEndpoints(t *testing.T) {
+	s := newSite(t, nil)
+	auth := []string{"Authorization", "Bearer " + operatorSecret}
+	s.expect("no secret", 401, "missing", "POST", "/-/tokens")
+	s.expect("a wrong one", 401, "missing", "POST", "/-/tokens", "Authorization", "Bearer x")
+	code, _, body := s.do("POST", "/-/tokens", `{"kind":"jws","uri":"http://`+s.addr+tile+`","seconds":60,"single_use":true}`, auth...)
+	var got signed.Issued
+	if err := json.Unmarshal([]byte(body), &got); err != nil || code != 200 {
+		t.Fatal(code, body, err)
+	}
+	u := strings.TrimPrefix(got.URL, "http://"+s.addr)
+	s.expect("issued", 200, "", "GET", u)
+	code, _, _ = s.do("POST", "/-/revocations", `{"key":"pack","id":"`+got.ID+`"}`, auth...)
+	if code != 200 {
+		t.Error("revocation:", code)
+	}
+	s.expect("revoked", 403, "revoked", "GET", u)
+
+	// Rotation: a new key comes, the old one is taken away.
+	old := s.url(tile, 60, "o")
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("z", 32)))
+	keys := []token.Key{{ID: "url2", Kind: token.HMAC, Secret: secret}}
+	b, _ := json.Marshal(keys)
+	if code, _, text := s.do("POST", "/-/keys", string(b), auth...); code != 200 {
+		t.Fatal(code, text)
+	}
+	s.ring, _ = token.NewRing(keys)
+	u, err := s.ring.IssueURL("url2", tile, nil, s.clock.Unix()/1000+60, "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.expect("new key", 200, "", "GET", u)
+	s.expect("old key", 403, "unknown_key", "GET", old)
+	if code, _, _ := s.do("POST", "/-/policy", `{"leeway_ms":-1}`, auth...); code != 400 {
+		t.Error("a negative leeway was taken:", code)
+	}
+}
+
+// Bytes that are no request, or one that is too large, end the connection with the status that says so.
+func TestMalformedRequests(t *testing.T) {
+	s := newSite(t, nil)
+	for raw, want := range map[string]string{
+		"\x16\x03\x01\r\n\r\n":                                                                   "400",
+		"GET /\r\n\r\n":                                                                          "400",
+		"GET / HTTP/2.0\r\n\r\n":                                                                 "505",
+		"GET " + tile + " HTTP/1.1\r\n\r\n":                                                      "400", // no Host
+		"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n":                                           "400",
+		"GET / HTTP/1.1\r\nHost : a\r\n\r\n":                                                     "400",
+		"GET / HTTP/1.1\nHost: a\n\n":                                                            "400",
+		"GET /" + strings.Repeat("a", 9000) + " HTTP/1.1\r\n\r\n":                                "414",
+		"GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", 80) + "\r\n":                "431",
+		"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("y", 9000) + "\r\n\r\n":              "431",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 48001\r\n\r\n":                            "413",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n":                               "400",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\nx": "400",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n":             "413",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":                 "400",
+	} {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		io.WriteString(c, raw)
+		line, err := bufio.NewReader(c).ReadString('\n')
+		if fields := strings.Fields(line); len(fields) < 2 || fields[1] != want {
+			t.Errorf("%.60q: %q %v, want %s", raw, line, err, want)
+		}
+		c.Close()
+	}
+	s.expect("the front goes on", 200, "", "GET", s.url(tile, 60, "n"))
+}
+
+// Requests on one connection are answered in their order, and the connection is kept.
+func TestPipelining(t *testing.T) {
+	s := newSite(t, nil)
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	for i := range 6 {
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", s.url(fmt.Sprintf("/v1/firmware/7f3a9c21e0b4d655/%d", i), 60, "n"))
+	}
+	r := bufio.NewReader(c)
+	for i := range 6 {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := io.ReadAll(resp.Body)
+		if want := fmt.Sprintf("piece %d", i); string(b) != want {
+			t.Errorf("answer %d is %q", i, b)
+		}
+	}
+}
+
+// answering is a core that serves all it is asked and counts.
+func answering(runs *atomic.Int64) func(core.Event) {
+	return func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			runs.Add(1)
+			go a.From.Answer(a.Tag, core.Answer{Verdict: core.Served, Body: []byte("done")})
+		}
+	}
+}
+
+// post sends one request to a front over a pipe and gives the status.
+func post(t *testing.T, f *signed.Front, url string) int {
+	t.Helper()
+	near, far := net.Pipe()
+	go f.Handle(far)
+	defer near.Close()
+	fmt.Fprintf(near, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", url)
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// A ride-end token is used up at every member, also while one is lost and after all have restarted; a
+// member without a majority sends nothing.
+func TestReplayAtAnotherReplica(t *testing.T) {
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
+	ring, err := token.NewRing([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock.System()
+	url := func(nonce string) string {
+		u, err := ring.IssueURL("url", rideEnd, nil, clk.Unix()/1000+60, nonce)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return u
+	}
+	cert, err := standin.Authority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []replica.Member
+	var listeners []net.Listener
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		members = append(members, replica.Member{ID: fmt.Sprint("m", i), Addr: l.Addr().String()})
+	}
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var runs atomic.Int64
+	stores, fronts := make([]*replica.Store, 3), make([]*signed.Front, 3)
+	open := func(i int, l net.Listener) {
+		if l == nil {
+			if l, err = net.Listen("tcp", members[i].Addr); err != nil {
+				t.Fatal(err)
+			}
+		}
+		conf, err := cert()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if stores[i], err = replica.Open(replica.Options{
+			ID: members[i].ID, Members: members, Listener: l, TLS: conf, Dir: dirs[i], Clock: clk, Log: zerolog.Nop(),
+			Pace: 200 * time.Millisecond,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		fronts[i] = signed.New(signed.Options{
+			Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: ring, Claims: stores[i], Leeway: 10000,
+			Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 20000,
+		})
+	}
+	for i := range 3 {
+		open(i, listeners[i])
+	}
+	defer func() {
+		for _, s := range stores {
+			s.Close()
+		}
+	}()
+	one := url("one")
+	var wg sync.WaitGroup
+	var ok atomic.Int64
+	for i := range 3 { // at all three at once
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if post(t, fronts[i], one) == 200 {
+				ok.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	if ok.Load() != 1 || runs.Load() != 1 {
+		t.Fatalf("served %d, ran %d", ok.Load(), runs.Load())
+	}
+	for i := range 3 {
+		if err := stores[i].Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		open(i, nil)
+	}
+	for i := range 3 {
+		if got := post(t, fronts[i], one); got != 403 {
+			t.Errorf("after the restart, member %d: %d", i, got)
+		}
+	}
+	stores[0].Close()
+	stores[1].Close()
+	lonely := signed.New(signed.Options{
+		Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: ring, Claims: stores[2], Leeway: 10000,
+		Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 300,
+	})
+	if got := post(t, lonely, url("two")); got != 503 {
+		t.Errorf("without a majority: %d", got)
+	}
+	if runs.Load() != 1 {
+		t.Errorf("ran %d times", runs.Load())
+	}
+}
--- a/token/url.go
+++ b/token/url.go
@@ -74,8 +74,8 @@
 	for item := range strings.SplitSeq(raw, "&") {
 		n, v, _ := strings.Cut(item, "=")
 		var p Pair
-		if p.Name, err = url.QueryUnescape(n); err != nil {
-			return nil, reject(Malformed, "the query can't be read")
+		if p.Name = n; strings.ContainsAny(n, "%+") { // one spelling for a name, also for those who redact it
+			return nil, reject(Malformed, "a parameter's name is encoded")
 		}
 		if p.Value, err = url.QueryUnescape(v); err != nil {
 			return nil, reject(Malformed, "the query can't be read")
--- a/turnfork.go
+++ b/turnfork.go
@@ -49,6 +49,7 @@
 // Fronts take connections from elsewhere than their listener.
 type Fronts struct {
 	FastCGI, Signed func(net.Conn) // each returns when the connection has ended; nil: off
+	Open            func() int     // the requests that are not yet answered, of both
 }
 
 const (
@@ -194,6 +195,12 @@
 		addrs.Fronts.Signed = f.Handle
 	}
 
+	addrs.Fronts.Open = func() (n int) {
+		for _, f := range fronts {
+			n += f.Open()
+		}
+		return n
+	}
 	g.Go(func() error { return c.Run(ctx) })
 	if node.Changelog != "" {
 		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Post: c.Post, Log: cfg.Log}
@@ -206,7 +213,7 @@
 		select {
 		case <-ctx.Done():
 		case <-cfg.Stop:
-			drain(ctx, cfg, listeners, fronts, longest(node))
+			drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
 			end()
 		}
 		return nil
@@ -252,7 +259,7 @@
 
 // drain takes requests through the stated window, then waits until all are answered and written, as
 // long as the platform allows.
-func drain(ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, most time.Duration) {
+func drain(ctx context.Context, cfg Config, listeners []net.Listener, open func() int, most time.Duration) {
 	cfg.Log.Info().Msg("asked to stop")
 	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
 	defer cancel()
@@ -260,14 +267,7 @@
 	for _, l := range listeners {
 		l.Close()
 	}
-	for ctx.Err() == nil {
-		open := 0
-		for _, f := range fronts {
-			open += f.Open()
-		}
-		if open == 0 {
-			break
-		}
+	for ctx.Err() == nil && open() > 0 {
 		wait(ctx, 10*time.Millisecond)
 	}
 	wait(ctx, 20*time.Millisecond) // the last answer's way out
