--- /dev/null
+++ b/changelog/changelog_test.go
@@ -0,0 +1,127 @@
+package changelog
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+func frame(seq uint64, kind byte, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(frameHead+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, seq), kind), payload...)
+}
+
+var storeRecord = []byte{
+	0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x13, 0xba, 1, 2, 1, 0, 2, 0, 0, 0x0f, 0xa0,
+	0, 0, 1, 0x9a, 0xd9, 0x32, 0x24, 0,
+}
+
+func TestFrames(t *testing.T) {
+	var b bytes.Buffer
+	b.Write(frame(41, kindChanges, storeRecord))
+	b.Write(frame(41, kindNothing, nil))
+	b.Write(frame(42, kindObject, []byte{0x7f, 0x3a, 0x9c, 0x21, 0xe0, 0xb4, 0xd6, 0x55, 0, 0, 0, 0, 0, 0, 0, 9}))
+	b.Write(frame(43, kindGroup, []byte{0, 17, 0, 0, 0, 0, 0, 0, 0, 8}))
+	var got []Frame
+	for {
+		f, err := ReadFrame(&b)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, f)
+	}
+	s := got[0].Event.(core.Stores)
+	m := s.List[0].Member
+	if s.Whole || s.List[0].Addr != "10.1.0.9:5050" || m.ID != 0xc41f7a || m.State != control.Draining || m.Zone != 2 ||
+		m.Kind != 1 || m.Cell != 2 || m.Weight != 4 || m.Started <= 0 {
+		t.Errorf("%+v", s.List[0])
+	}
+	if got[1].Event != nil || got[2].Event != (core.Purge{Object: 0x7f3a9c21e0b4d655, At: 9}) ||
+		got[3].Event != (core.Purge{Group: 17, At: 8}) {
+		t.Errorf("%+v", got[1:])
+	}
+}
+
+func TestKnown(t *testing.T) {
+	seq, evs, err := Known(json.RawMessage(`{"seq":43,"results":[
+		{"seq":41,"fleet":{"version":7,"full":true,"servers":[{"id":"s-00c41f7a","addr":"10.1.0.9:5050","zone":"east",
+		"kind":"std","cell":2,"state":"Ready","weight":4,"started_ms":1764576000123}]}},
+		{"seq":42,"invalidate":{"object":"7f3a9c21e0b4d655","time":1764576000123}},
+		{"seq":43,"invalidate":{"bucket":17,"time":1764576000480}}]}`), Names{Zones: []string{"west", "east"}, Kinds: []string{"std"}})
+	if err != nil || seq != 43 || len(evs) != 3 {
+		t.Fatal(seq, evs, err)
+	}
+	if s := evs[0].(core.Stores); !s.Whole || s.List[0].Member.Zone != 1 || s.List[0].Member.ID != 0xc41f7a {
+		t.Errorf("%+v", s)
+	}
+	if p := evs[2].(core.Purge); p.Group != 17 || p.Object != 0 {
+		t.Errorf("%+v", p)
+	}
+	if _, _, err := Known(json.RawMessage(`{"results":[{"fleet":{"servers":[{"id":"s-1","zone":"x"}]}}]}`), Names{}); err == nil {
+		t.Error("an entry that can't be placed was taken")
+	}
+}
+
+// A feed that breaks off is dialled anew and goes on from the last number; what comes again is passed over.
+func TestResume(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	asked := make(chan uint64, 2)
+	go func() {
+		for i := range 2 {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var b [8]byte
+			io.ReadFull(c, b[:])
+			asked <- binary.BigEndian.Uint64(b[:])
+			group := func(n byte) []byte { return []byte{0, n, 0, 0, 0, 0, 0, 0, 0, 8} }
+			if i == 0 {
+				c.Write(frame(6, kindGroup, group(6)))
+				c.Write([]byte{0, 0, 0, 3}) // impossible: the connection is left
+			} else {
+				c.Write(append(frame(6, kindGroup, group(6)), frame(7, kindGroup, group(7))...))
+			}
+			defer c.Close()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got := make(chan core.Event, 8)
+	f := &Feed{Addr: l.Addr().String(), Seq: 5, Post: func(ev core.Event) { got <- ev }, Log: zerolog.Nop()}
+	go f.Run(ctx)
+	if a, b := <-got, <-got; a.(core.Purge).Group != 6 || b.(core.Purge).Group != 7 {
+		t.Errorf("%+v %+v", a, b)
+	}
+	if a, b := <-asked, <-asked; a != 5 || b != 6 {
+		t.Errorf("asked from %d, then from %d", a, b)
+	}
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add(frame(41, kindWhole, storeRecord))
+	f.Add(frame(1, kindGroup, []byte{1}))
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if fr, err := ReadFrame(bytes.NewReader(b)); err == nil {
+			if s, ok := fr.Event.(core.Stores); ok && len(s.List)*recordLen > len(b) {
+				t.Errorf("%d records in %d bytes", len(s.List), len(b))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/core_test.go
@@ -0,0 +1,219 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+)
+
+// wires stands in for a front and an upstream, and holds them to their rules.
+type wires struct {
+	t       testing.TB
+	answers map[uint64][]Answer
+	out     map[control.RequestID]map[int]Send // attempts without an end
+	sends   []Send
+	drops   []Key
+}
+
+func (w *wires) Answer(tag uint64, a Answer) { w.answers[tag] = append(w.answers[tag], a) }
+func (w *wires) Probe(uint32)                {}
+func (w *wires) Update(Stores)               {}
+func (w *wires) Drop(k Key, as control.Result) {
+	w.drops = append(w.drops, k)
+}
+
+func (w *wires) Send(s Send) {
+	if w.out[s.ID] == nil {
+		w.out[s.ID] = map[int]Send{}
+	}
+	if len(w.out[s.ID]) > 0 {
+		w.t.Errorf("request %d has two attempts at once", s.ID)
+	}
+	if s.N >= 8 {
+		w.t.Errorf("request %d has attempt %d", s.ID, s.N)
+	}
+	w.out[s.ID][s.N] = s
+	w.sends = append(w.sends, s)
+}
+
+func newCore(t testing.TB) (*Core, *wires, *clock.Clock) {
+	w := &wires{t: t, answers: map[uint64][]Answer{}, out: map[control.RequestID]map[int]Send{}}
+	clk := clock.Manual(1e12)
+	c, err := New(Options{
+		Classes: []string{"tile", "ride-end"}, Clock: clk, Log: zerolog.Nop(), MaxOpen: 20,
+		Settings: control.Settings{
+			Fronts: 1, Zone: 1, FrontsByZone: []int{0, 1}, ZoneHub: []int{0, 0}, Kinds: 3, ParentKind: 1, OriginKind: 2,
+			Quantum: 2 * time.Millisecond, ClientKBps: 1000, WeightsTold: true, MaxAttempts: 8, CanCancel: true,
+			CanRetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, Direct: true, NotesTold: true,
+			Classes: []control.Class{
+				{Aim: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1},
+				{Aim: 700 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Effect: control.Unsafe, Write: true},
+			},
+		},
+	}, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ev := Stores{Whole: true}
+	for i, kind := range []int{0, 0, 1, 2} {
+		zone := 1
+		if kind > 0 {
+			zone = 0
+		}
+		ev.List = append(ev.List, Store{Member: control.Member{
+			ID: control.MemberID(i + 1), Kind: kind, Zone: zone, Weight: 10, State: control.Ready,
+		}})
+	}
+	c.Handle(ev)
+	return c, w, clk
+}
+
+func ask(w *wires, tag uint64, class string, at float64) Ask {
+	return Ask{From: w, Tag: tag, Txn: fmt.Sprint(tag), Class: class, Object: tag % 7, Name: "x", SizeKB: 40, At: at, Left: 2500}
+}
+
+// A request that the module gave up on is answered in that moment, and told when to come back.
+func TestGivenUpIsAnsweredAtOnce(t *testing.T) {
+	c, w, clk := newCore(t)
+	c.Handle(ask(w, 1, "tile", clk.Now()))
+	c.tell(control.Woken{Token: 1<<8 | 0xff}) // its deadline in the module
+	if a := w.answers[1]; len(a) != 1 || a[0].Verdict != Refused || a[0].RetryAfter < 50 || !a[0].Ran {
+		t.Errorf("%+v", a)
+	}
+	c.Handle(ask(w, 2, "no such", clk.Now()))
+	if a := w.answers[2]; len(a) != 1 || a[0].Reason != UnknownClass {
+		t.Errorf("%+v", a)
+	}
+}
+
+// What may have run and is unsafe is not sent again, and not refused either.
+func TestUnsafeInDoubt(t *testing.T) {
+	for _, res := range []control.Result{control.Broken, control.Errored, control.TimedOut} {
+		c, w, clk := newCore(t)
+		c.Handle(ask(w, 1, "ride-end", clk.Now()))
+		if len(w.sends) != 1 {
+			t.Fatalf("%d attempts", len(w.sends))
+		}
+		delete(w.out[w.sends[0].ID], 0)
+		c.Handle(Ended{Key: w.sends[0].Key, Result: res})
+		if a := w.answers[1]; len(w.sends) != 1 || len(a) != 1 || a[0].Verdict != Failed {
+			t.Errorf("%v: %d attempts, answers %+v", res, len(w.sends), a)
+		}
+	}
+}
+
+// No attempt starts once a request's leave has run out; the client hears of it at once.
+func TestNoAttemptAfterLeave(t *testing.T) {
+	c, w, clk := newCore(t)
+	a := ask(w, 1, "tile", clk.Now())
+	a.NotAfter = clk.Unix() + 100
+	c.Handle(a)
+	clk.Advance(101)
+	delete(w.out[w.sends[0].ID], 0)
+	c.Handle(Ended{Key: w.sends[0].Key, Result: control.Full})
+	c.Tick()
+	clk.Advance(60)
+	c.Tick()
+	if got := w.answers[1]; len(w.sends) != 1 || len(got) != 1 || got[0].Reason != Expired {
+		t.Errorf("%d attempts, %+v", len(w.sends), got)
+	}
+}
+
+// FuzzCore takes random steps and holds the core to the rules of a request: one final answer each, no
+// later than its time, at most 8 attempts and never two at once, no unsafe resend in doubt.
+func FuzzCore(f *testing.F) {
+	f.Add([]byte{0, 1, 8, 16, 2, 3, 40, 80, 5, 5, 5})
+	f.Add([]byte{0, 0, 0, 1, 9, 17, 25, 33, 41, 49, 57, 4, 4, 4})
+	f.Add([]byte{64, 2, 66, 3, 67, 5, 69, 1, 65, 129, 7, 6})
+	f.Add([]byte{0, 193, 193, 193, 193, 193, 193, 193, 193, 193, 5, 5, 5, 5})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		c, w, clk := newCore(t)
+		class, due, left := map[uint64]string{}, map[uint64]float64{}, map[uint64]bool{}
+		doubt := map[control.RequestID]bool{}
+		results := []control.Result{control.OK, control.Miss, control.Errored, control.Full, control.Unreached, control.Broken}
+		tag := uint64(0)
+		check := func() {
+			for tag, at := range due {
+				if n := len(w.answers[tag]); n > 1 || n == 0 && !left[tag] && clk.Now() > at {
+					t.Fatalf("request %d (%s) has %d answers, due %v ago", tag, class[tag], n, clk.Now()-at)
+				}
+			}
+		}
+		end := func(k Key, res control.Result) {
+			delete(w.out[k.ID], k.N)
+			if res == control.Errored || res == control.Broken || res == control.Cancelled || res == control.TimedOut {
+				doubt[k.ID] = true
+			}
+			before := len(w.sends)
+			c.Handle(Ended{Key: k, Result: res, Body: []byte("x")})
+			for _, s := range w.sends[before:] {
+				if s.Class == "ride-end" && doubt[s.ID] {
+					t.Fatalf("ride-end %d was sent again in doubt", s.ID)
+				}
+			}
+		}
+		for _, step := range steps {
+			pick := int(step / 8)
+			switch step % 8 {
+			case 0, 1:
+				tag++
+				name := "tile"
+				if pick%4 == 3 {
+					name = "ride-end"
+				}
+				class[tag], due[tag] = name, clk.Now()+2500
+				c.Handle(ask(w, tag, name, clk.Now()))
+			case 2, 3, 4: // some attempt ends
+				open := []Key{}
+				for _, s := range w.sends {
+					if _, ok := w.out[s.ID][s.N]; ok {
+						open = append(open, s.Key)
+					}
+				}
+				if len(open) > 0 {
+					end(open[pick%len(open)], results[pick%len(results)])
+				}
+			case 5:
+				clk.Advance(float64(1 + pick*13))
+				c.Tick()
+			case 6:
+				if tag > 0 {
+					gone := uint64(pick)%tag + 1
+					if len(w.answers[gone]) == 0 {
+						left[gone] = true
+					}
+					c.Handle(Leave{From: w, Tag: gone})
+				}
+			case 7:
+				c.Handle(Purge{Group: uint16(pick), At: clk.Unix()})
+			}
+			for len(w.drops) > 0 { // a drop is written some time later
+				k := w.drops[0]
+				w.drops = w.drops[1:]
+				if _, ok := w.out[k.ID][k.N]; ok {
+					end(k, control.Cancelled)
+				}
+			}
+			check()
+		}
+		for range 400 {
+			clk.Advance(25)
+			c.Tick()
+			for len(w.drops) > 0 {
+				k := w.drops[0]
+				w.drops = w.drops[1:]
+				if _, ok := w.out[k.ID][k.N]; ok {
+					end(k, control.TimedOut)
+				}
+			}
+			check()
+		}
+		if len(c.byTag) != 0 || len(c.requests) != 0 {
+			t.Fatalf("%d requests and %d entries are left over", len(c.byTag), len(c.requests))
+		}
+	})
+}
--- /dev/null
+++ b/example/toystore/main.go
@@ -0,0 +1,68 @@
+// Command toystore is a cache and a main store to try the gateway with: it keeps what was asked for in
+// memory, makes up every object, and counts the rides that end.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"sync"
+	"time"
+
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+func main() {
+	cache := flag.String("cache", "127.0.0.1:5051", "address of the cache")
+	origin := flag.String("origin", "127.0.0.1:5052", "address of the main store")
+	flag.Parse()
+
+	var mu sync.Mutex
+	held, rides := map[string]time.Time{}, 0
+	word := func(c standin.Call, why string, at time.Time) (string, string, []byte, bool) {
+		fields := fmt.Sprintf("tag=%016x,minted=%d,why=%s", at.UnixMilli(), at.UnixMilli(), why)
+		log.Printf("%s %s %s/%s: %s", c.Verb, c.Fields["lane"], c.Fields["name"], c.Fields["piece"], why)
+		return "ACK", fields, fmt.Appendf(nil, "%s %s, part %s\n", c.Fields["lane"], c.Fields["name"], c.Fields["piece"]), true
+	}
+	fromOrigin := func(c standin.Call, why string) (string, string, []byte, bool) {
+		if c.Fields["lane"] == "ride-end" {
+			rides++
+			log.Printf("rides ended: %d", rides)
+		}
+		return word(c, why, time.Now())
+	}
+	a, err := standin.Listen(*cache, func(c standin.Call) (string, string, []byte, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		key := c.Fields["name"] + "/" + c.Fields["piece"]
+		if at, ok := held[key]; ok && c.Fields["lane"] != "ride-end" {
+			return word(c, "local", at)
+		}
+		if c.Fields["via"] == "" {
+			return "NOENT", "-", nil, true
+		}
+		if c.Fields["tier"] != "" && len(held) < 10000 {
+			held[key] = time.Now()
+		}
+		return fromOrigin(c, "pulled_far")
+	})
+	if err != nil {
+		log.Fatal(err)
+	}
+	b, err := standin.Listen(*origin, func(c standin.Call) (string, string, []byte, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		return fromOrigin(c, "local")
+	})
+	if err != nil {
+		log.Fatal(err)
+	}
+	log.Printf("cache at %s, main store at %s", a.Addr(), b.Addr())
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, os.Interrupt)
+	<-end
+	a.Close()
+	b.Close()
+}
--- /dev/null
+++ b/front/fastcgi/fastcgi_test.go
@@ -0,0 +1,295 @@
+package fastcgi
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/core"
+)
+
+func begin(id uint16) []byte {
+	return appendRecord(nil, typeBegin, id, []byte{0, roleResponder, flagKeepConn, 0, 0, 0, 0, 0})
+}
+
+// whole is a request's records after its beginning.
+func whole(id uint16, script, txn string) []byte {
+	p := appendPair(nil, "SCRIPT_NAME", script)
+	for _, kv := range [][2]string{
+		{"HTTP_X_TXN", txn}, {"HTTP_X_TTL_MS", "1500"}, {"HTTP_X_ROW", "7f3a9c21e0b4d655"}, {"HTTP_X_BLOCK", "3"},
+		{"HTTP_X_FAMILY", "17"}, {"HTTP_X_WORKING_SET_KB", "412.5"}, {"HTTP_X_CACHED", `"4be0c1927d55a6f3"`},
+	} {
+		p = appendPair(p, kv[0], kv[1])
+	}
+	b := appendRecord(nil, typeParams, id, p)
+	b = appendRecord(b, typeParams, id, nil)
+	return appendRecord(b, typeStdin, id, nil)
+}
+
+type ends struct {
+	stdout bytes.Buffer
+	ended  int
+	proto  byte
+}
+
+// client reads a front's answers over a pipe.
+type client struct {
+	net.Conn
+	mu   sync.Mutex
+	got  map[uint16]*ends
+	news chan struct{}
+	done chan struct{}
+}
+
+func dial(f *Front) *client {
+	near, far := net.Pipe()
+	c := &client{Conn: near, got: map[uint16]*ends{}, news: make(chan struct{}, 1024), done: make(chan struct{})}
+	go f.Handle(far)
+	go func() {
+		defer close(c.done)
+		r, buf := bufio.NewReader(near), new([contentMost + 255]byte)
+		for {
+			rec, err := readRecord(r, buf)
+			if err != nil {
+				return
+			}
+			c.mu.Lock()
+			e := c.got[rec.id]
+			if e == nil {
+				e = &ends{}
+				c.got[rec.id] = e
+			}
+			switch rec.kind {
+			case typeStdout:
+				e.stdout.Write(rec.data)
+			case typeEnd:
+				e.ended++
+				e.proto = rec.data[4]
+			}
+			c.mu.Unlock()
+			c.news <- struct{}{}
+		}
+	}()
+	return c
+}
+
+func (c *client) wait(t testing.TB, id uint16) *ends {
+	limit := time.After(30 * time.Second)
+	for {
+		c.mu.Lock()
+		e := c.got[id]
+		ok := e != nil && e.ended > 0
+		c.mu.Unlock()
+		if ok {
+			return e
+		}
+		select {
+		case <-c.news:
+		case <-limit:
+			t.Fatalf("request %d never ended", id)
+		}
+	}
+}
+
+func newFront(post func(core.Event)) *Front {
+	return New(Options{Post: post, Clock: clock.Manual(1e12), Log: zerolog.Nop()})
+}
+
+func TestRequestAndAnswer(t *testing.T) {
+	asks := make(chan core.Ask, 1)
+	f := newFront(func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			asks <- a
+		}
+	})
+	c := dial(f)
+	defer c.Close()
+	c.Write(append(begin(1), whole(1, "/v1/firmware", "9b1f03aa5c7e2d41")...))
+	a := <-asks
+	if a.Class != "firmware" || a.Object != 0x7f3a9c21e0b4d655 || a.Part != 3 || a.Group != 17 || a.SizeKB != 412.5 ||
+		a.Left != 1500 || a.Known != "4be0c1927d55a6f3" || a.Txn != "9b1f03aa5c7e2d41" || a.At != 1e12 {
+		t.Errorf("%+v", a)
+	}
+	body := bytes.Repeat([]byte{7}, 240000)
+	a.From.Answer(a.Tag, core.Answer{Verdict: core.Served, Body: body})
+	a.From.Answer(a.Tag, core.Answer{Verdict: core.Failed}) // a second answer goes nowhere
+	e := c.wait(t, 1)
+	head, got, _ := strings.Cut(e.stdout.String(), "\r\n\r\n")
+	if !strings.HasPrefix(head, "Status: 200 OK\r\n") || got != string(body) || e.ended != 1 {
+		t.Errorf("%q, %d bytes, ended %d times", head, len(got), e.ended)
+	}
+	for i, x := range []struct {
+		a    core.Answer
+		want string
+	}{
+		{core.Answer{Verdict: core.Same, Body: body}, "200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: 0\r\nX-Keep: 1"},
+		{core.Answer{Verdict: core.Refused, RetryAfter: 120.7}, "503 Service Unavailable"},
+		{core.Answer{Verdict: core.Failed, Reason: core.Deadline}, "504 "},
+		{core.Answer{Verdict: core.Failed, Reason: core.NoStore}, "502 "},
+	} {
+		id := uint16(i + 2)
+		c.Write(append(begin(id), whole(id, "/v1/firmware", "9b1f03aa5c7e2d41")...))
+		a := <-asks
+		a.From.Answer(a.Tag, x.a)
+		if got := c.wait(t, id).stdout.String(); !strings.HasPrefix(got, "Status: "+x.want) ||
+			x.a.Verdict == core.Refused && !strings.Contains(got, "X-Throttle-Ms: 120\r\n") {
+			t.Errorf("%+v: %q", x.a, got)
+		}
+	}
+	c.Write(append(begin(9), whole(9, "/healthz", "")...))
+	if got := c.wait(t, 9).stdout.String(); !strings.HasPrefix(got, "Status: 200") {
+		t.Errorf("health: %q", got)
+	}
+}
+
+// FuzzConnection checks a connection against a model of its requests: each that was whole is asked
+// once; it ends once, by its answer or its abort; a client that leaves withdraws the rest.
+func FuzzConnection(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 0, 1, 2})
+	f.Add([]byte{0, 10, 20, 1, 11, 21, 3, 2, 12})
+	f.Add([]byte{3, 0, 0, 1, 1, 2, 2, 3})
+	f.Add([]byte{0, 1, 40, 41, 33, 2, 42})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		if len(steps) > 64 {
+			t.Skip()
+		}
+		var mu sync.Mutex
+		asked, left := map[uint64]core.Ask{}, map[uint64]bool{}
+		news := make(chan struct{}, 4096)
+		front := newFront(func(ev core.Event) {
+			mu.Lock()
+			defer mu.Unlock()
+			switch ev := ev.(type) {
+			case core.Ask:
+				asked[ev.Tag] = ev
+			case core.Leave:
+				left[ev.Tag] = true
+			}
+			news <- struct{}{}
+		})
+		c := dial(front)
+		const idle, begun, waiting = 0, 1, 2
+		state := map[uint16]int{}
+		open := map[uint16]core.Ask{}
+		wantLeft, answered := 0, map[uint16]int{}
+		for _, step := range steps {
+			id := uint16(step/4)%40 + 1
+			switch step % 4 {
+			case 0:
+				if state[id] == idle {
+					live := 0
+					for _, s := range state {
+						if s != idle {
+							live++
+						}
+					}
+					c.Write(begin(id))
+					if live < requestsAtOnce {
+						state[id] = begun
+					} else {
+						answered[id]++ // overloaded
+					}
+				}
+			case 1:
+				if state[id] == begun {
+					mu.Lock()
+					before := len(asked)
+					mu.Unlock()
+					c.Write(whole(id, "/v1/firmware", fmt.Sprintf("%016x", id)))
+					for {
+						<-news
+						mu.Lock()
+						n := len(asked)
+						mu.Unlock()
+						if n > before {
+							break
+						}
+					}
+					mu.Lock()
+					for tag, a := range asked {
+						if uint16(tag) == id && !left[tag] {
+							if old, ok := open[id]; !ok || tag > old.Tag {
+								open[id] = a
+							}
+						}
+					}
+					mu.Unlock()
+					state[id] = waiting
+				}
+			case 2:
+				if state[id] == waiting {
+					open[id].From.Answer(open[id].Tag, core.Answer{Verdict: core.Served})
+					state[id] = idle
+					answered[id]++
+				}
+			case 3:
+				if state[id] == waiting {
+					wantLeft++
+				}
+				if state[id] != idle {
+					answered[id]++
+				}
+				c.Write(appendRecord(nil, typeAbort, id, nil))
+				state[id] = idle
+			}
+		}
+		total := 0
+		for _, n := range answered {
+			total += n
+		}
+		count := func() (n int) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for _, e := range c.got {
+				n += e.ended
+			}
+			return n
+		}
+		for count() < total {
+			<-c.news
+		}
+		for _, s := range state {
+			if s == waiting {
+				wantLeft++
+			}
+		}
+		c.Close()
+		<-c.done
+		for {
+			mu.Lock()
+			n := len(left)
+			mu.Unlock()
+			if n == wantLeft {
+				break
+			}
+			<-news
+		}
+		if n := count(); n != total {
+			t.Errorf("%d ends, the model has %d", n, total)
+		}
+	})
+}
+
+func FuzzRecords(f *testing.F) {
+	f.Add(append(begin(1), whole(1, "/v1/firmware", "1")...))
+	f.Add(appendRecord(nil, typeGetValues, 0, appendPair(nil, "FCGI_MPXS_CONNS", "")))
+	f.Add([]byte{1, 4, 0, 1, 255, 255, 255, 0, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		front := newFront(func(ev core.Event) {
+			if a, ok := ev.(core.Ask); ok {
+				go a.From.Answer(a.Tag, core.Answer{Verdict: core.Refused})
+			}
+		})
+		c := dial(front)
+		c.Write(b) // whatever it is, the connection ends in order or goes on
+		c.Close()
+		<-c.done
+	})
+}
--- /dev/null
+++ b/upstream/resp/resp_test.go
@@ -0,0 +1,311 @@
+package resp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// bed is a pool before stand-in stores, with a record of its events.
+type bed struct {
+	t     testing.TB
+	pool  *Pool
+	mu    sync.Mutex
+	got   []core.Event
+	news  chan struct{}
+	clock *clock.Clock
+}
+
+func newBed(t testing.TB, addrs ...string) *bed {
+	b := &bed{t: t, news: make(chan struct{}, 1<<16), clock: clock.Manual(1e12)}
+	b.pool = New(Options{
+		DialTimeout: 5000, ProbeTimeout: 5000, Streams: 100, MaxConns: 40, Clock: b.clock, Log: zerolog.Nop(),
+	}, func(ev core.Event) {
+		b.mu.Lock()
+		b.got = append(b.got, ev)
+		b.mu.Unlock()
+		b.news <- struct{}{}
+	})
+	t.Cleanup(b.pool.Close)
+	b.list(addrs...)
+	return b
+}
+
+func (b *bed) list(addrs ...string) {
+	s := core.Stores{Whole: true}
+	for i, a := range addrs {
+		s.List = append(s.List, core.Store{Addr: a, Member: control.Member{ID: control.MemberID(i + 1), State: control.Ready}})
+	}
+	b.pool.Update(s)
+}
+
+// ended waits for the end of an attempt.
+func (b *bed) ended(k core.Key) core.Ended {
+	b.t.Helper()
+	limit := time.After(30 * time.Second)
+	for {
+		b.mu.Lock()
+		for _, ev := range b.got {
+			if e, ok := ev.(core.Ended); ok && e.Key == k {
+				b.mu.Unlock()
+				return e
+			}
+		}
+		b.mu.Unlock()
+		select {
+		case <-b.news:
+		case <-limit:
+			b.t.Fatalf("attempt %v never ended", k)
+		}
+	}
+}
+
+func send(id, n int, to uint32) core.Send {
+	return core.Send{
+		Key: core.Key{ID: control.RequestID(id), N: n}, To: to, Source: to, Txn: strings.Repeat("0", 15) + string(rune('a'+id)),
+		Class: "firmware", Name: "7f3a9c21e0b4d655", Timeout: 1500.9, MaxAge: 0.4,
+	}
+}
+
+func TestWordingAndAnswers(t *testing.T) {
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		return "NOENT", "why=rode,lag=12.5,rep=inflight:7;util:0.61;x9:1", nil, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t, s.Addr())
+	a := send(1, 0, 1)
+	a.Fill, a.Source, a.Keep, a.Join, a.Known = true, 0x2c9011f2, 2, true, "0a"
+	b.pool.Send(a)
+	e := b.ended(a.Key)
+	if e.Result != control.Miss || e.Note != control.Joined || e.Lag != 12.5 || e.Load == nil || e.Load.Held != 7 || e.Load.Link != -1 {
+		t.Errorf("%+v %+v", e, e.Load)
+	}
+	f := s.Calls("GET")[0].Fields
+	for k, want := range map[string]string{
+		"lane": "firmware", "name": "7f3a9c21e0b4d655", "piece": "0", "ttl": "1500", "via": "s-2c9011f2", "tier": "2",
+		"fresh": "1", "opts": "j", "known": "0a", // an age under a millisecond must not become 0, the class's own limit
+	} {
+		if f[k] != want {
+			t.Errorf("field %s is %q, want %q", k, f[k], want)
+		}
+	}
+}
+
+// A refused connection proves that nothing ran; a cut one proves nothing.
+func TestWhatEndsProve(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := l.Addr().String()
+	l.Close()
+	var s *standin.Store
+	s, err = standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+		s.Cut()
+		return "", "", nil, false
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t, nobody, s.Addr())
+	for to, want := range map[uint32]control.Result{1: control.Unreached, 2: control.Broken, 9: control.Unsent} {
+		a := send(int(to), 0, to)
+		b.pool.Send(a)
+		if e := b.ended(a.Key); e.Result != want {
+			t.Errorf("store %d: %v, want %v", to, e.Result, want)
+		}
+	}
+}
+
+// The next attempt of a request must not meet the old one at a store: a drop ends only once it is
+// written, and its late answer is not taken for that of a later attempt with the same ID.
+func TestDropIsWrittenBeforeItsEnd(t *testing.T) {
+	let := make(chan string, 4)
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		return "ACK", "tag=0a,minted=1,why=local", []byte(<-let), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t, s.Addr())
+	first, second := send(1, 0, 1), send(1, 1, 1)
+	b.pool.Send(first)
+	for len(s.Calls("GET")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.pool.Drop(first.Key, control.TimedOut)
+	if e := b.ended(first.Key); e.Result != control.TimedOut {
+		t.Errorf("dropped: %+v", e)
+	}
+	for len(s.Calls("DROP")) == 0 { // it is on its way for sure
+		time.Sleep(time.Millisecond)
+	}
+	b.pool.Send(second)
+	for len(s.Calls("GET")) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	let <- "one"
+	let <- "two"
+	if e := b.ended(second.Key); e.Result != control.OK || e.Body == nil {
+		t.Errorf("second attempt: %+v", e)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n := len(b.got); n != 2 {
+		t.Errorf("%d events for two attempts", n)
+	}
+}
+
+// FuzzPool checks a connection's states against a model: whatever the steps, each attempt ends once,
+// an attempt that ended OK was answered, and one that ended as never sent did not reach the store.
+func FuzzPool(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 0, 1, 4, 0, 5})
+	f.Add([]byte{0, 0, 0, 3, 3, 1, 1, 5, 0, 1})
+	f.Add([]byte{0, 3, 0, 2, 1, 1, 5, 5, 0, 1, 4, 1})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		if len(steps) > 40 {
+			t.Skip()
+		}
+		var mu sync.Mutex
+		let := make(chan string, 64)
+		answered := map[string]bool{}
+		s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+			word := <-let
+			mu.Lock()
+			defer mu.Unlock()
+			answered[c.ID] = answered[c.ID] || word == "ACK"
+			return word, "tag=0a,minted=1", nil, word != ""
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := newBed(t, s.Addr())
+		var sent []core.Key
+		for _, step := range steps {
+			switch step % 6 {
+			case 0:
+				a := send(len(sent)+1, 0, 1)
+				sent = append(sent, a.Key)
+				b.pool.Send(a)
+			case 1, 2:
+				let <- []string{"ACK", "AGAIN"}[step%6-1]
+			case 3:
+				if len(sent) > 0 {
+					b.pool.Drop(sent[int(step/6)%len(sent)], control.Cancelled)
+				}
+			case 4:
+				s.Cut()
+			case 5:
+				b.list(s.Addr()) // the same list again changes nothing
+			}
+		}
+		for _, k := range sent {
+			b.pool.Drop(k, control.Cancelled)
+		}
+		reached := map[string]bool{}
+		ends := map[core.Key]core.Ended{}
+		for _, k := range sent {
+			ends[k] = b.ended(k)
+		}
+		for range len(sent) {
+			select {
+			case let <- "":
+			default:
+			}
+		}
+		close(let)
+		s.Close()
+		for _, c := range s.Calls("GET") {
+			reached[c.ID] = true
+		}
+		for k, e := range ends {
+			txn := send(int(k.ID), 0, 1).Txn
+			mu.Lock()
+			if e.Result == control.OK && !answered[txn] {
+				t.Errorf("%v ended OK without an answer", k)
+			}
+			if (e.Result == control.Unsent || e.Result == control.Unreached) && reached[txn] {
+				t.Errorf("%v ended %v and reached the store", k, e.Result)
+			}
+			mu.Unlock()
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.got) != len(sent) {
+			t.Errorf("%d ends for %d attempts", len(b.got), len(sent))
+		}
+	})
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("*4\r\n$1\r\na\r\n$3\r\nACK\r\n$1\r\n-\r\n$2\r\nhi\r\n"))
+	f.Add([]byte("*4\r\n$1\r\na\r\n$3\r\nACK\r\n$1\r\n-\r\n$999999999\r\n"))
+	f.Add([]byte("*-1\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := readAnswer(bufio.NewReader(bytes.NewReader(b)))
+		if err == nil && (len(a.body) > len(b) || len(a.id) > len(b)) {
+			t.Errorf("more than was sent: %+v", a)
+		}
+		a.fields.load()
+		a.fields.number("lag")
+	})
+}
+
+// A store that talks nonsense loses its connection, and its work ends; the pool goes on.
+func TestMalformedAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 512))
+			c.Write([]byte("*4\r\n$70000\r\n"))
+			c.Read(make([]byte, 1))
+		}
+	}()
+	b := newBed(t, l.Addr().String())
+	for i := range 2 {
+		a := send(i, 0, 1)
+		b.pool.Send(a)
+		if e := b.ended(a.Key); e.Result != control.Broken {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+func TestDialLimit(t *testing.T) {
+	b := newBed(t, "127.0.0.1:1")
+	b.pool.opt.DialTimeout = 1
+	b.pool.opt.Dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done() // a machine that vanished
+		return nil, errors.New("nothing came")
+	}
+	a := send(1, 0, 1)
+	b.pool.Send(a)
+	if e := b.ended(a.Key); e.Result != control.Unreached {
+		t.Errorf("%+v", e)
+	}
+}
