Start the program in tests, read pcap files in order, test keys and parsers

The pcap reader closed a conversation before the front had read its last bytes (seen: 240 bytes in, 0 out): it now waits until the front asks for more.

--- /dev/null
+++ b/cmd/turnfork/main_test.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// program is the gateway as it is built and started.
+type program struct {
+	cmd  *exec.Cmd
+	log  *bytes.Buffer
+	addr string
+	done chan error
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	bin := filepath.Join(t.TempDir(), "turnfork")
+	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return bin
+}
+
+// launch starts the program and waits for the line that says where it listens.
+func launch(t *testing.T, bin string, env []string, args ...string) *program {
+	t.Helper()
+	p := &program{cmd: exec.Command(bin, args...), log: &bytes.Buffer{}, done: make(chan error, 1)}
+	p.cmd.Env = append(os.Environ(), env...)
+	errs, err := p.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	addr := make(chan string, 1)
+	go func() {
+		sc := bufio.NewScanner(errs)
+		for sc.Scan() {
+			p.log.WriteString(sc.Text() + "\n")
+			var line struct{ Listen, Message string }
+			if json.Unmarshal(sc.Bytes(), &line) == nil && line.Message == "serving" {
+				select {
+				case addr <- line.Listen:
+				default:
+				}
+			}
+		}
+		p.done <- p.cmd.Wait()
+	}()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	select {
+	case p.addr = <-addr:
+	case err := <-p.done:
+		t.Fatalf("ended: %v\n%s", err, p.log)
+	case <-time.After(30 * time.Second):
+		t.Fatal("never listened")
+	}
+	return p
+}
+
+func fields(pairs ...string) (b []byte) {
+	for i := 0; i < len(pairs); i += 2 {
+		b = append(b, byte(len(pairs[i])), byte(len(pairs[i+1])))
+		b = append(append(b, pairs[i]...), pairs[i+1]...)
+	}
+	return b
+}
+
+func rec(kind byte, id uint16, data []byte) []byte {
+	b := []byte{1, kind, byte(id >> 8), byte(id), 0, 0, 0, 0}
+	binary.BigEndian.PutUint16(b[4:], uint16(len(data)))
+	return append(b, data...)
+}
+
+func get(class string, id uint16) []byte {
+	b := rec(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0})
+	b = append(b, rec(4, id, fields("SCRIPT_NAME", "/v1/"+class, "HTTP_X_TXN", fmt.Sprintf("%016x", id), "HTTP_X_TTL_MS", "5000",
+		"HTTP_X_ROW", "7f3a9c21e0b4d655", "HTTP_X_BLOCK", "0", "HTTP_X_FAMILY", "1", "HTTP_X_WORKING_SET_KB", "40"))...)
+	return append(append(b, rec(4, id, nil)...), rec(5, id, nil)...)
+}
+
+// answer reads records up to a request's end and gives its stream.
+func answer(t *testing.T, r *bufio.Reader) (id uint16, text string) {
+	t.Helper()
+	for {
+		var h [8]byte
+		if _, err := io.ReadFull(r, h[:]); err != nil {
+			t.Fatal(err)
+		}
+		data := make([]byte, int(binary.BigEndian.Uint16(h[4:]))+int(h[6]))
+		if _, err := io.ReadFull(r, data); err != nil {
+			t.Fatal(err)
+		}
+		if h[1] == 3 {
+			return binary.BigEndian.Uint16(h[2:]), text
+		}
+		text += string(data)
+	}
+}
+
+// The platform's way: NODE_CONFIG, FastCGI, a change log that names the store, and SIGTERM, after which
+// what is taken is still answered and the program ends by itself.
+func TestPlatform(t *testing.T) {
+	bin := build(t)
+	release := make(chan struct{})
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		if c.Fields["lane"] == "app-assets" {
+			<-release
+		}
+		return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	_, port, _ := net.SplitHostPort(s.Addr())
+	feed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer feed.Close()
+	go func() { // the list comes by the change log alone
+		for {
+			c, err := feed.Accept()
+			if err != nil {
+				return
+			}
+			io.ReadFull(c, make([]byte, 8))
+			var n int
+			fmt.Sscan(port, &n)
+			entry := []byte{0, 0, 0, 7, 127, 0, 0, 1, byte(n >> 8), byte(n), 0, 1, 0, 0, 0, 0, 0, 0x27, 0x10, 0, 0, 0, 0, 0, 0, 0, 0}
+			c.Write(append([]byte{0, 0, 0, 36, 0, 0, 0, 0, 0, 0, 0, 1, 1}, entry...))
+		}
+	}()
+	conf := filepath.Join(t.TempDir(), "config.json")
+	os.WriteFile(conf, fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"changelog":%q,"known":{"seq":0,"results":[]},"settings":{"az":1,"balancers":1,"zones":["hub","edge"],"kinds":["box","parent","origin"],
+"quantum":0.002,"classes":[{"name":"firmware","aim":0.6,"deadline":5,"repeat":"free","worth":1},
+{"name":"app-assets","aim":0.6,"deadline":5,"repeat":"free","worth":1}],"allowed":{"max-attempts":8,"cancel":true,"dial-timeout":0.4,
+"idle-close":15,"max-open":1000,"probes":true},"family-info":{"origin-kind":2,"shield-kind":1,"client-kb-per-s":3400,
+"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all","straight":true}}}`, feed.Addr()), 0o600)
+	p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"})
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	r := bufio.NewReader(c)
+	text := ""
+	for id := uint16(1); id < 2000 && !strings.HasPrefix(text, "Status: 200"); id++ { // until the list has come
+		c.Write(get("firmware", id))
+		_, text = answer(t, r)
+	}
+	if !strings.HasSuffix(text, "\r\n\r\nhello") {
+		t.Fatalf("%q\n%s", text, p.log)
+	}
+	c.Write(get("app-assets", 4000))
+	for held := false; !held; time.Sleep(time.Millisecond) {
+		for _, call := range s.Calls("GET") {
+			held = held || call.Fields["lane"] == "app-assets"
+		}
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	c.Write(get("firmware", 4001)) // still taken
+	if id, text := answer(t, r); id != 4001 || !strings.HasPrefix(text, "Status: 200") {
+		t.Errorf("after SIGTERM: %d %q", id, text)
+	}
+	close(release)
+	if id, text := answer(t, r); id != 4000 || !strings.HasPrefix(text, "Status: 200") {
+		t.Errorf("what was under way: %d %q", id, text)
+	}
+	if err := <-p.done; err != nil {
+		t.Errorf("exit: %v\n%s", err, p.log)
+	}
+}
+
+// The operator's way: a file, signed URLs from the subcommand, and pcap files written and read again.
+func TestOperatorAndPcap(t *testing.T) {
+	bin, dir := build(t), t.TempDir()
+	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+		return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	secret, err := exec.Command(bin, "token", "key").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "op.toml")
+	os.WriteFile(file, fmt.Appendf(nil, "listen = \"127.0.0.1:0\"\n[[class]]\nname = \"firmware\"\ndeadline_ms = 5000\n"+
+		"[[store]]\nid = 1\nkind = \"cache\"\naddr = %q\n[[key]]\nid = \"k\"\nkind = \"hmac\"\nsecret = %q\n",
+		s.Addr(), strings.TrimSpace(string(secret))), 0o600)
+	pcap := filepath.Join(dir, "out.pcap")
+	p := launch(t, bin, nil, "pcap", "write", "-config", file, pcap)
+	out, err := exec.Command(bin, "token", "issue", "-config", file, "-uri", "/v1/firmware/7f3a9c21e0b4d655/0").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var issued struct{ URL string }
+	json.Unmarshal(out, &issued)
+	resp, err := http.Get("http://" + p.addr + issued.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != 200 || string(body) != "hello" {
+		t.Errorf("%d %q", resp.StatusCode, body)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-p.done; err != nil {
+		t.Fatalf("exit: %v\n%s", err, p.log)
+	}
+	read, err := exec.Command(bin, "pcap", "read", "-config", file, pcap).Output()
+	var rep struct{ Fed, Conversations, BytesIn, BytesTo int }
+	if json.Unmarshal(read, &rep); err != nil || rep.Fed != 1 || rep.Conversations != 1 || rep.BytesTo == 0 {
+		t.Errorf("%s %v", read, err)
+	}
+	if b, _ := os.ReadFile(pcap); bytes.Contains(b, []byte(strings.SplitN(issued.URL, "signature=", 2)[1])) {
+		t.Error("the signature is in the file")
+	}
+	os.WriteFile(pcap, []byte("nonsense"), 0o600)
+	if err := exec.Command(bin, "pcap", "read", "-config", file, pcap).Run(); err == nil {
+		t.Error("nonsense was read without an error")
+	}
+	os.WriteFile(file, []byte("listen = \"here\"\n"), 0o600)
+	if out, err := exec.Command(bin, "-config", file).CombinedOutput(); err == nil || !strings.Contains(string(out), "listen") {
+		t.Errorf("a bad configuration: %v %s", err, out)
+	}
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const node = `{"name":"n3","listen":"127.0.0.1:5050","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"changelog":"127.0.0.1:2379","known":{"seq":3,"results":[]},
+"settings":{"classes":[{"name":"firmware","deadline":5,"aim":0.6,"repeat":"free"}],"allowed":{"max-attempts":8,"dial-timeout":0.4,
+"idle-close":15,"max-open":20000},"kinds":["box","parent","origin"],"zones":["hub","edge"],"family-info":{"origin-kind":2}}}`
+
+func TestNode(t *testing.T) {
+	n, err := Parse([]byte(node), "n9", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.Name != "n9" || n.Listen != "127.0.0.1:5050" || n.Seed != 0x8c1f30d27a5be964 || n.DialTimeout != 400 ||
+		n.IdleClose != 15000 || n.Seq != 3 || n.MemoryMB != 192 || len(n.Classes) != 1 {
+		t.Errorf("%+v", n)
+	}
+	for change, field := range map[string]string{
+		`"listen":"127.0.0.1:5050"|"listen":"here"`:                   "listen",
+		`8c1f30d27a5be964|xyz`:                                        "seed",
+		`127.0.0.1:2379|nowhere`:                                      "changelog",
+		`"results":[]|"results":[{"fleet":{"servers":[{"id":"q"}]}}]`: "servers[0].id",
+		`"settings":|"other":`:                                        "settings",
+		`"cores":1.0|"cores":-1`:                                      "limits",
+	} {
+		old, new, _ := strings.Cut(change, "|")
+		if _, err := Parse([]byte(strings.Replace(node, old, new, 1)), "", ""); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+}
+
+// The file under deploy/ and the example's are read as they are; each wrong field is named.
+func TestOperator(t *testing.T) {
+	if _, err := LoadOperator("../example/signed.toml"); err != nil {
+		t.Error(err)
+	}
+	text, err := os.ReadFile("../deploy/signed.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if _, err := ParseOperator(string(text), dir); err == nil || !strings.Contains(err.Error(), "operator_secret_file") {
+		t.Errorf("without its secrets: %v", err)
+	}
+	os.Mkdir(filepath.Join(dir, "secrets"), 0o700)
+	for name, v := range map[string]string{
+		"operator": "a secret of the operator", "main-store": "s", "url-1": "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=",
+		"pack-1.pem": testKey,
+	} {
+		os.WriteFile(filepath.Join(dir, "secrets", name), []byte(v), 0o600)
+	}
+	o, err := ParseOperator(string(text), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := o.Node(1)
+	if len(o.HTTPStores()) != 1 || o.HTTPStores()[20].Signer == nil || len(n.Classes) != 3 || !n.Settings.Classes[2].Write {
+		t.Errorf("%+v", n)
+	}
+	for change, field := range map[string]string{
+		`leeway_s = 10|leeway_s = -1`:                  "leeway_s",
+		`scheme = "https"|scheme = "gopher"`:           "scheme",
+		`kind = "parent"|kind = "uncle"`:               "store[2].kind",
+		`id = 10|id = 1`:                               "store[2].id",
+		`signer = "main-store"|signer = "x"`:           "store[3].signer",
+		`alg = "ES256"|alg = "none"`:                   "key[1].alg",
+		`alg = "ES256"|alg = "EdDSA"`:                  "key[1].private",
+		`deadline_ms = 2500|deadline_ms = 0`:           "class[1].deadline_ms",
+		`[limits]|[limit]`:                             "limit",
+		`listen = "127.0.0.1:7001"|listen = "7001"`:    "replica.listen",
+		`base = "http://127.0.0.1:9000|base = "ftp://`: "store[3].base",
+	} {
+		old, new, _ := strings.Cut(change, "|")
+		if !strings.Contains(string(text), old) {
+			t.Fatalf("%q is not in the file", old)
+		}
+		if _, err := ParseOperator(strings.Replace(string(text), old, new, 1), dir); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+}
--- /dev/null
+++ b/front/signed/http_test.go
@@ -0,0 +1,45 @@
+package signed
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+)
+
+// What is read must not depend on how the bytes are cut, nothing may be longer than its bound, and a
+// request that is taken leaves the next one where it begins.
+func FuzzMessage(f *testing.F) {
+	f.Add("GET /v1/a/b/0?x=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n")
+	f.Add("\r\nGET http://h/p HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		const next = "NEXT"
+		r := bufio.NewReaderSize(strings.NewReader(in+next), 16)
+		m, err := readMessage(r, 100, func() {})
+		whole := bufio.NewReaderSize(strings.NewReader(in+next), 64<<10)
+		m2, err2 := readMessage(whole, 100, func() {})
+		if (err == nil) != (err2 == nil) || string(m.body) != string(m2.body) || m.path != m2.path || m.close != m2.close {
+			t.Fatalf("%+v %v, then %+v %v", m, err, m2, err2)
+		}
+		if len(m.body) > 100 || len(m.header) > headersMost {
+			t.Errorf("%d bytes, %d headers", len(m.body), len(m.header))
+		}
+		if err == nil && (m.path[0] != '/' || strings.ContainsAny(m.host, "/ ")) {
+			t.Errorf("path %q, host %q", m.path, m.host)
+		}
+	})
+}
+
+func TestChunks(t *testing.T) {
+	r := bufio.NewReader(strings.NewReader("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n" +
+		"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n"))
+	cont := 0
+	m, err := readMessage(r, 5, func() { cont++ })
+	if err != nil || string(m.body) != "abcde" || cont != 1 {
+		t.Errorf("%q %v, continued %d times", m.body, err, cont)
+	}
+	if m, err = readMessage(r, 5, func() {}); err != nil || m.path != "/next" {
+		t.Errorf("%+v %v", m, err)
+	}
+}
--- a/internal/cli/pcap.go
+++ b/internal/cli/pcap.go
@@ -108,7 +108,43 @@
 	wg     sync.WaitGroup
 }
 
-type replay struct{ c net.Conn } // nil until its first byte has told the front
+// replay is one conversation; c is nil until its first byte has told the front.
+type replay struct {
+	c    net.Conn
+	far  *watched
+	sent int64
+}
+
+// watched is the front's end of a pipe. It tells whether the front has dealt with all that was sent and
+// waits for more: only then are the requests that it has taken counted.
+type watched struct {
+	net.Conn
+	got    atomic.Int64
+	asking atomic.Bool
+	closed atomic.Bool
+}
+
+func (w *watched) Read(b []byte) (int, error) {
+	w.asking.Store(true)
+	n, err := w.Conn.Read(b)
+	w.asking.Store(false)
+	w.got.Add(int64(n))
+	return n, err
+}
+
+func (w *watched) Close() error {
+	w.closed.Store(true)
+	return w.Conn.Close()
+}
+
+// taken waits until the front has dealt with all bytes of a conversation.
+func (r *replay) taken() {
+	for end := time.Now().Add(answerWait); time.Now().Before(end); time.Sleep(pollEvery) {
+		if r.far.closed.Load() || r.far.got.Load() == r.sent && r.far.asking.Load() {
+			return
+		}
+	}
+}
 
 // Open notes a conversation.
 func (f *feeder) Open(id int, server uint16) error {
@@ -138,9 +174,10 @@
 		}
 		var far net.Conn
 		r.c, far = net.Pipe()
+		r.far = &watched{Conn: far}
 		f.fed++
 		f.wg.Add(2)
-		go func() { defer f.wg.Done(); serve(far) }()
+		go func() { defer f.wg.Done(); serve(r.far) }()
 		go func() {
 			defer f.wg.Done()
 			n, _ := io.Copy(io.Discard, r.c)
@@ -151,6 +188,7 @@
 	r.c.SetWriteDeadline(time.Now().Add(answerWait))
 	n, err := r.c.Write(b)
 	f.in += int64(n)
+	r.sent += int64(n)
 	if err != nil { // the front has ended this conversation; the others go on
 		r.c.Close()
 		delete(f.live, id)
@@ -175,11 +213,17 @@
 	if gap > 0 {
 		fmt.Fprintf(os.Stderr, "conversation %d: %d bytes are missing; read up to there\n", id, gap)
 	}
+	r.taken()
 	f.settle(0)
 	return r.c.Close()
 }
 
 func (f *feeder) wait() {
+	for _, r := range f.live {
+		if r.c != nil {
+			r.taken()
+		}
+	}
 	f.settle(0)
 	for _, r := range f.live {
 		if r.c != nil {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,11 +25,12 @@
 	// goroutine of its own.
 	Handle func(c Call) (word, fields string, body []byte, ok bool)
 
-	l     net.Listener
-	mu    sync.Mutex
-	calls []Call
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	l      net.Listener
+	mu     sync.Mutex
+	calls  []Call
+	conns  map[net.Conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
 }
 
 // Listen starts a store on an address.
@@ -49,6 +50,9 @@
 			}
 			s.mu.Lock()
 			s.conns[c] = struct{}{}
+			if s.closed { // it was accepted while the store closed
+				c.Close()
+			}
 			s.mu.Unlock()
 			s.wg.Add(1)
 			go func() { defer s.wg.Done(); s.serve(c) }()
@@ -86,6 +90,9 @@
 
 // Close ends the store. GETs that its Handle holds must have been let go.
 func (s *Store) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.l.Close()
 	s.Cut()
 	s.wg.Wait()
