--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -34,6 +34,7 @@
 
 const (
 	writeLimit = 3 * time.Second // a client that takes nothing for so long loses its connection
+	intakeMost = 16 << 20        // parameters and bodies of requests without an answer, on all connections
 	idleMost   = 5 * time.Minute // clients close idle connections long before
 )
 
@@ -42,6 +43,7 @@
 	opt    Options
 	server front.Server
 	budget front.Budget
+	intake front.Budget
 	open   atomic.Int64 // requests without an answer, and answers not yet written
 }
 
@@ -55,7 +57,7 @@
 	}
 	return &Front{
 		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
-		budget: front.Budget{Most: opt.MaxBytes},
+		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost},
 	}
 }
 
@@ -88,6 +90,7 @@
 	ready  bool // its parameters are whole
 	asked  bool // the core has it
 	keep   bool
+	held   int // bytes booked with the front's intake
 	tag    uint64
 }
 
@@ -135,6 +138,7 @@
 	c.dead = true
 	var left []uint64
 	for _, q := range c.open {
+		f.intake.Give(q.held)
 		if q.asked {
 			left = append(left, q.tag)
 		}
@@ -195,6 +199,7 @@
 			q.ready = true
 		case len(q.params)+len(rec.data) > paramsMost:
 			return fmt.Errorf("%w: parameters of more than %d bytes", errRecord, paramsMost)
+		case !c.hold(rec.id, q, len(rec.data)):
 		default:
 			q.params = append(q.params, rec.data...)
 		}
@@ -208,6 +213,7 @@
 			return c.ask(rec.id, q)
 		case len(q.body)+len(rec.data) > bodyMost:
 			return fmt.Errorf("%w: a body of more than %d bytes", errRecord, bodyMost)
+		case !c.hold(rec.id, q, len(rec.data)):
 		default:
 			q.body = append(q.body, rec.data...)
 		}
@@ -358,8 +364,22 @@
 	c.send(appendStdout(make([]byte, 0, len(text)+len(body)+64+len(body)/8000), id, []byte(text), body))
 }
 
+// hold books bytes of a request. Where there is no room the request is refused and the rest of it is
+// passed over: many clients sending large requests slowly must not fill the memory.
+func (c *conn) hold(id uint16, q *request, n int) bool {
+	if c.front.intake.Take(n) {
+		q.held += n
+		return true
+	}
+	c.front.opt.Log.Warn().Msg("too many bytes of requests in hand: one refused")
+	c.forget(id)
+	c.send(appendEnd(nil, id, 0, protoOverload))
+	return false
+}
+
 func (c *conn) forget(id uint16) {
-	if c.open[id] != nil {
+	if q := c.open[id]; q != nil {
+		c.front.intake.Give(q.held)
 		delete(c.open, id)
 		c.front.open.Add(-1)
 	}
--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -149,6 +149,30 @@
 	}
 }
 
+// Many requests that never end must not fill the memory: past the bound they are refused, and what they
+// held comes back.
+func TestIntakeIsBounded(t *testing.T) {
+	f := newFront(func(core.Event) {})
+	f.intake.Most = 20000
+	c := dial(f)
+	big := bytes.Repeat([]byte{'x'}, 8000)
+	for id := uint16(1); id <= 3; id++ {
+		c.Write(begin(id))
+		c.Write(appendRecord(nil, typeStdin, id, big))
+	}
+	if e := c.wait(t, 3); e.proto != protoOverload {
+		t.Errorf("ended with %d", e.proto)
+	}
+	c.Close()
+	<-c.done
+	for f.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if !f.intake.Take(20000) {
+		t.Error("bytes of ended requests are still booked")
+	}
+}
+
 // FuzzConnection checks a connection against a model of its requests: each that was whole is asked
 // once; it ends once, by its answer or its abort; a client that leaves withdraws the rest.
 func FuzzConnection(f *testing.F) {
--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -7,6 +7,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/url"
 	"strings"
 	"time"
@@ -86,7 +87,8 @@
 		return out, fmt.Errorf("uri: needs a scheme and a host")
 	}
 	u.Host = strings.ToLower(u.Host)
-	c := token.Claims{Expires: &out.Expires, IssuedAt: &now, Container: token.HashContainer(u.String())}
+	issued := math.Floor(now)
+	c := token.Claims{Expires: &out.Expires, IssuedAt: &issued, Container: token.HashContainer(u.String())}
 	if q.Regex != "" {
 		c.Container = "regex:" + q.Regex
 	}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -67,8 +67,9 @@
 	idleWait     = 60 * time.Second
 	writeLimit   = 5 * time.Second
 	pipelineMost = 4
-	claimMargin  = 60000 // ms that a claim outlives expiry and leeway
-	releases     = 64    // claims being given back at once
+	intakeMost   = 8 << 20 // bodies of requests without an answer, on all connections
+	claimMargin  = 60000   // ms that a claim outlives expiry and leeway
+	releases     = 64      // claims being given back at once
 )
 
 // Front serves one listener.
@@ -76,6 +77,7 @@
 	opt     Options
 	server  front.Server
 	budget  front.Budget
+	intake  front.Budget
 	classes map[string]Class
 	ring    atomic.Pointer[token.Ring]
 	policy  atomic.Pointer[Policy]
@@ -102,7 +104,7 @@
 	}
 	f := &Front{
 		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
-		budget: front.Budget{Most: opt.MaxBytes}, classes: map[string]Class{}, release: make(chan struct{}, releases),
+		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
 	}
 	for _, c := range opt.Classes {
 		f.classes[c.Name] = c
@@ -134,6 +136,7 @@
 	grant  token.Grant
 	claim  string // the name of its claim, if it has one
 	owner  string
+	held   int // bytes of its body booked with the front's intake
 	asked  bool
 	done   bool
 	ready  chan struct{}
@@ -192,6 +195,7 @@
 		}
 		c.front.open.Add(1)
 		if !c.push(s) {
+			c.gone(nil)
 			return
 		}
 		c.take(s)
@@ -273,12 +277,15 @@
 	defer c.net.Close()
 	defer func() {
 		close(c.ended)
-		for range c.queue { // the reader's push may have come just before the end
+		for s := range c.queue { // the reader withdraws what is open, which readies these too
+			<-s.ready
+			c.front.intake.Give(s.held)
 			c.front.open.Add(-1)
 		}
 	}()
 	for s := range c.queue {
 		<-s.ready
+		c.front.intake.Give(s.held)
 		held := len(s.answer)
 		if !c.front.budget.Take(held) {
 			c.front.opt.Log.Warn().Msg("too much waits to be written: slow client dropped")
@@ -345,6 +352,11 @@
 		c.reply(s, errorAnswer(400, "malformed", err.Error(), "", m.close))
 		return
 	}
+	if !f.intake.Take(len(m.body)) {
+		c.reply(s, errorAnswer(503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n", m.close))
+		return
+	}
+	s.held = len(m.body)
 	s.class, s.grant = class, grant
 	ask.From, ask.At, ask.Body = c, at, m.body
 	if ask.Left == 0 || ask.Left > class.Deadline {
