Leave connections that fell silent, and stop dialling stores that are gone

Seen in review: a store that goes while it is dialled was dialled again for what waited, until the attempts timed out (resp.go, dial: the new connection was marked as leaving, so place dialled once more). And a busy connection to a vanished machine was never left, as each new attempt counted as use. What waits for a gone store now ends as unreached; silence is counted from the first attempt given up on it. Tests for both, and for each outcome of an HTTP store. A request refused at its deadline is answered 504 on the signed front.

A test of the silent connection first hung, since times taken at one instant of a clock that stands compare equal; the check now allows for that.

--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -460,7 +460,10 @@
 		if a.RetryAfter > 0 {
 			head += "X-Throttle-Ms: " + strconv.Itoa(max(1, int(a.RetryAfter))) + "\r\n"
 		}
-		return errorAnswer(503, "refused", "not now; nothing has run", head, closes)
+		if a.Reason == core.Deadline {
+			return errorAnswer(504, "deadline", "no answer in time; trying again is harmless", head, closes)
+		}
+		return errorAnswer(503, "refused", "not now; trying again is harmless", head, closes)
 	}
 	switch a.Reason {
 	case core.UnknownClass:
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -24,9 +24,10 @@
 	wake    chan struct{}
 	leaving bool // takes no new work
 	broken  bool
-	silent  bool    // work was given up here and nothing has come since
-	heard   float64 // last byte
+	heard   float64 // last answer
 	lastUse float64
+
+	silentSince float64 // when work was given up here with nothing heard since it was written; 0: not
 }
 
 // chunk is what one attempt has to write.
@@ -71,6 +72,14 @@
 	}
 }
 
+// suspect notes that an attempt is given up; it counts as silence if nothing was heard since it was
+// written, a good while ago.
+func (c *conn) suspect(a *attempt) {
+	if now := c.pool.now(); c.silentSince == 0 && c.heard <= a.written && now-a.written > silentWork {
+		c.silentSince = now
+	}
+}
+
 // closeIfDone closes a connection that takes no more work once its work has ended.
 func (c *conn) closeIfDone() {
 	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && !c.broken {
@@ -88,7 +97,9 @@
 		take := c.out
 		c.out, c.queued = nil, 0
 		for _, k := range take {
-			k.of.writing = true
+			if !k.of.writing {
+				k.of.writing, k.of.written = true, p.now()
+			}
 		}
 		broken := c.broken
 		p.mu.Unlock()
@@ -184,7 +195,7 @@
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.heard, c.silent = p.now(), false
+	c.heard, c.silentSince = p.now(), 0
 	t := c.open[a.id]
 	if t == nil {
 		if c.stale[a.id] || strings.HasPrefix(a.id, probePrefix) {
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -30,7 +31,8 @@
 	idlePart     = 0.8             // of the idle time, after which this side closes: no request crosses a close
 	writeLimit   = 2 * time.Second // a store that takes nothing for so long loses the connection
 	queuedMost   = 2 << 20         // bytes that wait for one connection's writer
-	silentMost   = 1500.0          // ms without a byte, with work given up in silence, until a connection is left
+	silentWork   = 500.0           // ms without a byte since work was written, for its end to count as silence
+	silentMost   = 1000.0          // ms of silence from then on, until a connection is left
 	sweepEvery   = 250 * time.Millisecond
 	connsPerPeer = 8
 )
@@ -51,6 +53,8 @@
 	late     chan core.Event // what a call from the core found at once
 }
 
+var errGone = errors.New("the store is gone")
+
 // peer is one store, parent or origin.
 type peer struct {
 	id      uint32
@@ -69,6 +73,7 @@
 	probe    bool
 	on       *conn
 	writing  bool // it is in a buffer that the writer has taken, or written
+	written  float64
 	dropped  bool
 	as       control.Result // of a dropped one
 	over     bool
@@ -260,11 +265,11 @@
 		}
 		return p.end(a, control.Unsent)
 	case a.probe:
-		a.on.silent = true
+		a.on.suspect(a)
 		return p.end(a, as)
 	}
 	a.dropped, a.as = true, as
-	a.on.silent = a.on.silent || as == control.TimedOut || as == control.Cancelled
+	a.on.suspect(a)
 	a.on.queue(a, appendCommand(nil, "DROP", a.wire))
 	return nil
 }
@@ -341,6 +346,10 @@
 		nc.Close()
 		err = p.ctx.Err()
 	}
+	if err == nil && q.gone { // Guards against dialling a store that is gone over and over for what waits.
+		nc.Close()
+		err = errGone
+	}
 	if err != nil {
 		p.conns--
 		for _, a := range waiting {
@@ -350,7 +359,7 @@
 		}
 	} else {
 		c := newConn(p, q, nc)
-		c.leaving = q.gone || q.addr != addr
+		c.leaving = q.addr != addr
 		q.conns = append(q.conns, c)
 		p.wg.Add(2)
 		go c.read()
@@ -389,7 +398,7 @@
 				// A connection on which work was given up and nothing has come since may lead to a
 				// machine that vanished: new work asks with a new connection, whose failure proves that
 				// nothing ran.
-				if c.silent && now-c.heard > silentMost && now-c.lastUse > silentMost/2 {
+				if c.silentSince > 0 && now-c.silentSince > silentMost {
 					c.leaving = true
 				}
 				if idle {
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -296,6 +297,72 @@
 	}
 }
 
+// A connection that led to a machine which vanished stays open and silent: after a while new work asks
+// with a new one, so that it can be proven not to have run.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	var quiet sync.WaitGroup
+	quiet.Add(1)
+	var calls atomic.Int64
+	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+		if calls.Add(1) == 1 {
+			quiet.Wait()
+			return "", "", nil, false
+		}
+		return "ACK", "tag=0a,minted=1", nil, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	defer quiet.Done()
+	b := newBed(t, s.Addr())
+	var dials atomic.Int64
+	plain := b.pool.opt.Dial
+	b.pool.opt.Dial = func(ctx context.Context, n, a string) (net.Conn, error) {
+		dials.Add(1)
+		return plain(ctx, n, a)
+	}
+	lost := send(1, 0, 1)
+	b.pool.Send(lost)
+	for len(s.Calls("GET")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.clock.Advance(600)
+	b.pool.Drop(lost.Key, control.TimedOut)
+	b.ended(lost.Key)
+	b.clock.Advance(1100)
+	for left := false; !left; time.Sleep(time.Millisecond) { // the next sweep
+		b.pool.mu.Lock()
+		left = len(b.pool.peers[1].conns) == 0
+		b.pool.mu.Unlock()
+	}
+	next := send(2, 0, 1)
+	b.pool.Send(next)
+	if e := b.ended(next.Key); e.Result != control.OK || dials.Load() != 2 {
+		t.Errorf("%+v after %d dials", e, dials.Load())
+	}
+}
+
+// What waits for a connection to a store that goes meanwhile has not run, and nobody dials it again.
+func TestGoneWhileDialling(t *testing.T) {
+	b := newBed(t, "127.0.0.1:1")
+	up := make(chan struct{})
+	var dials atomic.Int64
+	b.pool.opt.Dial = func(context.Context, string, string) (net.Conn, error) {
+		dials.Add(1)
+		<-up
+		c, _ := net.Pipe()
+		return c, nil
+	}
+	a := send(1, 0, 1)
+	b.pool.Send(a)
+	b.list()
+	close(up)
+	if e := b.ended(a.Key); e.Result != control.Unreached || dials.Load() != 1 {
+		t.Errorf("%+v after %d dials", e, dials.Load())
+	}
+}
+
 func TestDialLimit(t *testing.T) {
 	b := newBed(t, "127.0.0.1:1")
 	b.pool.opt.DialTimeout = 1
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -1,10 +1,19 @@
 package web
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
 )
 
 // The examples that are published with the specification: get-vanilla of its test suite, and S3's GET
@@ -45,3 +54,95 @@
 		}
 	}
 }
+
+// Each way that a store answers or fails, and what it proves.
+func TestOutcomes(t *testing.T) {
+	signer := Signer{"gateway", "secret", "kz-1", "s3"}
+	var posts atomic.Int64
+	let := make(chan struct{})
+	at := clock.Manual(1.8e12)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		again, _ := http.NewRequest(r.Method, "http://"+r.Host+r.URL.String(), nil) // sign what came once more
+		for _, name := range strings.Split(strings.SplitN(strings.SplitN(r.Header.Get("Authorization"), "SignedHeaders=", 2)[1], ",", 2)[0], ";") {
+			if name != "host" {
+				again.Header[http.CanonicalHeaderKey(name)] = r.Header[http.CanonicalHeaderKey(name)]
+			}
+		}
+		signer.Sign(again, body, time.UnixMilli(int64(at.Unix())))
+		if again.Header.Get("Authorization") != r.Header.Get("Authorization") {
+			w.WriteHeader(403)
+			return
+		}
+		if r.Method == "POST" {
+			posts.Add(1)
+		}
+		switch strings.Split(r.URL.Path, "/")[3] {
+		case "ok":
+			w.Header().Set("ETag", `"0a"`)
+			w.Write([]byte("bytes of " + r.URL.Path))
+		case "same":
+			w.WriteHeader(304)
+		case "none":
+			w.WriteHeader(404)
+		case "full":
+			w.WriteHeader(503)
+		case "cut":
+			c, _, _ := w.(http.Hijacker).Hijack()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		case "long":
+			w.Write(make([]byte, bodyMost+1))
+		case "hang":
+			select {
+			case <-r.Context().Done():
+			case <-let:
+			}
+		}
+	}))
+	defer srv.Close()
+	defer close(let)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := l.Addr().String()
+	l.Close()
+	got := make(chan core.Event, 16)
+	u := New(Options{
+		Stores: map[uint32]Store{1: {srv.URL + "/rides", &signer}, 2: {"http://" + nobody, nil}}, DialTimeout: 5000,
+		IdleClose: 15000, MaxConns: 4, Clock: at, Log: zerolog.Nop(),
+	}, func(ev core.Event) { got <- ev })
+	defer u.Close()
+	for name, want := range map[string]control.Result{
+		"ok": control.OK, "same": control.OK, "none": control.Miss, "full": control.Full, "cut": control.Broken,
+		"long": control.Errored,
+	} {
+		u.Send(core.Send{Key: core.Key{ID: 1}, To: 1, Class: "firmware", Name: name, Known: "0a", Txn: "1"})
+		if e := (<-got).(core.Ended); e.Result != want || e.Same != (name == "same") ||
+			name == "ok" && (string(e.Body) != "bytes of /rides/firmware/ok/0" || e.Tag != "0a") {
+			t.Errorf("%s: %+v", name, e)
+		}
+	}
+	u.Send(core.Send{Key: core.Key{ID: 2}, To: 2, Class: "ride-end", Name: "ok", Write: true, Body: []byte("x")})
+	if e := (<-got).(core.Ended); e.Result != control.Unreached {
+		t.Errorf("nobody there: %+v", e)
+	}
+	// A write that breaks off is not sent a second time by anyone, and its 404 proves nothing.
+	for name, want := range map[string]control.Result{"cut": control.Broken, "none": control.Errored, "ok": control.OK} {
+		before := posts.Load()
+		u.Send(core.Send{Key: core.Key{ID: 3}, To: 1, Class: "ride-end", Name: name, Write: true, Body: []byte("ride")})
+		if e := (<-got).(core.Ended); e.Result != want || posts.Load() != before+1 {
+			t.Errorf("write %s: %+v, sent %d times", name, e, posts.Load()-before)
+		}
+	}
+	u.Send(core.Send{Key: core.Key{ID: 4}, To: 1, Class: "firmware", Name: "hang"})
+	u.Drop(core.Key{ID: 4}, control.TimedOut)
+	if e := (<-got).(core.Ended); e.Result != control.TimedOut && e.Result != control.Unreached {
+		t.Errorf("dropped: %+v", e)
+	}
+	u.Probe(1)
+	if p := (<-got).(core.Probed); p.Member != 1 || p.Result == control.TimedOut {
+		t.Errorf("%+v", p)
+	}
+}
