--- a/signed_test.go
+++ b/signed_test.go
@@ -408,6 +408,46 @@
 	s.expect("the front goes on", 200, "", "GET", s.url(tile, 60, "n"))
 }
 
+// A store that answers nothing costs a request its time and no more. A ride-end given up for silence is
+// answered 502, at its deadline 504; either way its token stays used, as it may have run.
+func TestDeadline(t *testing.T) {
+	arrived, let := make(chan struct{}, 8), make(chan struct{})
+	s := newSite(t, func(standin.Call) (string, string, []byte, bool) {
+		arrived <- struct{}{}
+		<-let
+		return "", "", nil, false
+	})
+	defer close(let)
+	ride := s.url(rideEnd, 60, "slow")
+	type result struct {
+		code int
+		err  string
+	}
+	got := make(chan result, 1)
+	go func() {
+		code, e, _ := s.do("POST", ride, "")
+		got <- result{code, e}
+	}()
+	<-arrived
+	var r result
+	for done := false; !done; { // the module looks at its timers when an event comes
+		s.clock.Advance(50)
+		s.do("GET", s.url("/v1/none/7f3a9c21e0b4d655/0", 60, "n"), "")
+		select {
+		case r = <-got:
+			done = true
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	if r.code != 504 && r.code != 502 {
+		t.Errorf("%+v", r)
+	}
+	s.expect("again", 403, "replayed", "POST", ride)
+	if s.runs.Load() != 1 {
+		t.Errorf("ran %d times", s.runs.Load())
+	}
+}
+
 // Requests on one connection are answered in their order, and the connection is kept.
 func TestPipelining(t *testing.T) {
 	s := newSite(t, nil)
