Set Umax to 1.1, as the reports count transfers and pass 1

The report of a link is transfers over those that fit at full pace, so it passes 1 while requests can still be in time; 0.92 is the paper's figure for a byte rate, which can not.

Concluded: the window was closed too early, not too late; F and the weights stay.

--- a/control/control.go
+++ b/control/control.go
@@ -13,7 +13,7 @@
 // Tuned values.
 const (
 	fillsPerStep = 4               // F: the paper (4.5) finds 4 to 8 best
-	linkFull     = 0.92            // Umax: the paper (4.5) finds 0.90 to 0.95 best
+	linkFull     = 1.1             // Umax: U here counts transfers and passes 1; the byte rate of 4.5 can not
 	heldFor      = 5 * time.Second // fade time: how long an answer shows that a cache holds the object
 
 	tickEvery   = 50 * time.Millisecond  // held requests are looked at this often
