Renew no package for longer than a token may last

A revocation counts as long as a token may last; a package renewed for longer came back to life after it (signed.go, word). The test asks for both kinds.

--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -439,7 +439,9 @@
 	if a.Tag != "" {
 		head = "ETag: \"" + a.Tag + "\"\r\n"
 	}
-	if g := s.grant.Claims; g.Transport == 1 && g.Renew > 0 && (a.Verdict == core.Served || a.Verdict == core.Same) {
+	// Guards against a package that outlives its revocation, which counts as long as a token may last.
+	lasts := float64(s.grant.Claims.Renew) <= f.policy.Load().TokenSeconds
+	if g := s.grant.Claims; g.Transport == 1 && g.Renew > 0 && lasts && (a.Verdict == core.Served || a.Verdict == core.Same) {
 		if next, err := f.ring.Load().Renewed(s.grant, f.opt.Clock.Unix()/1000); err == nil {
 			head += "Set-Cookie: " + token.ParamPackage + "=" + next + "; Path=" + cookiePath(s.msg.path, g.Depth) +
 				"; Max-Age=" + strconv.Itoa(g.Renew) + "; HttpOnly\r\n"
--- a/signed_test.go
+++ b/signed_test.go
@@ -353,6 +353,18 @@
 	}
 	s.expect("revoked", 403, "revoked", "GET", u)
 
+	// Renewal by cookie, but for no longer than a token may last.
+	for seconds, want := range map[int]bool{60: true, 2 * signed.DefaultTokenSeconds: false} {
+		resp, err := http.Get("http://" + s.addr + s.pack(tile, func(c *token.Claims) { c.Transport, c.Renew = 1, seconds }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if got := len(resp.Cookies()) == 1; resp.StatusCode != 200 || got != want {
+			t.Errorf("renewed for %d s: %v, status %d", seconds, got, resp.StatusCode)
+		}
+	}
+
 	// Rotation: a new key comes, the old one is taken away.
 	old := s.url(tile, 60, "o")
 	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("z", 32)))
