Move the feed on SIGHUP and pass over answers that nobody asked for

Checked: no handler for SIGHUP in internal/cli serve(); upstream/resp conn.take() ended the connection on any answer without an open attempt, so a second copy cost everything else on it. Ruled out: late answers to dropped ids, which were remembered already. Changed: serve() catches SIGHUP, loads the file and hands a config.Node to Run, which moves the feed (changelog.Move) to the new address from the last number held; a bad file is logged. take() passes over what nobody asked for. A second copy of a failed answer could now meet the request's next attempt under the same id, so such ids stay off that connection for 10 s. The feed asks again at once after a break, after 1.8 s of silence, and once for missing numbers. Tests: changelog TestMove, resp TestAnswersNobodyAskedFor, cmd/turnfork TestPlatform (SIGHUP).

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -33,7 +33,7 @@
 	frameHead  = 9 // number and kind, counted by the length
 	recordLen  = 27
 	frameMost  = 1 << 20
-	silentMost = 2500 * time.Millisecond // the feed says something every second
+	silentMost = 1800 * time.Millisecond // the feed says something every second
 	dialMost   = 1 * time.Second
 	redialMin  = 50 * time.Millisecond
 	redialMost = 400 * time.Millisecond
@@ -207,37 +207,81 @@
 	return -1
 }
 
+// Move tells a feed that the change log is at another address from now on.
+type Move struct{ Addr string }
+
 // Feed follows the change log at Addr from the event after Seq.
 type Feed struct {
-	Addr string
-	Seq  uint64
-	Post func(core.Event)
-	Log  zerolog.Logger
+	Addr  string
+	Seq   uint64
+	Moves <-chan Move // nil: it stays where it is
+	Post  func(core.Event)
+	Log   zerolog.Logger
+
+	gap uint64 // the first number that was left out when the feed was last asked for it
 }
 
-// Run follows the feed until ctx ends, dialling anew whenever it breaks or falls silent.
+// Run follows the feed until ctx ends, dialling anew whenever it breaks, falls silent or moves. Events are
+// resumed by number, so a change of address loses none and tells none twice.
 func (f *Feed) Run(ctx context.Context) error {
 	pause := redialMin
 	for ctx.Err() == nil {
-		got, err := f.follow(ctx)
-		if got {
-			pause = redialMin
-		}
+		var (
+			got  bool
+			err  error
+			done = make(chan struct{})
+		)
+		try, stop := context.WithCancel(ctx)
+		go func() {
+			defer close(done)
+			got, err = f.follow(try, f.Addr)
+		}()
+		moved := f.until(ctx, done, nil)
+		stop()
+		<-done
 		if ctx.Err() != nil {
 			return nil
 		}
-		f.Log.Warn().Err(err).Uint64("seq", f.Seq).Msg("change log broke off")
+		if got || moved {
+			pause = redialMin
+		}
+		if !moved {
+			f.Log.Warn().Err(err).Uint64("seq", f.Seq).Msg("change log broke off")
+			if got {
+				continue // it was there a moment ago: ask again at once
+			}
+			moved = f.until(ctx, nil, time.After(pause/2+rand.N(pause)))
+		}
+		if pause = min(2*pause, redialMost); moved {
+			pause = redialMin
+		}
+	}
+	return nil
+}
+
+// until waits for the end of a try or of a pause, and tells whether the change log moved meanwhile. A
+// configuration read again under the same address moves nothing: what is open there goes on.
+func (f *Feed) until(ctx context.Context, done <-chan struct{}, pause <-chan time.Time) (moved bool) {
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+			return false
+		case <-done:
+			return false
+		case <-pause:
+			return false
+		case m := <-f.Moves:
+			if m.Addr != f.Addr {
+				f.Log.Info().Str("from", f.Addr).Str("to", m.Addr).Uint64("seq", f.Seq).Msg("change log moves")
+				f.Addr = m.Addr
+				return true
+			}
 		}
-		pause = min(2*pause, redialMost)
 	}
-	return nil
 }
 
-func (f *Feed) follow(ctx context.Context) (got bool, err error) {
-	c, err := (&net.Dialer{Timeout: dialMost}).DialContext(ctx, "tcp", f.Addr)
+func (f *Feed) follow(ctx context.Context, addr string) (got bool, err error) {
+	c, err := (&net.Dialer{Timeout: dialMost}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false, err
 	}
@@ -253,12 +297,18 @@
 		if err != nil {
 			return got, err
 		}
+		if ctx.Err() != nil {
+			return got, ctx.Err() // it has moved: what the old address still says comes again from the new one
+		}
 		got = true
 		if fr.Event == nil || fr.Seq <= f.Seq {
 			continue // nothing new, or told already
 		}
-		if fr.Seq != f.Seq+1 { // the feed tells every later event, so this is worth a line, no more
-			f.Log.Warn().Uint64("number", fr.Seq).Uint64("after", f.Seq).Msg("change log skipped events")
+		// Guards against events that got lost on the way: the feed is asked once more for what follows the
+		// last one held. One that still leaves them out no longer has them, and is taken at its word.
+		if fr.Seq != f.Seq+1 && f.gap != f.Seq+1 {
+			f.gap = f.Seq + 1
+			return got, fmt.Errorf("%w: event %d follows %d", errFrame, fr.Seq, f.Seq)
 		}
 		f.Seq = fr.Seq
 		f.Post(fr.Event)
--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -113,6 +113,60 @@
 	}
 }
 
+// A feed that moves asks the new address from the last number held, and what the old one tells from then on
+// counts no more; events that were left out are asked for once more.
+func TestMove(t *testing.T) {
+	group := func(n byte) []byte { return []byte{0, n, 0, 0, 0, 0, 0, 0, 0, 8} }
+	asked := make(chan uint64, 8)
+	serve := func(tell func(try int, c net.Conn)) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for try := 0; ; try++ {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { c.Close() })
+				var b [8]byte
+				io.ReadFull(c, b[:])
+				asked <- binary.BigEndian.Uint64(b[:])
+				tell(try, c)
+			}
+		}()
+		return l.Addr().String()
+	}
+	old := serve(func(_ int, c net.Conn) { c.Write(frame(6, kindGroup, group(6))) })
+	next := serve(func(try int, c net.Conn) {
+		if try > 0 {
+			c.Write(frame(7, kindGroup, group(7)))
+		}
+		c.Write(frame(8, kindGroup, group(8)))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	got, moves := make(chan core.Event, 8), make(chan Move)
+	f := &Feed{Addr: old, Seq: 5, Moves: moves, Post: func(ev core.Event) { got <- ev }, Log: zerolog.Nop()}
+	go f.Run(ctx)
+	for i, want := range []uint16{6, 7, 8} {
+		if i == 1 {
+			moves <- Move{old} // the same address: nothing is closed
+			moves <- Move{next}
+		}
+		if ev := <-got; ev.(core.Purge).Group != want {
+			t.Errorf("%+v, not %d", ev, want)
+		}
+	}
+	for _, want := range []uint64{5, 6, 6} {
+		if n := <-asked; n != want {
+			t.Errorf("asked from %d, not %d", n, want)
+		}
+	}
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add(frame(41, kindWhole, storeRecord))
 	f.Add(frame(1, kindGroup, []byte{1}))
--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,7 @@
 // program is the gateway as it is built and started.
 type program struct {
 	cmd  *exec.Cmd
+	mu   sync.Mutex
 	log  *bytes.Buffer
 	addr string
 	done chan error
@@ -53,7 +55,9 @@
 	go func() {
 		sc := bufio.NewScanner(errs)
 		for sc.Scan() {
+			p.mu.Lock()
 			p.log.WriteString(sc.Text() + "\n")
+			p.mu.Unlock()
 			var line struct{ Listen, Message string }
 			if json.Unmarshal(sc.Bytes(), &line) == nil && line.Message == "serving" {
 				select {
@@ -68,13 +72,29 @@
 	select {
 	case p.addr = <-addr:
 	case err := <-p.done:
-		t.Fatalf("ended: %v\n%s", err, p.log)
+		t.Fatalf("ended: %v\n%s", err, p.lines())
 	case <-time.After(30 * time.Second):
 		t.Fatal("never listened")
 	}
 	return p
 }
 
+// await waits for a line in the log.
+func (p *program) await(t *testing.T, text string) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !strings.Contains(p.lines(), text); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never logged: %s\n%s", text, p.lines())
+		}
+	}
+}
+
+func (p *program) lines() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
 func fields(pairs ...string) (b []byte) {
 	for i := 0; i < len(pairs); i += 2 {
 		b = append(b, byte(len(pairs[i])), byte(len(pairs[i+1])))
@@ -136,6 +156,11 @@
 		t.Fatal(err)
 	}
 	defer feed.Close()
+	moved, err := net.Listen("tcp", "127.0.0.1:0") // where the change log goes later
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
 	go func() { // the list comes by the change log alone
 		for {
 			c, err := feed.Accept()
@@ -150,12 +175,13 @@
 		}
 	}()
 	conf := filepath.Join(t.TempDir(), "config.json")
-	os.WriteFile(conf, fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	settings := `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 "changelog":%q,"known":{"seq":0,"results":[]},"settings":{"az":1,"balancers":1,"zones":["hub","edge"],"kinds":["box","parent","origin"],
 "quantum":0.002,"classes":[{"name":"firmware","aim":0.6,"deadline":5,"repeat":"free","worth":1},
 {"name":"app-assets","aim":0.6,"deadline":5,"repeat":"free","worth":1}],"allowed":{"max-attempts":8,"cancel":true,"dial-timeout":0.4,
 "idle-close":15,"max-open":1000,"probes":true},"family-info":{"origin-kind":2,"shield-kind":1,"client-kb-per-s":3400,
-"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all","straight":true}}}`, feed.Addr()), 0o600)
+"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all","straight":true}}}`
+	os.WriteFile(conf, fmt.Appendf(nil, settings, feed.Addr()), 0o600)
 	p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"})
 	c, err := net.Dial("tcp", p.addr)
 	if err != nil {
@@ -170,7 +196,23 @@
 		_, text = answer(t, r)
 	}
 	if !strings.HasSuffix(text, "\r\n\r\nhello") {
-		t.Fatalf("%q\n%s", text, p.log)
+		t.Fatalf("%q\n%s", text, p.lines())
+	}
+	// SIGHUP: a file that can't be read changes nothing; the next one moves the change log, which is asked
+	// for what follows the last event held.
+	os.WriteFile(conf, []byte("{"), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.await(t, "the old one stays")
+	os.WriteFile(conf, fmt.Appendf(nil, settings, moved.Addr()), 0o600)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	late, err := moved.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	var seq [8]byte
+	if io.ReadFull(late, seq[:]); seq[7] != 1 {
+		t.Errorf("the new change log was asked from %v", seq)
 	}
 	c.Write(get("app-assets", 4000))
 	for held := false; !held; time.Sleep(time.Millisecond) {
@@ -188,7 +230,7 @@
 		t.Errorf("what was under way: %d %q", id, text)
 	}
 	if err := <-p.done; err != nil {
-		t.Errorf("exit: %v\n%s", err, p.log)
+		t.Errorf("exit: %v\n%s", err, p.lines())
 	}
 }
 
@@ -230,7 +272,7 @@
 	http.DefaultClient.CloseIdleConnections()
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	if err := <-p.done; err != nil {
-		t.Fatalf("exit: %v\n%s", err, p.log)
+		t.Fatalf("exit: %v\n%s", err, p.lines())
 	}
 	read, err := exec.Command(bin, "pcap", "read", "-config", file, pcap).Output()
 	var rep struct{ Fed, Conversations, BytesIn, BytesTo int }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return err
 		}
-		return serve(cfg)
+		return serve(cfg, *file)
 	}
 	if len(args) < 2 {
 		return errUsage
@@ -111,15 +111,48 @@
 	return cfg, nil
 }
 
-// serve runs the gateway until a signal asks it to end.
-func serve(cfg turnfork.Config) error {
+// serve runs the gateway until a signal asks it to end. SIGHUP has the configuration read again.
+func serve(cfg turnfork.Config, file string) error {
+	// Guards against SIGHUP ending the program: it is caught before anything is served.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	turnfork.Limit(cfg.Node.Cores, cfg.Node.MemoryMB)
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer done()
 	cfg.Stop = stop.Done()
+	ended := make(chan struct{})
+	defer close(ended)
+	cfg.Reload = reload(hup, ended, file, cfg.Log)
 	return turnfork.Run(context.Background(), cfg)
 }
 
+// reload reads the configuration at each signal. A file that can't be used is logged, and the old
+// configuration stays.
+func reload(hup <-chan os.Signal, ended <-chan struct{}, file string, log zerolog.Logger) <-chan config.Node {
+	out := make(chan config.Node)
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			case <-hup:
+			}
+			cfg, err := load(file, log)
+			if err != nil {
+				log.Error().Err(err).Msg("configuration not read again: the old one stays")
+				continue
+			}
+			select {
+			case out <- cfg.Node:
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return out
+}
+
 func issue(args []string, out, errOut io.Writer) error {
 	flags := flagSet("token issue", errOut)
 	var q signed.IssueRequest
--- a/internal/cli/pcap.go
+++ b/internal/cli/pcap.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	cfg.Tap = func(_ string, c net.Conn) net.Conn { return w.Tap(c) }
-	return errors.Join(serve(cfg), w.Flush())
+	return errors.Join(serve(cfg, *file), w.Flush())
 }
 
 // pcapRead feeds a file's conversations to a front and reports what came of it.
--- a/turnfork.go
+++ b/turnfork.go
@@ -36,6 +36,7 @@
 	Log      zerolog.Logger
 	Clock    *clock.Clock                            // nil: the system's
 	Stop     <-chan struct{}                         // closed: end in good order; the end of Run's context ends at once
+	Reload   <-chan config.Node                      // a configuration read anew; nil: none comes
 	Ready    func(Addrs)                             // told once the fronts listen; nil: nobody asks
 	Tap      func(front string, c net.Conn) net.Conn // wraps the fronts' connections, for recording; nil: none
 }
@@ -202,10 +203,12 @@
 		return n
 	}
 	g.Go(func() error { return c.Run(ctx) })
+	moves := make(chan changelog.Move)
 	if node.Changelog != "" {
-		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Post: c.Post, Log: cfg.Log}
+		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Moves: moves, Post: c.Post, Log: cfg.Log}
 		g.Go(func() error { return feed.Run(ctx) })
 	}
+	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
 	for i, f := range fronts {
 		g.Go(func() error { return f.Serve(ctx, listeners[i]) })
 	}
@@ -227,6 +230,36 @@
 	return g.Wait()
 }
 
+// reloads puts configurations that were read anew into effect, without a request noticing: the change log is
+// followed at its new address from the last number held, a list of stores that no change log tells replaces
+// the old one, and the limits are set again. What else the file says counts from the next start.
+func reloads(ctx context.Context, cfg Config, post func(core.Event), moves chan<- changelog.Move) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-cfg.Reload:
+			Limit(n.Cores, n.MemoryMB)
+			switch {
+			case cfg.Node.Changelog == "":
+				for _, ev := range n.Known {
+					post(ev)
+				}
+			case n.Changelog == "":
+				cfg.Log.Error().Msg("config: changelog: missing in the new file; the old one stays")
+				continue
+			default:
+				select {
+				case moves <- changelog.Move{Addr: n.Changelog}:
+				case <-ctx.Done():
+					return
+				}
+			}
+			cfg.Log.Info().Str("changelog", n.Changelog).Msg("configuration read again")
+		}
+	}
+}
+
 // openReplica opens this member of the replicated store: alone and in memory unless the operator's
 // file names members.
 func openReplica(cfg Config, changed func(string, json.RawMessage)) (*replica.Store, error) {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"strconv"
-	"strings"
 	"time"
 
 	"turnfork.dev/turnfork/control"
@@ -18,7 +17,7 @@
 	peer    *peer
 	net     net.Conn
 	open    map[string]*attempt // by ID
-	stale   map[string]bool     // IDs given up here, whose answer may still come
+	stale   map[string]float64  // IDs that an answer may still come for, and since when
 	out     []chunk
 	queued  int
 	wake    chan struct{}
@@ -37,20 +36,44 @@
 	drop  bool
 }
 
-// staleMost bounds the IDs remembered; a connection with more takes no new work.
-const staleMost = 4096
+const (
+	staleMost = 4096    // IDs remembered; a connection with more takes no new work
+	staleFor  = 10000.0 // ms for which they are: longer than any request lasts
+)
 
 func newConn(p *Pool, q *peer, nc net.Conn) *conn {
 	now := p.now()
 	return &conn{
-		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]bool{},
+		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]float64{},
 		wake: make(chan struct{}, 1), heard: now, lastUse: now,
 	}
 }
 
-// used tells whether an ID can't be used on this connection: an answer to it that comes now may be
-// that of an earlier attempt which was given up.
-func (c *conn) used(wire string) bool { return c.open[wire] != nil || c.stale[wire] }
+// used tells whether an ID can't be used on this connection: an answer to it that comes now may be that
+// of an earlier attempt which was given up, or a second copy of the earlier attempt's answer. Taken for the
+// new attempt's, either would let a third one leave while that is still out.
+func (c *conn) used(wire string) bool {
+	_, stale := c.stale[wire]
+	return stale || c.open[wire] != nil
+}
+
+// retire keeps an ID from being used here again for a while.
+func (c *conn) retire(wire string) {
+	if len(c.stale) < staleMost {
+		c.stale[wire] = c.pool.now()
+	} else {
+		c.leaving = true
+	}
+}
+
+// forget drops the IDs for which no answer can still come.
+func (c *conn) forget(now float64) {
+	for id, at := range c.stale {
+		if now-at > staleFor {
+			delete(c.stale, id)
+		}
+	}
+}
 
 func (c *conn) queue(a *attempt, b []byte) {
 	c.out = append(c.out, chunk{of: a, bytes: b, drop: a.dropped})
@@ -122,11 +145,7 @@
 		p.mu.Lock()
 		for _, k := range take {
 			if k.drop && !k.of.over { // the DROP is out: from now on another attempt may leave
-				if len(c.stale) < staleMost {
-					c.stale[k.of.wire] = true
-				} else {
-					c.leaving = true
-				}
+				c.retire(k.of.wire)
 				if ev := p.end(k.of, k.of.as); ev != nil {
 					ended = append(ended, ev)
 				}
@@ -198,11 +217,9 @@
 	c.heard, c.silentSince = p.now(), 0
 	t := c.open[a.id]
 	if t == nil {
-		if c.stale[a.id] || strings.HasPrefix(a.id, probePrefix) {
-			delete(c.stale, a.id) // the answer to what was given up, too late
-			return nil, nil
-		}
-		return nil, fmt.Errorf("%w: %s for an id not in use", errWire, a.word)
+		// An answer to what was given up, a second copy, or one under an id that was never asked here: each
+		// is whole and harms nothing. Guards against one of them costing every request on the connection.
+		return nil, nil
 	}
 	if t.probe {
 		ev := p.end(t, control.Errored)
@@ -223,6 +240,9 @@
 	if !ok {
 		return p.end(t, control.Errored), fmt.Errorf("%w: word %.20q", errWire, a.word)
 	}
+	if res != control.OK { // the request may be asked for again
+		c.retire(a.id)
+	}
 	ev, _ := p.end(t, res).(core.Ended)
 	ev.Note, ev.Lag, ev.Load = notes[a.fields.get("why")], a.fields.number("lag"), a.fields.load()
 	ev.Tag, ev.Minted, ev.Body, ev.Same = a.fields.get("tag"), a.fields.number("minted"), a.body, a.word == "NOMOD"
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -394,6 +394,7 @@
 		p.mu.Lock()
 		for id, q := range p.peers {
 			for _, c := range q.conns {
+				c.forget(now)
 				idle := p.opt.IdleClose > 0 && now-c.lastUse > idlePart*p.opt.IdleClose
 				// A connection on which work was given up and nothing has come since may lead to a
 				// machine that vanished: new work asks with a new connection, whose failure proves that
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -297,6 +297,53 @@
 	}
 }
 
+// Whole answers that nobody asked for cost nothing: those under unknown IDs and second copies are passed
+// over, the connection goes on, and a second copy never counts for the next attempt of its request.
+func TestAnswersNobodyAskedFor(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var conns atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			first := conns.Add(1) == 1
+			go func() {
+				defer c.Close()
+				for buf := make([]byte, 4096); ; {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					id, word := strings.Split(string(buf[:n]), "\r\n")[4], "ACK"
+					if first && id == send(1, 0, 1).Txn {
+						word = "AGAIN"
+					}
+					one := appendCommand(nil, id, word, "tag=0a,minted=1", "")
+					c.Write(appendCommand(nil, "ffffffffffffffff", "ACK", "tag=0b,minted=1", "not yours"))
+					c.Write(append(one, one...))
+				}
+			}()
+		}
+	}()
+	b := newBed(t, l.Addr().String())
+	for _, x := range []struct {
+		s     core.Send
+		want  control.Result
+		conns int64
+	}{{send(0, 0, 1), control.OK, 1}, {send(1, 0, 1), control.Full, 1}, {send(1, 1, 1), control.OK, 2}, {send(2, 0, 1), control.OK, 2}} {
+		b.pool.Send(x.s)
+		if e := b.ended(x.s.Key); e.Result != x.want || conns.Load() != x.conns {
+			t.Errorf("%v: %v with %d connections", x.s.Key, e.Result, conns.Load())
+		}
+	}
+}
+
 // A connection that led to a machine which vanished stays open and silent: after a while new work asks
 // with a new one, so that it can be proven not to have run.
 func TestSilentConnectionIsLeft(t *testing.T) {
