Give new connections the places of idle ones and close silent ones in time

Clients that asked once and stay, and strangers who say nothing, held every place for up to 5 minutes, and whoever came next was closed unheard. Checked: front.Handle() turned new connections away at Max; fastcgi read() waited idleMost = 5 min. Ruled out: slow clients dropped for unread answers (no such line). Memory: 74 KB of reading buffers for each connection. Changed: a seat for each connection knows what is open on it. Where all are taken the longest idle one goes, silent ones first where they hold a quarter; with none idle, accepting waits. A first request must be whole in 2.5 s, any in 2.5 s, and 4.5 s without one ends a connection (clients leave at 4 s). The signed front has the same places. Record buffers grow on need; unwritten answers and taken requests are bounded by a part of memory_mb, before 48 + 16 MB. Tests: front FuzzPlaces and TestStrangersGoFirst, fastcgi TestLateRequestsLoseTheirConnection.

--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -29,13 +29,15 @@
 	Log      zerolog.Logger
 	MaxConns int                          // connections at once; 0: 300
 	MaxBytes int64                        // answers that wait to be written, on all connections; 0: 48 MB
+	MaxTaken int64                        // parameters and bodies of requests without an answer; 0: 16 MB
 	Tap      func(conn net.Conn) net.Conn // wraps each connection, for recording; nil: none
 }
 
 const (
 	writeLimit = 3 * time.Second // a client that takes nothing for so long loses its connection
-	intakeMost = 16 << 20        // parameters and bodies of requests without an answer, on all connections
-	idleMost   = 5 * time.Minute // clients close idle connections long before
+	firstMost  = 2500.0          // ms until a connection's first request must be whole
+	wholeMost  = 2500.0          // ms until any request must be whole that has begun
+	idleMost   = 4500.0          // ms; clients close idle connections after 4 s
 )
 
 // Front serves one listener.
@@ -55,9 +57,15 @@
 	if opt.MaxBytes <= 0 {
 		opt.MaxBytes = 48 << 20
 	}
+	if opt.MaxTaken <= 0 {
+		opt.MaxTaken = 16 << 20
+	}
 	return &Front{
-		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
-		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost},
+		opt: opt,
+		server: front.Server{
+			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
+		},
+		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: opt.MaxTaken},
 	}
 }
 
@@ -73,9 +81,9 @@
 // Open counts the requests that are not answered, or whose answer is not yet written.
 func (f *Front) Open() int { return int(f.open.Load()) }
 
-func (f *Front) handle(nc net.Conn) {
+func (f *Front) handle(nc net.Conn, seat *front.Seat) {
 	c := &conn{
-		front: f, net: nc, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+		front: f, net: nc, seat: seat, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
@@ -92,17 +100,21 @@
 	keep   bool
 	held   int // bytes booked with the front's intake
 	tag    uint64
+	begun  float64
 }
 
 type conn struct {
 	front *Front
 	net   net.Conn
+	seat  *front.Seat
 	ended chan struct{} // closed when the reader ends
 
 	mu      sync.Mutex
 	open    map[uint16]*request
 	tags    uint64
 	out     [][]byte
+	pending int  // answers queued and not yet written
+	asked   bool // a whole request has come
 	closing bool // once all is written
 	dead    bool
 	wake    chan struct{}
@@ -111,11 +123,10 @@
 // read is the reader goroutine.
 func (c *conn) read() {
 	defer c.end()
-	r := bufio.NewReaderSize(c.net, 8<<10)
-	buf := new([contentMost + 255]byte)
+	r := bufio.NewReaderSize(c.net, 4<<10)
+	var buf []byte
 	for {
-		c.net.SetReadDeadline(time.Now().Add(idleMost))
-		rec, err := readRecord(r, buf)
+		rec, err := readRecord(r, &buf)
 		if err == nil {
 			err = c.take(rec)
 		}
@@ -163,6 +174,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer c.report()
 	q := c.open[rec.id]
 	switch rec.kind {
 	case typeBegin:
@@ -179,7 +191,7 @@
 			c.send(appendEnd(nil, rec.id, 0, protoOverload))
 		default:
 			c.tags++
-			c.open[rec.id] = &request{keep: keep, tag: c.tags<<16 | uint64(rec.id)}
+			c.open[rec.id] = &request{keep: keep, tag: c.tags<<16 | uint64(rec.id), begun: c.front.opt.Clock.Now()}
 			c.front.open.Add(1)
 		}
 	case typeAbort:
@@ -224,6 +236,18 @@
 	return nil
 }
 
+// report tells the connection's place what is open here: an answer that is not yet written counts, so that
+// no connection is taken for idle and closed before it.
+func (c *conn) report() {
+	until := 0.0
+	for _, q := range c.open {
+		if !q.asked && (until == 0 || q.begun+wholeMost < until) {
+			until = q.begun + wholeMost
+		}
+	}
+	c.seat.Update(len(c.open)+c.pending, c.asked, until)
+}
+
 // manage answers a management record.
 func (c *conn) manage(rec record) error {
 	if rec.kind != typeGetValues {
@@ -294,6 +318,7 @@
 	if err != nil {
 		return err
 	}
+	c.asked = true
 	var ok bool
 	a.Class, ok = strings.CutPrefix(script, "/v1/")
 	switch {
@@ -331,6 +356,7 @@
 	if q == nil || q.tag != tag {
 		return // withdrawn
 	}
+	defer c.report()
 	head := ""
 	if a.RetryAfter > 0 {
 		head = "X-Throttle-Ms: " + strconv.FormatInt(max(1, int64(a.RetryAfter)), 10) + "\r\n"
@@ -397,6 +423,7 @@
 		return
 	}
 	c.out = append(c.out, b)
+	c.pending++
 	c.front.open.Add(1)
 	select {
 	case c.wake <- struct{}{}:
@@ -425,6 +452,10 @@
 		_, err := bufs.WriteTo(c.net)
 		c.front.budget.Give(n)
 		c.front.open.Add(-int64(count))
+		c.mu.Lock()
+		c.pending -= count
+		c.report()
+		c.mu.Unlock()
 		if err != nil || last {
 			c.net.Close()
 			return
--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -54,9 +54,9 @@
 	go f.Handle(far)
 	go func() {
 		defer close(c.done)
-		r, buf := bufio.NewReader(near), new([contentMost + 255]byte)
+		r, buf := bufio.NewReader(near), []byte(nil)
 		for {
-			rec, err := readRecord(r, buf)
+			rec, err := readRecord(r, &buf)
 			if err != nil {
 				return
 			}
@@ -173,6 +173,48 @@
 	}
 }
 
+// A connection on which half a request came is closed in time, one that waits for an answer is not, and one
+// without a request only after a while.
+func TestLateRequestsLoseTheirConnection(t *testing.T) {
+	asks := make(chan core.Ask, 1)
+	clk := clock.Manual(1e12)
+	f := New(Options{Clock: clk, Log: zerolog.Nop(), Post: func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			asks <- a
+		}
+	}})
+	c, half := dial(f), dial(f)
+	defer c.Close()
+	half.Write(begin(1))
+	half.Write(appendRecord(nil, typeParams, 1, nil))
+	c.Write(append(begin(1), whole(1, "/v1/firmware", "9b1f03aa5c7e2d41")...))
+	a := <-asks
+	clk.Advance(wholeMost + 1)
+	f.server.Sweep()
+	<-half.done
+	a.From.Answer(a.Tag, core.Answer{Verdict: core.Refused})
+	c.wait(t, 1)
+	for f.Open() > 0 { // the answer is told as written after it has come
+		time.Sleep(time.Millisecond)
+	}
+	clk.Advance(idleMost - 1)
+	f.server.Sweep()
+	c.Write(append(begin(2), whole(2, "/healthz", "")...))
+	c.wait(t, 2)
+	for f.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for done := false; !done; {
+		clk.Advance(idleMost + 1)
+		f.server.Sweep()
+		select {
+		case <-c.done:
+			done = true
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
 // FuzzConnection checks a connection against a model of its requests: each that was whole is asked
 // once; it ends once, by its answer or its abort; a client that leaves withdraws the rest.
 func FuzzConnection(f *testing.F) {
--- a/front/fastcgi/record.go
+++ b/front/fastcgi/record.go
@@ -35,6 +35,8 @@
 	paramsMost     = 16 << 10 // bytes of one request's parameters
 	bodyMost       = 64 << 10 // a write carries up to 48,000
 	requestsAtOnce = 32
+	bufferFirst    = 512
+	bufferKept     = 4 << 10
 )
 
 var errRecord = errors.New("malformed record")
@@ -45,8 +47,8 @@
 	data []byte // valid until the next record is read
 }
 
-// readRecord reads one record into buf, which holds any content there is.
-func readRecord(r *bufio.Reader, buf *[contentMost + 255]byte) (record, error) {
+// readRecord reads one record into buf, which grows as records need it.
+func readRecord(r *bufio.Reader, buf *[]byte) (record, error) {
 	var h [headerLen]byte
 	if _, err := io.ReadFull(r, h[:]); err != nil {
 		if err == io.ErrUnexpectedEOF {
@@ -58,10 +60,16 @@
 		return record{}, fmt.Errorf("%w: version %d", errRecord, h[0])
 	}
 	n, pad := int(binary.BigEndian.Uint16(h[4:])), int(h[6])
-	if _, err := io.ReadFull(r, buf[:n+pad]); err != nil {
+	// Guards against a connection that sent one large record holding its buffer for good: most records are
+	// small, and there are many connections.
+	if n+pad > cap(*buf) || cap(*buf) > bufferKept && n+pad <= bufferKept {
+		*buf = make([]byte, max(n+pad, bufferFirst))
+	}
+	b := (*buf)[:n+pad]
+	if _, err := io.ReadFull(r, b); err != nil {
 		return record{}, fmt.Errorf("%w: cut inside the content: %v", errRecord, err)
 	}
-	return record{h[1], binary.BigEndian.Uint16(h[2:]), buf[:n]}, nil
+	return record{h[1], binary.BigEndian.Uint16(h[2:]), b[:n]}, nil
 }
 
 func appendRecord(b []byte, kind byte, id uint16, data []byte) []byte {
--- a/front/front.go
+++ b/front/front.go
@@ -1,4 +1,4 @@
-// Package front has what the fronts share: accepting, the bound on connections and the bound on
+// Package front has what the fronts share: accepting, the places for connections and the bound on
 // what waits to be written.
 package front
 
@@ -12,32 +12,79 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/clock"
 )
 
-// Server accepts connections, no more than Max at once, and keeps track of them.
+// Server accepts connections, no more than Max at once, and keeps track of them. Where all places are taken
+// a new connection gets the place of one with no request open, so that idle clients and strangers crowd out
+// nobody.
 type Server struct {
-	Max int
-	Log zerolog.Logger
-	Tap func(net.Conn) net.Conn // wraps each connection, for recording; nil: none
+	Max       int
+	FirstMost float64 // ms within which a connection has to bring its first whole request; 0: no limit
+	IdleMost  float64 // ms that a connection may stay without a request after that; 0: no limit
+	Clock     *clock.Clock
+	Log       zerolog.Logger
+	Tap       func(net.Conn) net.Conn // wraps each connection, for recording; nil: none
 
 	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	seats map[*Seat]struct{}
+	full  bool // told already
 }
 
 const (
 	pauseFirst = 5 * time.Millisecond
 	pauseMost  = 500 * time.Millisecond
+	sweepEvery = 100 * time.Millisecond
+	placeWait  = 500 * time.Millisecond // a new connection waits so long for a place
+	fewSilent  = 4                      // silent connections may hold one place in so many before they go first
+	silentMost = 50.0                   // ms that a new connection has in any case
 )
 
+// Seat is a connection's place. Its front keeps it up to date.
+type Seat struct {
+	server *Server
+	conn   net.Conn
+	asked  bool // a whole request came on it
+	open   int  // requests begun and not yet answered
+	came   float64
+	since  float64 // when the last of them ended, or the connection came
+	until  float64 // when a request that has begun must be whole; 0: none is under way
+}
+
+// Update tells how many requests are open on the connection, whether a whole one has come on it yet, and
+// until when the one under way has to be whole (0: none is).
+func (s *Seat) Update(open int, asked bool, until float64) {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	if open == 0 && (s.open > 0 || asked && !s.asked) {
+		s.since = s.server.Clock.Now()
+	}
+	s.open, s.asked, s.until = open, s.asked || asked, until
+}
+
 // Serve accepts until the listener closes or ctx ends, and returns once every connection has ended.
 // The end of ctx closes them at once. Handle owns a connection until it returns.
-func (s *Server) Serve(ctx context.Context, l net.Listener, handle func(net.Conn)) error {
+func (s *Server) Serve(ctx context.Context, l net.Listener, handle func(net.Conn, *Seat)) error {
 	g, ctx := errgroup.WithContext(ctx)
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
 		s.CloseAll()
 	})
 	defer stop()
+	swept := make(chan struct{})
+	defer close(swept)
+	go func() {
+		t := time.NewTicker(sweepEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-swept:
+				return
+			case <-t.C:
+				s.Sweep()
+			}
+		}
+	}()
 	var pause time.Duration
 	for {
 		nc, err := l.Accept()
@@ -55,43 +102,126 @@
 			continue
 		}
 		pause = 0
-		g.Go(func() error { s.Handle(nc, handle); return nil })
+		// Guards against closing what usual clients ask first when hundreds connect at once: those that
+		// find no place wait for one here, and the others behind them in the machine's own queue.
+		seat := s.place(nc)
+		for end := time.Now().Add(placeWait); seat == nil && ctx.Err() == nil && time.Now().Before(end); seat = s.place(nc) {
+			time.Sleep(pauseFirst)
+		}
+		if seat == nil {
+			s.Log.Warn().Int("connections", s.Max).Msg("too many connections, all with requests open")
+			nc.Close()
+			continue
+		}
+		g.Go(func() error { s.serve(seat, handle); return nil })
 	}
 }
 
 // Handle serves one connection, unless there are too many.
-func (s *Server) Handle(nc net.Conn, handle func(net.Conn)) {
+func (s *Server) Handle(nc net.Conn, handle func(net.Conn, *Seat)) {
+	if seat := s.place(nc); seat != nil {
+		s.serve(seat, handle)
+	} else {
+		nc.Close()
+	}
+}
+
+func (s *Server) serve(seat *Seat, handle func(net.Conn, *Seat)) {
+	defer func() {
+		seat.conn.Close()
+		s.mu.Lock()
+		s.leave(seat)
+		s.mu.Unlock()
+	}()
+	handle(seat.conn, seat)
+}
+
+func (s *Server) leave(seat *Seat) {
+	delete(s.seats, seat)
+}
+
+// place gives a connection its place, which may be that of another; nil where every one has a request open.
+func (s *Server) place(nc net.Conn) *Seat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seats == nil {
+		s.seats = map[*Seat]struct{}{}
+	}
+	if len(s.seats) >= s.Max {
+		old := s.spare()
+		if old == nil {
+			return nil
+		}
+		if !s.full {
+			s.full = true
+			s.Log.Warn().Int("connections", s.Max).Msg("all places taken: idle connections are closed for new ones")
+		}
+		s.leave(old)
+		old.conn.Close()
+	}
 	if s.Tap != nil {
 		nc = s.Tap(nc)
 	}
-	defer nc.Close()
-	s.mu.Lock()
-	if s.conns == nil {
-		s.conns = map[net.Conn]struct{}{}
+	now := s.Clock.Now()
+	seat := &Seat{server: s, conn: nc, came: now, since: now}
+	s.seats[seat] = struct{}{}
+	return seat
+}
+
+// spare gives the connection to close for a new one: of those that never asked the oldest, where they hold
+// many places, else the one that has been idle for longest.
+func (s *Server) spare() *Seat {
+	now := s.Clock.Now()
+	var idle, silent *Seat
+	silents := 0
+	for x := range s.seats {
+		switch {
+		case x.open > 0:
+			continue
+		case !x.asked:
+			if silents++; now-x.since < silentMost {
+				continue
+			}
+			if silent == nil || x.since < silent.since {
+				silent = x
+			}
+		}
+		if idle == nil || x.since < idle.since {
+			idle = x
+		}
 	}
-	full := len(s.conns) >= s.Max
-	if !full {
-		s.conns[nc] = struct{}{}
+	if silent != nil && fewSilent*silents > s.Max {
+		return silent
 	}
-	s.mu.Unlock()
-	if full {
-		s.Log.Warn().Int("connections", s.Max).Msg("too many connections")
-		return
+	return idle
+}
+
+// Sweep closes the connections whose time is up: no whole request came within the limit, or none for long.
+func (s *Server) Sweep() {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full = s.full && len(s.seats) >= s.Max
+	for x := range s.seats {
+		late := x.until > 0 && now > x.until
+		if !x.asked {
+			late = late || s.FirstMost > 0 && now > x.came+s.FirstMost
+		} else if x.open == 0 {
+			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
+		}
+		if late {
+			s.leave(x)
+			x.conn.Close()
+		}
 	}
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, nc)
-		s.mu.Unlock()
-	}()
-	handle(nc)
 }
 
 // CloseAll closes every connection.
 func (s *Server) CloseAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.Close()
+	for x := range s.seats {
+		x.conn.Close()
 	}
 }
 
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,119 @@
+package front
+
+import (
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+)
+
+// FuzzPlaces checks the places of a front against a model: there are never more than the bound; a connection
+// with a request open keeps its place until that is late; whoever is new gets the place of one without, of the
+// silent ones first where they hold many; and each limit of time holds.
+func FuzzPlaces(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 0, 0, 3, 0, 0})
+	f.Add([]byte{0, 1, 0, 1, 0, 1, 0, 1, 0, 2, 0, 0, 7, 3, 11, 19})
+	f.Add([]byte{0, 0, 0, 255, 0, 1, 9, 0, 0, 67, 0, 4, 12, 255, 255})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const most, first, idle, whole = 6, 2500.0, 4500.0, 2500.0
+		clk := clock.Manual(1e6)
+		s := &Server{Max: most, FirstMost: first, IdleMost: idle, Clock: clk, Log: zerolog.Nop()}
+		type model struct {
+			*Seat
+			came, since, until float64
+			open               int
+			asked              bool
+		}
+		var live []*model
+		ended := func(m *model) bool { return m.conn.(*testConn).closed }
+		for _, step := range steps {
+			now := clk.Now()
+			pick := int(step / 4)
+			var m *model
+			if len(live) > 0 {
+				m = live[pick%len(live)]
+			}
+			switch {
+			case step%4 == 0:
+				idles := 0
+				for _, x := range live {
+					if x.open == 0 && (x.asked || now-x.since >= silentMost) {
+						idles++
+					}
+				}
+				seat := s.place(&testConn{})
+				if full := len(live) >= most; (seat == nil) != (full && idles == 0) {
+					t.Fatalf("place %v with %d of %d, %d idle", seat, len(live), most, idles)
+				}
+				if seat != nil {
+					live = append(live, &model{Seat: seat, came: now, since: now})
+				}
+			case step%4 == 1 && m != nil: // a request begins, or becomes whole
+				if m.until > 0 {
+					m.until, m.asked = 0, true
+				} else {
+					m.open++
+					m.until = now + whole
+				}
+				m.Update(m.open, m.asked, m.until)
+			case step%4 == 2 && m != nil && m.open > 0 && m.until == 0: // its answer is written
+				if m.open--; m.open == 0 {
+					m.since = now
+				}
+				m.Update(m.open, true, 0)
+			case step%4 == 3:
+				clk.Advance(float64(pick * 20))
+				s.Sweep()
+				for _, x := range live {
+					now := clk.Now()
+					late := x.until > 0 && now > x.until || !x.asked && now > x.came+first || x.asked && x.open == 0 && now > x.since+idle
+					if late != x.conn.(*testConn).closed {
+						t.Fatalf("late %t, closed %t: %+v at %v", late, !late, *x, now)
+					}
+				}
+			}
+			kept := live[:0]
+			for _, x := range live {
+				if !ended(x) {
+					kept = append(kept, x)
+				} else if x.open > 0 && step%4 == 0 {
+					t.Fatalf("a connection with a request open lost its place: %+v", *x)
+				}
+			}
+			if live = kept; len(live) != len(s.seats) || len(live) > most {
+				t.Fatalf("%d live, %d places", len(live), len(s.seats))
+			}
+		}
+	})
+}
+
+type testConn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *testConn) Close() error { c.closed = true; return nil }
+
+// Strangers who connect by the hundred and say nothing don't cost the clients their connections.
+func TestStrangersGoFirst(t *testing.T) {
+	clk := clock.Manual(1e6)
+	s := &Server{Max: 40, FirstMost: 2500, IdleMost: 4500, Clock: clk, Log: zerolog.Nop()}
+	usual := make([]*Seat, 20)
+	for i := range usual {
+		usual[i] = s.place(&testConn{})
+		usual[i].Update(1, true, 0)
+		usual[i].Update(0, true, 0)
+	}
+	for range 300 {
+		clk.Advance(10)
+		if s.place(&testConn{}) == nil {
+			t.Fatal("no place")
+		}
+	}
+	for _, x := range usual {
+		if x.conn.(*testConn).closed {
+			t.Fatal("a usual client's connection was closed for a stranger's")
+		}
+	}
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -64,7 +64,9 @@
 const (
 	bodyMost     = 48000 // a write's
 	headWait     = 10 * time.Second
-	idleWait     = 60 * time.Second
+	lingerMost   = 60 * time.Second // for a client to close after its last answer
+	firstMost    = 12000.0          // ms until a connection's first request must be whole
+	idleMost     = 60000.0          // ms without a request
 	writeLimit   = 5 * time.Second
 	pipelineMost = 4
 	intakeMost   = 8 << 20 // bodies of requests without an answer, on all connections
@@ -103,7 +105,10 @@
 		opt.TokenMost = DefaultTokenSeconds
 	}
 	f := &Front{
-		opt: opt, server: front.Server{Max: opt.MaxConns, Log: opt.Log, Tap: opt.Tap},
+		opt: opt,
+		server: front.Server{
+			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
+		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
 	}
 	for _, c := range opt.Classes {
@@ -146,19 +151,20 @@
 type conn struct {
 	front *Front
 	net   net.Conn
+	seat  *front.Seat
 	queue chan *slot
 	ended chan struct{} // closed when the writer ends
 
-	unwritten atomic.Int64 // requests whose answer is not yet written
+	unwritten atomic.Int64 // requests begun whose answer is not yet written
 
 	mu   sync.Mutex
 	open map[uint64]*slot
 	tags uint64
 }
 
-func (f *Front) handle(nc net.Conn) {
+func (f *Front) handle(nc net.Conn, seat *front.Seat) {
 	c := &conn{
-		front: f, net: nc, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
+		front: f, net: nc, seat: seat, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
 	}
 	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
@@ -171,11 +177,13 @@
 	defer close(c.queue)
 	r := bufio.NewReaderSize(c.net, 4<<10)
 	for {
-		c.net.SetReadDeadline(time.Now().Add(idleWait))
+		c.net.SetReadDeadline(time.Time{}) // the place's own limits hold while nothing is under way
 		if _, err := r.Peek(1); err != nil {
 			c.gone(err)
 			return
 		}
+		c.unwritten.Add(1) // a request under way, like one whose answer is to come, keeps the place
+		c.report(false)
 		c.net.SetReadDeadline(time.Now().Add(headWait))
 		m, err := readMessage(r, bodyMost, c.goOn)
 		s := &slot{msg: m, ready: make(chan struct{})}
@@ -206,10 +214,17 @@
 	}
 }
 
+// report tells the connection's place what is open here.
+func (c *conn) report(asked bool) {
+	c.mu.Lock() // reader and writer tell in turn
+	defer c.mu.Unlock()
+	c.seat.Update(int(c.unwritten.Load()), asked, 0)
+}
+
 // goOn lets a client send the body it holds back. Where earlier answers are still to come it says
 // nothing, as the bytes could fall among theirs; such a client sends after a while by itself.
 func (c *conn) goOn() {
-	if c.unwritten.Load() == 0 {
+	if c.unwritten.Load() == 1 { // this one
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
 		c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
@@ -217,7 +232,7 @@
 
 // drain waits for the client to close after the last answer, and tells of one that leaves before it.
 func (c *conn) drain(r *bufio.Reader) {
-	c.net.SetReadDeadline(time.Now().Add(idleWait))
+	c.net.SetReadDeadline(time.Now().Add(lingerMost))
 	_, err := r.Peek(1)
 	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
 		c.gone(err)
@@ -248,7 +263,6 @@
 func (c *conn) push(s *slot) bool {
 	select {
 	case c.queue <- s:
-		c.unwritten.Add(1)
 		return true
 	case <-c.ended:
 		c.front.open.Add(-1)
@@ -298,6 +312,7 @@
 		c.front.budget.Give(held)
 		c.front.open.Add(-1)
 		c.unwritten.Add(-1)
+		c.report(true)
 		if err != nil || s.msg.close || s.answer == nil {
 			return
 		}
--- a/turnfork.go
+++ b/turnfork.go
@@ -58,8 +58,10 @@
 	stopAccepting = 1000 * time.Millisecond // after the signal; connections keep coming for a while
 	stopSlack     = 550 * time.Millisecond  // beyond the longest deadline, before the platform kills
 	memoryPart    = 0.6                     // of the memory limit, for the collector to aim at
-	frontPart     = 0.4                     // of the descriptors
-	upstreamPart  = 0.4
+	frontPart     = 0.5                     // of the descriptors; usual clients hold a third of them at most
+	upstreamPart  = 0.35
+	unwrittenPart = 0.15 // of the memory, for answers that wait to be written
+	takenPart     = 0.05 // for requests without an answer
 	connsPerStore = 16
 )
 
@@ -73,6 +75,9 @@
 	}
 }
 
+// bytesOf gives a part of the node's memory; 0 where that is not told.
+func bytesOf(part float64, n config.Node) int64 { return int64(part * float64(n.MemoryMB) * (1 << 20)) }
+
 // serving is a front that can be served and asked what it still owes.
 type serving interface {
 	Serve(ctx context.Context, l net.Listener) error
@@ -163,6 +168,7 @@
 	if node.Listen != "" {
 		f := fastcgi.New(fastcgi.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: int(frontPart * float64(node.Sockets)), Tap: tap("fastcgi"),
+			MaxBytes: bytesOf(unwrittenPart, node), MaxTaken: bytesOf(takenPart, node),
 		})
 		if addrs.FastCGI, err = listen("listen", node.Listen, f); err != nil {
 			return err
@@ -181,7 +187,7 @@
 		f := signed.New(signed.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
 			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
-			MaxConns: int(part * float64(node.Sockets)), Tap: tap("signed"),
+			MaxConns: int(part * float64(node.Sockets)), Tap: tap("signed"), MaxBytes: bytesOf(unwrittenPart, node),
 		})
 		changed.Store(f)
 		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
