Spread work over connections to a store; a broken one ejects nobody at once

An answer that stops short holds up all that waits behind it on a connection that stays open. Checked: upstream/resp place() dials only where no connection takes the attempt (100 streams); control learn() ejects on Broken for 1 s and more, and tried() sends the request on to caches that lack the object. Ruled out: silence of stores, slow dials (t/o fell with the ejections alone gone). Changed: a further connection is dialled beside two open attempts, up to 8 a store and a fair share of the descriptors; nothing waits for it. An answer has 0.5 s from first byte to last. A connection that is silent while its store answers on others is left at once. A write cut short proves what did not leave whole. Without a connection to spare an attempt ends as unsent, no longer as unreached, which put the store out. In the module one break is one fault, however many attempts it ends, and the member may be tried once more. Tests: resp TestAnswerThatStopsShort, TestCutWriteProvesWhatDidNotRun; control TestBrokenConnectionIsNoDeadMember.

--- a/control/control.go
+++ b/control/control.go
@@ -338,8 +338,15 @@
 	return nil
 }
 
+// tried tells whether a request has failed at a member. A broken connection is no verdict the first time: the
+// member is up and holds the object as before.
 func (r *request) tried(m *member) bool {
+	broke := 0
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool {
+		if a.to == m && a.result == Broken {
+			broke++
+			return broke > 1
+		}
 		return a.to == m && (a.suspected && m.heard < a.sent || a.over && a.result != Cancelled) && a.result != Miss
 	})
 }
@@ -660,7 +667,12 @@
 		if ev.Note != NoPlace {
 			bad.fault(c.now)
 		}
-	case Unreached, Broken:
+	case Broken: // one bad answer or a reset, for all that was open there; a dead member refuses the next try
+		if c.now >= a.to.broke+tickEvery {
+			a.to.broke = c.now
+			a.to.fault(c.now)
+		}
+	case Unreached:
 		a.to.eject(c.now)
 	}
 }
--- a/control/silent_test.go
+++ b/control/silent_test.go
@@ -102,3 +102,42 @@
 		t.Error("silence since the first look was not noticed")
 	}
 }
+
+// One bad answer breaks a connection and all that is open on it. Taken for a dead member's, it put a live
+// cache out for a second, and the requests went on to caches that lack their objects.
+func TestBrokenConnectionIsNoDeadMember(t *testing.T) {
+	c := silentPair(t)
+	var acts []Action
+	for i := range 6 {
+		acts = c.Handle(10*time.Second, Request{ID: RequestID(i + 1), Object: 77, SizeKB: 50, Left: 5 * time.Second}, acts)
+	}
+	var first []Attempt
+	for _, a := range acts {
+		if a, ok := a.(Attempt); ok && (len(first) == 0 || a.To == first[0].To) {
+			first = append(first, a)
+		}
+	}
+	if len(first) < 3 {
+		t.Fatalf("%d attempts at one cache", len(first))
+	}
+	i, _ := c.find(first[0].To)
+	m := c.members[i]
+	for _, a := range first {
+		again := c.Handle(10*time.Second+100*time.Millisecond, Outcome{ID: a.ID, Member: a.To, Result: Broken}, nil)
+		for _, x := range again {
+			if x, ok := x.(Attempt); ok && x.To != a.To && x.ID == a.ID {
+				t.Errorf("request %d goes on at %d, which lacks its object", a.ID, x.To)
+			}
+		}
+		if !m.usable(c.now) {
+			t.Fatalf("a live cache is out after one broken connection")
+		}
+	}
+	for k := range errorsBad { // one that breaks again and again is out
+		m.broke = 0
+		c.learn(c.requests[first[0].ID], &attempt{of: c.requests[first[0].ID], to: m, source: m}, Outcome{Result: Broken}, false)
+		if out := k+1 >= errorsBad-1; out != !m.usable(c.now) {
+			t.Errorf("after %d breaks: out is %v", k+2, !m.usable(c.now))
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -84,6 +84,7 @@
 	errors    int           // consecutive
 	until     time.Duration // ejected until then
 	ejections int           // in a row
+	broke     time.Duration // when a connection to it last broke
 	trial     bool          // back from ejection, no success yet: one attempt at a time
 	slow      float64       // mean of a hit's time over its sending time
 	slowStep  float64       // its power of two
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -96,11 +96,21 @@
 }
 
 // suspect notes that an attempt is given up; it counts as silence if nothing was heard since it was
-// written, a good while ago.
+// written, a good while ago. Where the store has answered on another connection since, it is this one that
+// serves no further use.
 func (c *conn) suspect(a *attempt) {
-	if now := c.pool.now(); c.silentSince == 0 && c.heard <= a.written && now-a.written > silentWork {
+	now := c.pool.now()
+	if c.heard > a.written || now-a.written <= silentWork {
+		return
+	}
+	if c.silentSince == 0 {
 		c.silentSince = now
 	}
+	for _, x := range c.peer.conns {
+		if x != c && x.heard > a.written {
+			c.leaving = true
+		}
+	}
 }
 
 // closeIfDone closes a connection that takes no more work once its work has ended.
@@ -134,7 +144,15 @@
 			buf = append(buf, k.bytes...)
 		}
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
-		if _, err := c.net.Write(buf); err != nil {
+		if n, err := c.net.Write(buf); err != nil {
+			// What did not leave whole can't have arrived whole, so it is proven not to have run.
+			p.mu.Lock()
+			for _, k := range take {
+				if n -= len(k.bytes); n < 0 && !k.drop {
+					k.of.writing = false
+				}
+			}
+			p.mu.Unlock()
 			c.net.Close() // abandons all that is open on it; the reader tells
 			return
 		}
@@ -162,9 +180,16 @@
 func (c *conn) read() {
 	p := c.pool
 	defer p.wg.Done()
-	r := bufio.NewReaderSize(c.net, 16<<10)
+	r := bufio.NewReaderSize(c.net, readBuffer)
 	var err error
 	for err == nil {
+		// Guards against an answer that stops short and leaves everything else on the connection waiting
+		// behind it: from its first byte on it has so long, while an idle connection has no limit.
+		c.net.SetReadDeadline(time.Time{})
+		if _, err = r.Peek(1); err != nil {
+			break
+		}
+		c.net.SetReadDeadline(time.Now().Add(answerLimit))
 		var a answer
 		if a, err = readAnswer(r); err == nil {
 			var ev core.Event
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -35,6 +35,11 @@
 	silentMost   = 1000.0          // ms of silence from then on, until a connection is left
 	sweepEvery   = 250 * time.Millisecond
 	connsPerPeer = 8
+	spareConns   = 8                      // kept for stores without one
+	dialAgain    = 1000.0                 // ms after a failed dial until a further connection is tried beside others
+	fewOpen      = 2                      // attempts on each connection before the next one is dialled
+	answerLimit  = 500 * time.Millisecond // from an answer's first byte to its last: stores write them whole
+	readBuffer   = 4 << 10
 )
 
 // Pool is the upstream. Events go to its sink, always from goroutines of its own.
@@ -62,6 +67,7 @@
 	gone    bool
 	conns   []*conn
 	dialing bool
+	failed  float64    // when a dial last failed
 	waiting []*attempt // for a connection
 }
 
@@ -295,30 +301,35 @@
 	return core.Ended{Key: a.Key, Result: res}
 }
 
-// place puts an attempt on a connection, or has one dialled.
+// place puts an attempt on a connection, or has one dialled. Work is spread over several connections, as one
+// bad answer costs all that is open on its connection; nothing waits for a further one to come up.
 func (p *Pool) place(q *peer, a *attempt) (ended []core.Event) {
-	if c := q.pick(a.wire, p.opt.Streams); c != nil {
+	c := q.pick(a.wire, p.opt.Streams)
+	more := c == nil || len(c.open) >= fewOpen && p.now() > q.failed+dialAgain
+	if more && !q.dialing && p.conns < p.opt.MaxConns && len(q.conns) < p.perPeer() {
+		q.dialing = true
+		p.conns++
+		p.wg.Add(1)
+		go p.dial(q, q.addr)
+	}
+	switch {
+	case c != nil:
 		a.on = c
 		c.open[a.wire] = a
 		c.queue(a, a.bytes)
-		return nil
-	}
-	if q.dialing {
+	case q.dialing:
 		q.waiting = append(q.waiting, a)
-		return nil
-	}
-	if p.conns >= p.opt.MaxConns || len(q.conns) >= connsPerPeer {
-		if ev := p.end(a, control.Unreached); ev != nil {
+	default: // no connection left: it has not been sent, which tells nothing of the store
+		if ev := p.end(a, control.Unsent); ev != nil {
 			ended = append(ended, ev)
 		}
-		return ended
 	}
-	q.waiting = append(q.waiting, a)
-	q.dialing = true
-	p.conns++
-	p.wg.Add(1)
-	go p.dial(q, q.addr)
-	return nil
+	return ended
+}
+
+// perPeer is the share of the connections that one store may have.
+func (p *Pool) perPeer() int {
+	return max(2, min(connsPerPeer, (p.opt.MaxConns-spareConns)/max(1, len(p.peers))))
 }
 
 // pick gives the connection with fewest attempts that can still take one of this ID.
@@ -352,6 +363,7 @@
 	}
 	if err != nil {
 		p.conns--
+		q.failed = p.now()
 		for _, a := range waiting {
 			if ev := p.end(a, control.Unreached); ev != nil {
 				ended = append(ended, ev)
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -344,6 +344,97 @@
 	}
 }
 
+// Work is spread over several connections, and an answer that stops short ends its own one alone: everything
+// else that is open on it hears of that at once, what is open elsewhere goes on.
+func TestAnswerThatStopsShort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cut, let := make(chan struct{}), make(chan struct{})
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			go func() {
+				buf := make([]byte, 4096)
+				if _, err := c.Read(buf); err != nil {
+					return
+				}
+				if n == 0 { // the first connection
+					<-cut
+					c.Write([]byte("*4\r\n$16\r\n0000"))
+					return
+				}
+				<-let
+				c.Write(appendCommand(nil, strings.Split(string(buf), "\r\n")[4], "ACK", "tag=0a,minted=1", ""))
+			}()
+		}
+	}()
+	b := newBed(t, l.Addr().String())
+	conns := func() int {
+		b.pool.mu.Lock()
+		defer b.pool.mu.Unlock()
+		return len(b.pool.peers[1].conns)
+	}
+	for i := range fewOpen + 1 {
+		b.pool.Send(send(i, 0, 1))
+	}
+	for conns() < 2 { // nothing waited for the second one
+		time.Sleep(time.Millisecond)
+	}
+	other := send(fewOpen+1, 0, 1)
+	b.pool.Send(other)
+	close(cut)
+	for i := range fewOpen + 1 {
+		if e := b.ended(send(i, 0, 1).Key); e.Result != control.Broken {
+			t.Errorf("%+v", e)
+		}
+	}
+	close(let)
+	if e := b.ended(other.Key); e.Result != control.OK {
+		t.Errorf("%+v", e)
+	}
+}
+
+// partConn takes a number of bytes and then fails, as a connection that is reset while a write is under way.
+type partConn struct {
+	net.Conn
+	most int
+}
+
+func (c *partConn) Write(b []byte) (int, error) {
+	n := min(c.most, len(b))
+	c.most -= n
+	if n < len(b) {
+		return n, errors.New("reset")
+	}
+	return c.Conn.Write(b)
+}
+
+// A reset is judged by which bytes left: an attempt that did not leave whole has not run.
+func TestCutWriteProvesWhatDidNotRun(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	b := newBed(t, "127.0.0.1:1")
+	first, second := send(1, 0, 1), send(2, 0, 1)
+	up := make(chan struct{})
+	b.pool.opt.Dial = func(context.Context, string, string) (net.Conn, error) {
+		<-up
+		return &partConn{near, len(encode(first)) + 10}, nil
+	}
+	b.pool.Send(first)
+	b.pool.Send(second)
+	close(up)
+	if a, c := b.ended(first.Key), b.ended(second.Key); a.Result != control.Broken || c.Result != control.Unreached {
+		t.Errorf("whole: %v, cut: %v", a.Result, c.Result)
+	}
+}
+
 // A connection that led to a machine which vanished stays open and silent: after a while new work asks
 // with a new one, so that it can be proven not to have run.
 func TestSilentConnectionIsLeft(t *testing.T) {
