Keep the window open beside one slowed or lossy cache; share out what a cold one can do

Traces at each refusal (reload): a cache that had just started held 28 of one gateway's attempts at 5.4 times their sending time, while the two other caches had room; its late fills were 5 of 8 and closed the window. Churn: one cache left 10% of all requests unanswered for 11 s, looks and hits too, on every connection to it, and answered the rest; the lost fills were 3 of 4 in hand and closed the window, and the lost looks waited for their deadline. Checked: sockets were alive (heard within ms), nothing was passed over, ids not reused. At fault: fillsLate() counted every late fill; room() left overdue attempts out at slowed caches too; coldRate() let each front send all that a cold cache can do; overdue() never asked again where two attempts may not run at once.

--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,8 @@
 	ejectFirst  = 1 * time.Second        // a silent member stays out this long, twice as long each time
 	ejectMost   = 8 * time.Second
 	errorsBad   = 3               // consecutive errors that eject; a single one may be chance
+	lostAims    = 2               // a fill that takes so many times its aim is lost, not late
+	lostTries   = 4               // attempts of a request after which none more is taken for lost
 	hotShare    = 0.25            // an object asking this share of a cache's link goes to one more cache
 	linkWidth   = 1.3             // transfers sent to a cache, over those that its link fits at a client's pace
 	leaveBy     = 1.9             // a request is of use while so many sending times are left to its aim
@@ -40,6 +42,7 @@
 	reportPart  = 0.5             // part of a link that one front may fill on the word of a report, which lags
 	reportFull  = 0.75            // reported use below this shows room on a cache: reports lag
 	coldUse     = 0.7             // share of a cold member's guaranteed bearing that all fronts together use
+	coldFill    = 1.2             // share of what a cold member can do at least that all fronts together send it
 	coldBurst   = 0.25            // share of the fall span whose budget may be saved up
 	purgeMargin = 20 * time.Millisecond
 	meterSpan   = 500 * time.Millisecond
@@ -299,12 +302,13 @@
 // room tells whether a cache's own link has room for one more transfer: beyond what fits at a client's pace
 // each one slows all others, and all end late instead of some being refused. The last report tells it as it
 // does for the window: low use, else few in hand. Without it a front has its even part of the link.
-// Attempts past their time wait for a source, or their answer is lost, and do not use the link. Where weights
+// Attempts past their time wait for a source, or their answer is lost, and do not use the link, unless it is
+// the cache itself that is slow. Where weights
 // are not told nothing is known of links, so none is taken to be full.
 func (c *Controller) room(m *member) bool {
 	fits, out := linkWidth*m.Weight, 0.0
 	for _, a := range m.open {
-		if !a.suspected && (a.source == a.to || c.now < a.sent+2*a.of.sending) {
+		if !a.suspected && (a.source == a.to || m.slowStep > 0 || c.now < a.sent+2*a.of.sending) {
 			out++
 		}
 	}
@@ -422,16 +426,21 @@
 	return c.window.open(c.link.u)
 }
 
+// fillsLate leaves out the fills at a cache that is itself slowed, whose own link holds them up, and those so
+// late that their answer must be lost: neither tells of the link that all fills share.
 func (c *Controller) fillsLate() bool {
 	if c.counted != c.now {
-		c.counted, c.late = c.now, 0
+		c.counted, c.late, c.timely = c.now, 0, 0
 		for _, a := range c.fills {
-			if c.now > a.sent+a.of.aim() {
+			if c.isCache(a.to) && a.to.slowStep > 0 || c.now > a.sent+lostAims*a.of.aim() {
+				continue
+			}
+			if c.timely++; c.now > a.sent+a.of.aim() {
 				c.late++
 			}
 		}
 	}
-	return c.late > 0 && lateFills*c.late >= len(c.fills)
+	return c.late > 0 && lateFills*c.late >= c.timely
 }
 
 // back returns a slot; a completed fill counts toward the interval of F x Wmax fills, at whose end a
@@ -602,7 +611,7 @@
 	filled := ev.Result == OK && ev.Note != Hit && ev.Note != StaleCopy && a.source != a.to
 	c.learn(r, a, ev, filled)
 	if a.slot {
-		failing := c.fillsLate()
+		failing := c.fillsLate() || ev.Result == OK && c.now > a.sent+lostAims*r.aim() // it was no lost one
 		c.fills = slices.DeleteFunc(c.fills, func(x *attempt) bool { return x == a })
 		c.window.back(filled, c.link.u)
 		if failing && (c.now > a.sent+r.aim() || ev.Note == SourceRefused || ev.Note == OriginFailed) {
@@ -626,6 +635,7 @@
 	switch ev.Result {
 	case OK:
 		a.to.alive(c.now)
+		a.to.passed = max(a.to.passed, a.sent)
 		if ev.Note == FilledByOrigin {
 			c.strained(ev.Latency > r.aim())
 		}
@@ -646,11 +656,13 @@
 			c.queue.charge(r.Class, max(r.SizeKB, 1)*c.work[r.Class])
 			c.link.fill(c.now, r.sending, ev.Latency-ev.FirstByte)
 			a.source.alive(c.now)
+			a.source.passed = max(a.source.passed, a.sent)
 		} else if a.cost > 0 { // a hit asked nothing of the parent
 			a.source.budget += a.cost
 		}
 	case Miss:
 		a.to.heard, a.to.errors = c.now, 0
+		a.to.passed = max(a.to.passed, a.sent)
 		o.heldAt = -1
 		r.looked = true // its fill, too, must fit in what is left
 		r.useful = min(r.useful, r.arrived+r.aim()-r.sending-c.fillLate[r.Class].most(fillDevs))
@@ -720,7 +732,7 @@
 		c.freeSlot(a)
 	} else if a.source != a.to && a.source.heard < a.sent && since == a.sent && !c.isOrigin(a.source) {
 		a.source.fault(c.now)
-	} else if !c.set.CanRunTwo || n > 0 || c.now+r.sending > r.arrived+r.aim() {
+	} else if !c.lost(r, a) && (!c.set.CanRunTwo || n > 0 || c.now+r.sending > r.arrived+r.aim()) {
 		// Both are alive: a further copy would only add work. A member heard once after the send may have
 		// fallen silent since, so the attempt is looked at again instead of waiting out the deadline.
 		c.wake(c.now+c.patience(r, a.to), r.ID, uint64(n))
@@ -734,6 +746,13 @@
 	}
 }
 
+// lost tells whether an overdue look or hit at a live member is taken for lost, and asked for again while in
+// time: the member has answered what was sent to it later. A fill may just be slower than others.
+func (c *Controller) lost(r *request, a *attempt) bool {
+	return c.set.CanCancel && r.class.Effect == Safe && !a.slot && a.to.passed > a.sent &&
+		len(r.attempts) < lostTries && c.now+r.sending <= r.arrived+r.aim()
+}
+
 // freeSlot takes an attempt out of the window. One at a silent cache brings no bytes through the link: kept
 // there, a few of them look like slow sources and hold up the fills of every live cache.
 func (c *Controller) freeSlot(a *attempt) {
@@ -873,8 +892,8 @@
 	return max(1, c.set.Fronts)
 }
 
-// coldRate is what this front may send a cold member: its share of the part, with margin, of what all
-// fronts together may send, and never more than the member can do.
+// coldRate is what this front may send a cold member: its share of what all fronts together may send, with
+// margin, and of what the member can do: more than that makes all of it late, long before the member falls.
 func (c *Controller) coldRate(m *member) (rate float64, fall time.Duration, cold bool) {
 	if m.Started <= 0 || c.isOrigin(m) {
 		return 0, 0, false
@@ -888,7 +907,7 @@
 		return 0, 0, false
 	}
 	present := share + (1-share)*max(0, age.Seconds())/warm.Seconds()
-	return min(1, coldUse*multiple/float64(c.sharers(m))) * present * m.Weight, c.set.FallFor, true
+	return min(coldFill, coldUse*multiple) / float64(c.sharers(m)) * present * m.Weight, c.set.FallFor, true
 }
 
 // bears tells whether a cold member's budget has room for the work. The whole cost is saved up, no more than
--- /dev/null
+++ b/control/slow_test.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// fill puts a fill under way that left so long ago.
+func fill(c *Controller, to *member, ago time.Duration) {
+	r := &request{class: &c.set.Classes[0], sending: 10 * time.Millisecond}
+	a := &attempt{of: r, to: to, source: c.members[2], sent: c.now - ago, slot: true}
+	c.fills = append(c.fills, a)
+	to.open = append(to.open, a)
+	c.window.w++
+}
+
+// The fills of one slowed cache, and those whose answers are lost, closed the window to every other cache: a
+// fifth of all requests was refused beside idle links.
+func TestOneCacheDoesNotCloseTheWindow(t *testing.T) {
+	for name, ago := range map[string]time.Duration{"slowed": 1500 * time.Millisecond, "lost": 3 * time.Second} {
+		c := silentPair(t)
+		slow, well := c.members[0], c.members[1]
+		if name == "slowed" {
+			for range 40 {
+				c.pace(slow, 5)
+			}
+		}
+		c.now += time.Second
+		for range 5 {
+			fill(c, slow, ago)
+		}
+		fill(c, well, 50*time.Millisecond)
+		if c.window.max = 1; c.fillsLate() || !c.fillMayLeave() {
+			t.Errorf("%s: late %v, a fill may leave %v", name, c.fillsLate(), c.fillMayLeave())
+		}
+		c.now += time.Millisecond
+		for range 5 { // fills that are late at a cache in good order do tell of the link
+			fill(c, well, 1500*time.Millisecond)
+		}
+		if !c.fillsLate() {
+			t.Errorf("%s: late fills of a cache in good order pass unseen", name)
+		}
+	}
+}
+
+// What is open at a slowed cache past its time still uses that cache's link.
+func TestSlowedCacheHasNoRoom(t *testing.T) {
+	c := silentPair(t)
+	m := c.members[0]
+	for range 20 {
+		fill(c, m, time.Second)
+	}
+	if !c.room(m) {
+		t.Error("fills that wait for their source take up the cache's link")
+	}
+	for range 40 {
+		c.pace(m, 5)
+	}
+	if c.room(m) {
+		t.Error("a slowed cache with 20 transfers on a link for 10 has room")
+	}
+}
+
+// All fronts together send a cold cache hardly more than it can do at least. When each of them sent that much,
+// the cache was slow for as long as it was cold.
+func TestColdCacheIsNotFlooded(t *testing.T) {
+	set := testSettings()
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.now = 100 * time.Second
+	m := &member{Member: Member{ID: 10, Zone: testZone, Weight: 4, State: Ready, Started: c.now}}
+	rate, _, cold := c.coldRate(m)
+	if total := rate * float64(c.sharers(m)); !cold || total > coldFill*set.ColdShare*m.Weight+1e-9 {
+		t.Errorf("cold %v: %v transfers from all fronts, %v fit", cold, total, set.ColdShare*m.Weight)
+	}
+}
+
+// A look that the cache passed over is asked for again in time; one behind which nothing was answered is not,
+// nor one that must not run twice, nor a fill.
+func TestLostLookIsAskedAgain(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		passed     time.Duration
+		slot       bool
+		effect     Effect
+		late, want bool
+	}{
+		{"overtaken", 20 * time.Millisecond, false, Safe, false, true},
+		{"not overtaken", -20 * time.Millisecond, false, Safe, false, false},
+		{"a fill", 20 * time.Millisecond, true, Safe, false, false},
+		{"unsafe", 20 * time.Millisecond, false, Unsafe, false, false},
+		{"too late", 20 * time.Millisecond, false, Safe, true, false},
+	} {
+		c := silentPair(t)
+		c.set.Classes[0].Effect = x.effect
+		r := &request{Request: Request{ID: 1}, class: &c.set.Classes[0], sending: 10 * time.Millisecond, arrived: c.now, deadline: c.now + 5*time.Second}
+		m := c.members[0]
+		a := &attempt{of: r, to: m, source: m, sent: c.now, slot: x.slot}
+		r.attempts, r.out = []*attempt{a}, 1
+		c.requests[1] = r
+		m.passed, m.heard = a.sent+x.passed, a.sent+200*time.Millisecond
+		if c.now += 300 * time.Millisecond; x.late {
+			r.arrived -= time.Second
+		}
+		c.acts = nil
+		c.overdue(r, 0)
+		cancelled := false
+		for _, act := range c.acts {
+			_, ok := act.(Cancel)
+			cancelled = cancelled || ok
+		}
+		if cancelled != x.want {
+			t.Errorf("%s: cancelled %v", x.name, cancelled)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -58,7 +58,8 @@
 	version  int           // of the list, counted up with each change
 	ranks    []*member     // scratch of the pick
 	counted  time.Duration // when late was counted
-	late     int           // fills under way past their aim
+	late     int           // fills under way past their aim, of those at caches that are not slowed
+	timely   int           // all of those
 	fills    []*attempt    // those that hold a slot of the window
 	requests map[RequestID]*request
 	objects  [2]map[objectKey]*object
@@ -81,6 +82,7 @@
 	Member
 	open      []*attempt    // our attempts under way, as target
 	heard     time.Duration // last sign of life
+	passed    time.Duration // the latest send that it has answered, as target or source
 	errors    int           // consecutive
 	until     time.Duration // ejected until then
 	ejections int           // in a row
