Send writes straight to the origin and ask lossy members again for lost fills

Checked: release() treats a write as a fill, though it brings no bytes through the location's link and can't be held by a cache; an unsafe write lost at a cache is lost for good. Changed: where requests may go straight, a write goes to the origin without a slot. A member's share of lost looks and hits is kept; above 0.08 its overtaken fills are asked again too, in time. Tests: control TestWriteGoesStraightToTheOrigin, TestLossyMemberLosesFills.

--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,7 @@
 	ejectFirst  = 1 * time.Second        // a silent member stays out this long, twice as long each time
 	ejectMost   = 8 * time.Second
 	errorsBad   = 3               // consecutive errors that eject; a single one may be chance
+	lossy       = 0.08            // a member that loses so much of its looks and hits loses fills as well
 	lostAims    = 2               // a fill that takes so many times its aim is lost, not late
 	lostTries   = 4               // attempts of a request after which none more is taken for lost
 	hotShare    = 0.25            // an object asking this share of a cache's link goes to one more cache
@@ -206,6 +207,11 @@
 	m.heard, m.errors, m.ejections, m.trial, m.until = now, 0, 0, false, 0
 }
 
+func (m *member) answered(a *attempt) {
+	m.passed = max(m.passed, a.sent)
+	m.loss -= smooth * m.loss
+}
+
 // fault counts an error, a refusal or silence: one may be chance, but a member on trial has no credit.
 func (m *member) fault(now time.Duration) {
 	if m.errors++; m.errors >= errorsBad || m.trial {
@@ -551,6 +557,9 @@
 }
 
 func (c *Controller) release(r *request) bool {
+	if r.Write && c.set.Direct && c.origin() != nil { // it is no fill: it waits for no slot and needs no cache
+		return c.send(r, c.origin(), c.origin(), false)
+	}
 	to := c.pickCache(r)
 	if to == nil {
 		return c.direct(r)
@@ -635,7 +644,7 @@
 	switch ev.Result {
 	case OK:
 		a.to.alive(c.now)
-		a.to.passed = max(a.to.passed, a.sent)
+		a.to.answered(a)
 		if ev.Note == FilledByOrigin {
 			c.strained(ev.Latency > r.aim())
 		}
@@ -662,7 +671,7 @@
 		}
 	case Miss:
 		a.to.heard, a.to.errors = c.now, 0
-		a.to.passed = max(a.to.passed, a.sent)
+		a.to.answered(a)
 		o.heldAt = -1
 		r.looked = true // its fill, too, must fit in what is left
 		r.useful = min(r.useful, r.arrived+r.aim()-r.sending-c.fillLate[r.Class].most(fillDevs))
@@ -747,10 +756,16 @@
 }
 
 // lost tells whether an overdue look or hit at a live member is taken for lost, and asked for again while in
-// time: the member has answered what was sent to it later. A fill may just be slower than others.
+// time: the member has answered what was sent to it later. A fill may just be slower than others, unless the
+// member is known to lose what it is sent.
 func (c *Controller) lost(r *request, a *attempt) bool {
-	return c.set.CanCancel && r.class.Effect == Safe && !a.slot && a.to.passed > a.sent &&
-		len(r.attempts) < lostTries && c.now+r.sending <= r.arrived+r.aim()
+	if !c.set.CanCancel || a.to.passed <= a.sent || a.slot && (a.to.loss < lossy || a.source.passed <= a.sent) {
+		return false
+	}
+	if !a.slot {
+		a.to.loss += smooth * (1 - a.to.loss)
+	}
+	return r.class.Effect == Safe && len(r.attempts) < lostTries && c.now+r.sending <= r.arrived+r.aim()
 }
 
 // freeSlot takes an attempt out of the window. One at a silent cache brings no bytes through the link: kept
--- a/control/slow_test.go
+++ b/control/slow_test.go
@@ -116,3 +116,52 @@
 		}
 	}
 }
+
+// A write brings nothing through the link that caches fill by. Held for a slot of the window like a fill, it was
+// refused while the window was closed, and a cache that loses answers lost it for good.
+func TestWriteGoesStraightToTheOrigin(t *testing.T) {
+	set := testSettings()
+	set.Classes[2].Write = true
+	c, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Handle(100*time.Second, Members{Whole: true, List: testMembers()}, nil)
+	c.window.w, c.window.max = 5, 1
+	acts := c.Handle(100*time.Second, Request{ID: 1, Class: 2, Object: 7, Left: time.Second}, nil)
+	for _, a := range acts {
+		if a, ok := a.(Attempt); ok && a.To == originID && a.Source == originID && a.Keep == 0 && c.window.w == 5 {
+			return
+		}
+	}
+	t.Errorf("%+v", acts)
+}
+
+// A member that keeps losing looks and hits loses fills too: those are asked for again then, and only then.
+func TestLossyMemberLosesFills(t *testing.T) {
+	c := silentPair(t)
+	m, source := c.members[0], c.members[2]
+	r := &request{class: &c.set.Classes[0], sending: 10 * time.Millisecond, arrived: c.now, deadline: c.now + 5*time.Second}
+	look := &attempt{of: r, to: m, source: m, sent: c.now - time.Second}
+	late := &attempt{of: r, to: m, source: source, sent: c.now - time.Second, slot: true}
+	m.passed, source.passed = c.now, c.now
+	if c.lost(r, late) {
+		t.Error("a late fill at a member in good order was taken for lost")
+	}
+	c.lost(r, look)
+	if c.lost(r, late) {
+		t.Error("one lost look is chance")
+	}
+	for range 3 {
+		c.lost(r, look)
+	}
+	if !c.lost(r, late) {
+		t.Errorf("a fill at a member with loss %.2f was not taken for lost", m.loss)
+	}
+	for range 40 {
+		m.answered(look)
+	}
+	if c.lost(r, late) {
+		t.Errorf("the member is well again, with loss %.2f", m.loss)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -83,6 +83,7 @@
 	open      []*attempt    // our attempts under way, as target
 	heard     time.Duration // last sign of life
 	passed    time.Duration // the latest send that it has answered, as target or source
+	loss      float64       // share of looks and hits that got no answer though later ones did
 	errors    int           // consecutive
 	until     time.Duration // ejected until then
 	ejections int           // in a row
