Shed the requests that earn least for their time, and use what other gateways leave

Checked: room() gives a front its even part of a link, though reports show that nothing else is held there; the queue is first come first served, so in a burst all wait to the end of their use, small and large alike, and refusals take as many small requests (30 ms) as large ones (430 ms). Ruled out: the window (w 33 of 64), silent or slow caches. The order of release (least ACC) and the window stay as the design has them. Tests: control TestOverloadRefusesWhatEarnsLeast, TestOthersLeaveRoom.

--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,9 @@
 	hotOver     = 2 * time.Second // span over which an object's demand is measured
 	reportFor   = 2 * time.Second // a load report older than this tells nothing of the present
 	reportPart  = 0.5             // part of a link that one front may fill on the word of a report, which lags
+	holdPart    = 0.3             // part of the aim for which held requests may keep the caches busy
+	reportMost  = 0.85            // part of a link that one front may fill where the others are seen to leave it
+	othersGain  = 0.5             // weight of a new report in what the others hold
 	reportFull  = 0.75            // reported use below this shows room on a cache: reports lag
 	coldUse     = 0.7             // share of a cold member's guaranteed bearing that all fronts together use
 	coldFill    = 1.2             // share of what a cold member can do at least that all fronts together send it
@@ -207,11 +210,6 @@
 	m.heard, m.errors, m.ejections, m.trial, m.until = now, 0, 0, false, 0
 }
 
-func (m *member) answered(a *attempt) {
-	m.passed = max(m.passed, a.sent)
-	m.loss -= smooth * m.loss
-}
-
 // fault counts an error, a refusal or silence: one may be chance, but a member on trial has no credit.
 func (m *member) fault(now time.Duration) {
 	if m.errors++; m.errors >= errorsBad || m.trial {
@@ -239,7 +237,7 @@
 	m := c.members[i]
 	if ev.Result == OK { // a probe is answered beside the queue: it clears no member of work left unanswered
 		if ev.Load != nil {
-			m.load, m.reported = *ev.Load, c.now
+			m.report(*ev.Load, c.now)
 		}
 		c.pump()
 	} else if ev.Result == Unreached || ev.Result == TimedOut || ev.Result == Broken {
@@ -318,7 +316,13 @@
 			out++
 		}
 	}
-	return !c.set.WeightsTold || c.spare(m) && out < reportPart*fits || out < max(1, fits/float64(c.sharers(m)))
+	sharers := float64(c.sharers(m))
+	own := fits / sharers
+	if c.now < m.reported+reportFor { // what others leave, as all see it: one that is gone leaves its part
+		own += max(0, min(reportMost*fits, fits-m.others)-own) / max(1, sharers-1)
+	}
+	m.own = max(1, own)
+	return !c.set.WeightsTold || c.spare(m) && out < reportPart*fits || out < m.own
 }
 
 // spare tells whether a report, not too old, shows room on a cache's link.
@@ -552,7 +556,26 @@
 		} else if !r.queued {
 			c.queue.push(r)
 			c.wake(r.useful, r.ID, timerQueue)
+			c.shed()
+		}
+	}
+}
+
+// shed refuses held requests at once while more is held than the caches can send in time, those first that
+// earn least for their time on a link: else they would wait and then be refused, along with many small ones.
+func (c *Controller) shed() {
+	fits := 0.0
+	for _, m := range c.members {
+		if c.isCache(m) && m.usable(c.now) {
+			fits += m.own
+		}
+	}
+	for c.set.WeightsTold && fits > 0 {
+		backlog, worst := c.queue.backlog()
+		if worst == nil || backlog <= fits*worst.class.Aim.Seconds()*holdPart {
+			return
 		}
+		c.giveUp(worst)
 	}
 }
 
@@ -603,7 +626,7 @@
 func (c *Controller) outcome(ev Outcome) {
 	if i, ok := c.find(ev.Member); ok && ev.Load != nil {
 		m := c.members[i]
-		m.load, m.reported = *ev.Load, c.now
+		m.report(*ev.Load, c.now)
 		if c.isCache(m) && ev.Load.Link >= 0 {
 			c.link.told, c.link.u = true, ev.Load.Link
 		}
--- a/control/slow_test.go
+++ b/control/slow_test.go
@@ -165,3 +165,65 @@
 		t.Errorf("the member is well again, with loss %.2f", m.loss)
 	}
 }
+
+// With more held than the caches can send in time, the large requests are refused at once, and the many small
+// ones that fit in their place are not. A front whose caches have room refuses none.
+func TestOverloadRefusesWhatEarnsLeast(t *testing.T) {
+	c := silentPair(t)
+	refused, sizes := map[RequestID]bool{}, map[RequestID]float64{}
+	ask := func(id RequestID, kb float64) {
+		sizes[id] = kb
+		for _, a := range c.Handle(c.now, Request{ID: id, Object: ObjectID(id), SizeKB: kb, Left: 5 * time.Second}, nil) {
+			if a, ok := a.(Refuse); ok {
+				refused[a.ID] = true
+				if a.RetryAfter != 0 && !c.set.CanRetryAfter {
+					t.Error("advice that the settings don't allow")
+				}
+			}
+		}
+	}
+	ask(1, 500)
+	if len(refused) > 0 {
+		t.Fatal("refused with idle caches")
+	}
+	for id := RequestID(2); id < 200; id++ {
+		kb := 20.0
+		if id%3 == 0 {
+			kb = 800
+		}
+		ask(id, kb)
+	}
+	small := 0
+	for id := range refused {
+		if sizes[id] < 100 {
+			small++
+		}
+	}
+	if backlog, _ := c.queue.backlog(); len(refused) < 20 || small > 0 || backlog == 0 || backlog > 2*linkWidth*10 {
+		t.Errorf("%d refused, %d of them small, %.1f s still held", len(refused), small, backlog)
+	}
+}
+
+// A front that is alone at a cache, as the others are gone, sends it more than its even part of the link; with
+// the others at work it does not.
+func TestOthersLeaveRoom(t *testing.T) {
+	for others, want := range map[float64]int{0: 4, 3: 2} {
+		c, err := New(testSettings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &member{Member: Member{ID: 10, Zone: testZone, Weight: 4, State: Ready}}
+		c.now = 100 * time.Second
+		for range 8 {
+			m.report(Load{Held: float64(len(m.open)) + others, Busy: 0.9, Hits: -1, Link: -1}, c.now)
+		}
+		n := 0
+		for ; c.room(m); n++ {
+			r := &request{class: &c.set.Classes[0], sending: time.Second}
+			m.open = append(m.open, &attempt{of: r, to: m, source: m, sent: c.now})
+		}
+		if n-1 != want && n != want {
+			t.Errorf("others hold %v: %d transfers leave, about %d wanted", others, n, want)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -94,6 +94,8 @@
 	score     float64       // scratch of the ranking
 	load      Load
 	reported  time.Duration // when the load came
+	others    float64       // what it holds for other fronts, as reports show
+	own       float64       // transfers that this front may have on its link
 	probed    time.Duration
 	budget    float64 // while cold: transfer-seconds that may be sent
 	filledAt  time.Duration
@@ -270,3 +272,31 @@
 		c.purgeLog = c.purgeLog[1:]
 	}
 }
+
+// report takes a load report. What a member holds beyond our own attempts is that of the other fronts.
+func (m *member) report(l Load, now time.Duration) {
+	m.load, m.reported = l, now
+	if l.Held >= 0 {
+		m.others += othersGain * (max(0, l.Held-float64(len(m.open))) - m.others)
+	}
+}
+
+// answered notes that a member has answered an attempt.
+func (m *member) answered(a *attempt) {
+	m.passed = max(m.passed, a.sent)
+	m.loss -= smooth * m.loss
+}
+
+// backlog gives the sending time of all that is held, in seconds, and the request that earns least for its own.
+func (q *fairQueue) backlog() (sum float64, worst *request) {
+	earn := math.Inf(1)
+	for i := range q.class {
+		for _, r := range q.class[i].held {
+			s := max(r.sending.Seconds(), 1e-3)
+			if sum += s; r.class.Worth/s < earn {
+				worst, earn = r, r.class.Worth/s
+			}
+		}
+	}
+	return sum, worst
+}
