Keep the window open beside lossy caches; refuse at once what has too little time

Checked: loss was learned with weight 1/16 and hovered round its bound of 0.08; fillsLate() counted fills at lossy caches. Ruled out: a full link, silent parents. Changed: loss is learned with weight 1/64 and bound 0.03; late fills at lossy caches tell nothing of the link. admit() gives up at once what can't be sent whole in its time even as a hit; a client with a copy may need no bytes.

--- a/control/api.go
+++ b/control/api.go
@@ -140,6 +140,7 @@
 	Part   uint32
 	Group  uint16
 	SizeKB float64       // 0: not told
+	Known  bool          // the client holds a copy that may do, and then few bytes are sent
 	Left   time.Duration // until the client gives up
 	Repeat bool          // marked as a client's repeat
 	Write  bool
--- a/control/control.go
+++ b/control/control.go
@@ -31,7 +31,8 @@
 	ejectFirst  = 1 * time.Second        // a silent member stays out this long, twice as long each time
 	ejectMost   = 8 * time.Second
 	errorsBad   = 3               // consecutive errors that eject; a single one may be chance
-	lossy       = 0.08            // a member that loses so much of its looks and hits loses fills as well
+	lossGain    = 1.0 / 64        // weight of a new sample in what a member loses
+	lossy       = 0.03            // one that loses so much of its looks and hits loses fills as well
 	lostAims    = 2               // a fill that takes so many times its aim is lost, not late
 	lostTries   = 4               // attempts of a request after which none more is taken for lost
 	hotShare    = 0.25            // an object asking this share of a cache's link goes to one more cache
@@ -436,13 +437,14 @@
 	return c.window.open(c.link.u)
 }
 
-// fillsLate leaves out the fills at a cache that is itself slowed, whose own link holds them up, and those so
-// late that their answer must be lost: neither tells of the link that all fills share.
+// fillsLate leaves out the fills at a cache that is itself slowed, whose own link holds them up, or that loses
+// answers, and those so late that theirs must be lost: none of them tells of the link that all fills share.
 func (c *Controller) fillsLate() bool {
 	if c.counted != c.now {
 		c.counted, c.late, c.timely = c.now, 0, 0
 		for _, a := range c.fills {
-			if c.isCache(a.to) && a.to.slowStep > 0 || c.now > a.sent+lostAims*a.of.aim() {
+			odd := c.isCache(a.to) && (a.to.slowStep > 0 || a.to.loss > lossy)
+			if odd || c.now > a.sent+lostAims*a.of.aim() {
 				continue
 			}
 			if c.timely++; c.now > a.sent+a.of.aim() {
@@ -547,10 +549,13 @@
 	c.admit(r)
 }
 
-// admit sends a request on if it may leave now and holds it otherwise. A request that must wait for
-// a slot first looks whether its cache holds the object, so hits never wait.
+// admit sends a request on if it may leave now, gives it up if its time is too short to send even a hit, and
+// holds it otherwise. A request that must wait for a slot first looks whether its cache holds the object, so
+// hits never wait.
 func (c *Controller) admit(r *request) {
-	if c.now < r.waitTill || !c.release(r) {
+	if c.now+r.sending > r.deadline && !r.Known && c.set.ClientKBps > 0 && r.SizeKB > 0 {
+		c.giveUp(r)
+	} else if c.now < r.waitTill || !c.release(r) {
 		if r.useful <= c.now {
 			c.giveUp(r)
 		} else if !r.queued {
@@ -786,7 +791,7 @@
 		return false
 	}
 	if !a.slot {
-		a.to.loss += smooth * (1 - a.to.loss)
+		a.to.loss += lossGain * (1 - a.to.loss)
 	}
 	return r.class.Effect == Safe && len(r.attempts) < lostTries && c.now+r.sending <= r.arrived+r.aim()
 }
--- a/control/state.go
+++ b/control/state.go
@@ -284,7 +284,7 @@
 // answered notes that a member has answered an attempt.
 func (m *member) answered(a *attempt) {
 	m.passed = max(m.passed, a.sent)
-	m.loss -= smooth * m.loss
+	m.loss -= lossGain * m.loss
 }
 
 // backlog gives the sending time of all that is held, in seconds, and the request that earns least for its own.
