--- a/control/control.go
+++ b/control/control.go
@@ -437,7 +437,7 @@
 	return c.window.open(c.link.u)
 }
 
-// fillsLate leaves out the fills at a cache that is slowed itself, whose own link holds them up, or that loses
+// fillsLate leaves out the fills at a cache that is slowed, as its own link holds them up, or that loses its
 // answers, and those so late that theirs must be lost: none of them tells of the link that all fills share.
 func (c *Controller) fillsLate() bool {
 	if c.counted != c.now {
