Send what must not run twice by a connection of its own

The log has 164 connections reset as a request came, all within 0.1 ms of its write, on connections that had been idle for 40 ms to 0.6 s; the other 480 that stores closed cost nothing. Checked: what is reset may have run, so the answer "failed" is right and a resend forbidden. Ruled out: idle close on this side (12 s), resets under running work. pick() took the connection with fewest attempts, so it went round all of them and let each grow idle. Changed: core.Send says Once for classes that are not free to repeat; upstream/resp dials a connection for such an attempt alone, which ends with it, upstream/web uses a client without keep-alive. Other work goes by the connection used last that has few attempts. Tests: resp and web TestOnceGoesAlone.

--- a/core/send.go
+++ b/core/send.go
@@ -35,7 +35,7 @@
 	c.up.Send(Send{
 		Key: t.key, To: t.to, Source: uint32(a.Source), Fill: a.Source != a.To, Txn: r.Txn, Class: r.Class,
 		Name: r.Name, Part: r.Part, Keep: a.Keep, Join: a.Join, Timeout: clock.Ms(a.Timeout),
-		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, Write: r.write,
+		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, Write: r.write, Once: r.once,
 	})
 }
 
--- a/core/takein.go
+++ b/core/takein.go
@@ -23,7 +23,8 @@
 		return
 	}
 	c.lastID++
-	r := &request{Ask: a, id: c.lastID, write: c.opt.Settings.Classes[class].Write}
+	set := &c.opt.Settings.Classes[class]
+	r := &request{Ask: a, id: c.lastID, write: set.Write, once: set.Effect != control.Safe}
 	c.requests[r.id] = r
 	c.byTag[key] = r
 	c.admit(r, class)
--- a/core/types.go
+++ b/core/types.go
@@ -79,6 +79,7 @@
 	Known      string  // tag of the client's copy
 	Body       []byte
 	Write      bool // it runs at the origin and is not kept
+	Once       bool // it must not run twice, so a connection that breaks under it costs it
 }
 
 // Store is one entry of the list.
@@ -171,6 +172,7 @@
 	Ask
 	id       control.RequestID
 	write    bool
+	once     bool
 	answered bool
 	attempts []*attempt
 	open     int // attempts without an end
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// carry puts an attempt on the connection.
+func (c *conn) carry(a *attempt) {
+	a.on = c
+	c.open[a.wire] = a
+	c.queue(a, a.bytes)
+}
+
 func (c *conn) queue(a *attempt, b []byte) {
 	c.out = append(c.out, chunk{of: a, bytes: b, drop: a.dropped})
 	c.queued += len(b)
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -304,19 +304,25 @@
 // place puts an attempt on a connection, or has one dialled. Work is spread over several connections, as one
 // bad answer costs all that is open on its connection; nothing waits for a further one to come up.
 func (p *Pool) place(q *peer, a *attempt) (ended []core.Event) {
+	// Guards against losing what must not be sent again to a connection that its store has left, or to another
+	// request's bad answer there: it gets a connection of its own, which ends with it.
+	if a.Once && p.conns < p.opt.MaxConns {
+		p.conns++
+		p.wg.Add(1)
+		go p.dial(q, q.addr, a)
+		return nil
+	}
 	c := q.pick(a.wire, p.opt.Streams)
 	more := c == nil || len(c.open) >= fewOpen && p.now() > q.failed+dialAgain
 	if more && !q.dialing && p.conns < p.opt.MaxConns && len(q.conns) < p.perPeer() {
 		q.dialing = true
 		p.conns++
 		p.wg.Add(1)
-		go p.dial(q, q.addr)
+		go p.dial(q, q.addr, nil)
 	}
 	switch {
 	case c != nil:
-		a.on = c
-		c.open[a.wire] = a
-		c.queue(a, a.bytes)
+		c.carry(a)
 	case q.dialing:
 		q.waiting = append(q.waiting, a)
 	default: // no connection left: it has not been sent, which tells nothing of the store
@@ -332,27 +338,37 @@
 	return max(2, min(connsPerPeer, (p.opt.MaxConns-spareConns)/max(1, len(p.peers))))
 }
 
-// pick gives the connection with fewest attempts that can still take one of this ID.
+// pick gives a connection that can still take an attempt of this ID: of those with few attempts the one used
+// last, else the one with fewest. Guards against work meeting the close of a connection that is hardly used.
 func (q *peer) pick(wire string, streams int) (best *conn) {
+	better := func(a, b *conn) bool {
+		if len(a.open) < fewOpen && len(b.open) < fewOpen {
+			return a.lastUse > b.lastUse
+		}
+		return len(a.open) < len(b.open)
+	}
 	for _, c := range q.conns {
 		if !c.leaving && !c.broken && len(c.open) < streams && c.queued < queuedMost && !c.used(wire) &&
-			(best == nil || len(c.open) < len(best.open)) {
+			(best == nil || better(c, best)) {
 			best = c
 		}
 	}
 	return best
 }
 
-func (p *Pool) dial(q *peer, addr string) {
+// dial brings a connection up: for all that waits for one, or for one attempt alone.
+func (p *Pool) dial(q *peer, addr string, alone *attempt) {
 	defer p.wg.Done()
 	ctx, cancel := context.WithTimeout(p.ctx, clock.Duration(p.opt.DialTimeout))
 	nc, err := p.opt.Dial(ctx, "tcp", addr)
 	cancel()
 	var ended []core.Event
 	p.mu.Lock()
-	q.dialing = false
-	waiting := q.waiting
-	q.waiting = nil
+	waiting := []*attempt{alone}
+	if alone == nil {
+		q.dialing = false
+		waiting, q.waiting = q.waiting, nil
+	}
 	if err == nil && p.ctx.Err() != nil {
 		nc.Close()
 		err = p.ctx.Err()
@@ -363,7 +379,9 @@
 	}
 	if err != nil {
 		p.conns--
-		q.failed = p.now()
+		if alone == nil {
+			q.failed = p.now()
+		}
 		for _, a := range waiting {
 			if ev := p.end(a, control.Unreached); ev != nil {
 				ended = append(ended, ev)
@@ -371,16 +389,22 @@
 		}
 	} else {
 		c := newConn(p, q, nc)
-		c.leaving = q.addr != addr
+		c.leaving = alone != nil || q.addr != addr
 		q.conns = append(q.conns, c)
 		p.wg.Add(2)
 		go c.read()
 		go c.write(c.wake)
 		for _, a := range waiting {
-			if !a.over {
+			if a.over {
+				continue
+			}
+			if alone == nil || q.addr != addr {
 				ended = append(ended, p.place(q, a)...)
+				continue
 			}
+			c.carry(a)
 		}
+		c.closeIfDone()
 	}
 	p.mu.Unlock()
 	if err != nil {
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -401,6 +401,56 @@
 	}
 }
 
+// What must not run twice goes by a connection of its own, so that neither a store that left an idle connection
+// nor another request's bad answer costs it; the others stay on the connection used last.
+func TestOnceGoesAlone(t *testing.T) {
+	var mu sync.Mutex
+	froms := map[string]string{} // ID to the connection it came by
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for buf := make([]byte, 4096); ; {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					id := strings.Split(string(buf[:n]), "\r\n")[4]
+					mu.Lock()
+					froms[id] = c.RemoteAddr().String()
+					mu.Unlock()
+					c.Write(appendCommand(nil, id, "ACK", "tag=0a,minted=1", ""))
+				}
+			}()
+		}
+	}()
+	b := newBed(t, l.Addr().String())
+	ids := map[string]bool{}
+	for i := range 6 {
+		a := send(i, 0, 1)
+		a.Once = i%2 == 1
+		b.pool.Send(a)
+		if e := b.ended(a.Key); e.Result != control.OK {
+			t.Fatalf("%+v", e)
+		}
+		mu.Lock()
+		if from := froms[a.Txn]; a.Once && ids[from] || !a.Once && i > 0 && from != froms[send(0, 0, 1).Txn] {
+			t.Errorf("request %d came by %s", i, from)
+		}
+		ids[froms[a.Txn]] = true
+		mu.Unlock()
+	}
+}
+
 // partConn takes a number of bytes and then fails, as a connection that is reset while a write is under way.
 type partConn struct {
 	net.Conn
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -53,6 +53,7 @@
 	opt    Options
 	post   func(core.Event)
 	client *http.Client
+	alone  *http.Client // a new connection for each request
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -73,14 +74,17 @@
 	u := &Upstream{opt: opt, post: post, open: map[core.Key]*attempt{}}
 	u.ctx, u.stop = context.WithCancel(context.Background())
 	dialer := &net.Dialer{Timeout: clock.Duration(opt.DialTimeout)}
-	u.client = &http.Client{
-		Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: opt.MaxConns, MaxIdleConnsPerHost: max(1, opt.MaxConns/2),
-			IdleConnTimeout: clock.Duration(0.8 * opt.IdleClose), DisableCompression: true,
-			MaxResponseHeaderBytes: 16 << 10,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	client := func(alone bool) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext: dialer.DialContext, MaxConnsPerHost: opt.MaxConns, MaxIdleConnsPerHost: max(1, opt.MaxConns/2),
+				IdleConnTimeout: clock.Duration(0.8 * opt.IdleClose), DisableCompression: true,
+				MaxResponseHeaderBytes: 16 << 10, DisableKeepAlives: alone,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
 	}
+	u.client, u.alone = client(false), client(true)
 	return u
 }
 
@@ -163,7 +167,11 @@
 	if store.Signer != nil {
 		store.Signer.Sign(req, s.Body, time.UnixMilli(int64(u.opt.Clock.Unix())))
 	}
-	resp, err := u.client.Do(req)
+	client := u.client
+	if s.Once { // a connection that the store has left meanwhile would cost it
+		client = u.alone
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		end.Result = control.Broken
 		if !wrote.Load() {
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -146,3 +146,27 @@
 		t.Errorf("%+v", p)
 	}
 }
+
+// What must not run twice gets a connection of its own: one kept open may have been left by its store.
+func TestOnceGoesAlone(t *testing.T) {
+	froms := make(chan string, 8)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { froms <- r.RemoteAddr }))
+	defer srv.Close()
+	ends := make(chan core.Event, 8)
+	u := New(Options{
+		Stores: map[uint32]Store{1: {Base: srv.URL}}, DialTimeout: 5000, IdleClose: 5000, MaxConns: 4,
+		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
+	}, func(ev core.Event) { ends <- ev })
+	defer u.Close()
+	var got []string
+	for i, once := range []bool{false, false, true, true} {
+		u.Send(core.Send{Key: core.Key{ID: control.RequestID(i)}, To: 1, Class: "c", Name: "n", Write: once, Once: once})
+		got = append(got, <-froms)
+		if e := (<-ends).(core.Ended); e.Result != control.OK {
+			t.Fatalf("%+v", e)
+		}
+	}
+	if got[0] != got[1] || got[2] == got[0] || got[3] == got[0] || got[3] == got[2] {
+		t.Errorf("connections: %v", got)
+	}
+}
