--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -217,6 +217,8 @@
 	Moves <-chan Move // nil: it stays where it is
 	Post  func(core.Event)
 	Log   zerolog.Logger
+	// Caught is told each time the change log says that it has nothing new; nil: nobody asks.
+	Caught func()
 
 	gap uint64 // the first number that was left out when the feed was last asked for it
 }
@@ -301,6 +303,9 @@
 			return got, ctx.Err() // it has moved: what the old address still says comes again from the new one
 		}
 		got = true
+		if fr.Event == nil && fr.Seq <= f.Seq && f.Caught != nil {
+			f.Caught()
+		}
 		if fr.Event == nil || fr.Seq <= f.Seq {
 			continue // nothing new, or told already
 		}
--- a/config/config.go
+++ b/config/config.go
@@ -17,6 +17,7 @@
 // Node is the platform's configuration of one gateway.
 type Node struct {
 	Name, Listen string
+	Console      string // where operators call; "": nowhere
 	Seed         uint64
 	Cores        float64
 	MemoryMB     int
@@ -35,7 +36,7 @@
 // fileMost bounds a configuration file.
 const fileMost = 16 << 20
 
-// Load reads NODE_CONFIG's file; NODE_NAME and NODE_LISTEN, where set, come before what it says.
+// Load reads NODE_CONFIG's file; NODE_NAME, NODE_LISTEN and NODE_CONSOLE, where set, come before what it says.
 func Load(path string, getenv func(string) string) (Node, error) {
 	if path == "" {
 		return Node{}, fmt.Errorf("NODE_CONFIG: not set")
@@ -51,14 +52,19 @@
 	if err != nil {
 		return Node{}, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
-	return Parse(text, getenv("NODE_NAME"), getenv("NODE_LISTEN"))
+	n, err := Parse(text, getenv("NODE_NAME"), getenv("NODE_LISTEN"))
+	if v := getenv("NODE_CONSOLE"); err == nil && v != "" {
+		n.Console, err = v, address("NODE_CONSOLE", v)
+	}
+	return n, err
 }
 
 // Parse reads a configuration. Errors name the field.
 func Parse(text []byte, name, listen string) (n Node, err error) {
 	var raw struct {
-		Name, Listen, Seed string
-		Limits             struct {
+		Name, Listen, Seed, Console string
+
+		Limits struct {
 			Cores    float64
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
@@ -72,7 +78,7 @@
 	}
 	n = Node{
 		Name: raw.Name, Listen: raw.Listen, Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB,
-		Sockets: raw.Limits.Sockets, Changelog: raw.Changelog,
+		Sockets: raw.Limits.Sockets, Changelog: raw.Changelog, Console: raw.Console,
 	}
 	if name != "" {
 		n.Name = name
@@ -83,6 +89,11 @@
 	if err := address("listen", n.Listen); err != nil {
 		return n, err
 	}
+	if n.Console != "" {
+		if err := address("console", n.Console); err != nil {
+			return n, err
+		}
+	}
 	if n.Changelog != "" {
 		if err := address("changelog", n.Changelog); err != nil {
 			return n, err
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -23,6 +23,7 @@
 	}
 	for change, field := range map[string]string{
 		`"listen":"127.0.0.1:5050"|"listen":"here"`:                   "listen",
+		`"name":"n3"|"name":"n3","console":"9100"`:                    "console",
 		`8c1f30d27a5be964|xyz`:                                        "seed",
 		`127.0.0.1:2379|nowhere`:                                      "changelog",
 		`"results":[]|"results":[{"fleet":{"servers":[{"id":"q"}]}}]`: "servers[0].id",
--- a/config/operator.go
+++ b/config/operator.go
@@ -24,6 +24,7 @@
 	Name           string        `toml:"name"`
 	Listen         string        `toml:"listen"`  // of the signed front
 	FastCGI        string        `toml:"fastcgi"` // of the platform's front; "": none
+	Console        string        `toml:"console"` // where operators call; "": nowhere
 	Scheme         string        `toml:"scheme"`  // of the URIs that clients see
 	LeewayS        float64       `toml:"leeway_s"`
 	TokenS         float64       `toml:"token_s"` // the longest that an issued token may last
@@ -160,6 +161,11 @@
 }
 
 func (o *Operator) check() error {
+	if o.Console != "" {
+		if err := address("console", o.Console); err != nil {
+			return err
+		}
+	}
 	if err := address("listen", o.Listen); err != nil {
 		return err
 	}
@@ -352,7 +358,7 @@
 func (o *Operator) Node(seed uint64) Node {
 	m := o.Module
 	n := Node{
-		Name: o.Name, Listen: o.FastCGI, Seed: seed, Cores: o.Limits.Cores, MemoryMB: o.Limits.MemoryMB,
+		Name: o.Name, Listen: o.FastCGI, Console: o.Console, Seed: seed, Cores: o.Limits.Cores, MemoryMB: o.Limits.MemoryMB,
 		Sockets: o.Limits.Sockets, MaxOpen: m.MaxOpen, DialTimeout: or(m.DialMs, 400), IdleClose: or(m.IdleS, 15) * 1000,
 		Streams: 100,
 	}
--- a/control/api.go
+++ b/control/api.go
@@ -228,6 +228,13 @@
 	Ago    time.Duration
 }
 
+// Barred is the operators' order that nothing more goes to a member, whatever the list says, or with On false
+// that it may serve again.
+type Barred struct {
+	Member MemberID
+	On     bool
+}
+
 func (Members) event() {}
 func (Request) event() {}
 func (Outcome) event() {}
@@ -236,6 +243,7 @@
 func (Begun) event()   {}
 func (Woken) event()   {}
 func (Purged) event()  {}
+func (Barred) event()  {}
 
 // Action is something the host does, in the order given; see the types below.
 type Action interface{ action() }
--- /dev/null
+++ b/control/bar_test.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// While a store is out nothing goes there, as target, source or probe, whatever the list says meanwhile; calls may
+// come twice. After the call back it is used again within seconds, its old faults forgotten, and no faster than a
+// cold one may be: it was restarted, and the list may not know yet.
+func TestBarredWhateverTheListSays(t *testing.T) {
+	set := testSettings()
+	set.CanProbe = true
+	for _, out := range []MemberID{10, parentID} {
+		b := newBook(t, set, testMembers())
+		id := RequestID(0)
+		uses := func(d time.Duration) (n int) {
+			for end := b.now + d; b.now < end; b.pass(20 * ms) {
+				id++
+				b.ask(Request{ID: id, Object: ObjectID(id % 50), SizeKB: 300, Left: time.Second})
+				for i, s := range b.attempts[id] {
+					if s.To == out || s.Source == out {
+						n++
+					}
+					if !s.end {
+						b.end(id, i, OK, Filled)
+					}
+				}
+			}
+			return n
+		}
+		if uses(2*time.Second) == 0 {
+			t.Fatalf("member %d is not used at all", out)
+		}
+		b.do(Barred{Member: out, On: true})
+		b.do(Barred{Member: out, On: true})
+		b.notReady[out] = b.now - time.Hour // the book holds the rule on drains to it
+		m := b.members[out]
+		for _, state := range []State{Ready, Draining, Gone, Ready} {
+			m.State = state
+			if b.do(Members{List: []Member{m}}); uses(300*ms) > 0 {
+				t.Errorf("member %d is used while it is out, listed as %d", out, state)
+			}
+		}
+		if !b.c.Listed(out) || b.c.Listed(4242) {
+			t.Error("what was listed is not remembered")
+		}
+		if i, ok := b.c.find(out); ok { // faults of its restart
+			for range errorsBad {
+				b.c.members[i].eject(b.now + time.Hour)
+			}
+		}
+		b.do(Barred{Member: out})
+		b.do(Barred{Member: out})
+		delete(b.notReady, out)
+		m.Started = b.now // coldWork of the book checks the budget from here on
+		b.members[out] = m
+		if uses(3*time.Second) == 0 {
+			t.Errorf("member %d is left unused after the call back", out)
+		}
+	}
+}
+
+// The ids that were listed are remembered within a bound, those of present members for good.
+func TestListedIsBounded(t *testing.T) {
+	b := newBook(t, testSettings(), testMembers())
+	for i := range 4 * idsKept {
+		b.c.name(MemberID(1000 + i))
+	}
+	if n := len(b.c.listed[0]) + len(b.c.listed[1]); n > 2*idsKept+len(b.c.members) || !b.c.Listed(10) || !b.c.Listed(MemberID(999+4*idsKept)) {
+		t.Errorf("%d ids kept", n)
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	slowFill    = 1.5     // fills take this many times their sending time on average: the link is full
 	meterFade   = 1.02    // a capacity once learned is tried anew, so much more each interval
 	objectsKept = 1 << 14 // objects remembered in each of two generations
+	idsKept     = 1 << 13 // ids of members, likewise
 )
 
 // New returns a controller, or an error that names the setting that makes no sense. The seed spreads in time
@@ -63,6 +64,7 @@
 		return nil, err
 	}
 	c := &Controller{set: s, seed: seed, requests: map[RequestID]*request{}, purges: map[purgeKey]purge{}}
+	c.listed[0], c.barred = map[MemberID]struct{}{}, map[MemberID]struct{}{}
 	c.objects[0], c.objects[1] = map[objectKey]*object{}, map[objectKey]*object{}
 	for _, class := range s.Classes {
 		// Until answers are seen a class's sending time is taken to be its aim: too long, so
@@ -89,7 +91,9 @@
 	}
 	switch ev := ev.(type) {
 	case Members:
-		c.listed(ev)
+		c.list(ev)
+	case Barred:
+		c.bar(ev)
 	case Request:
 		c.arrive(ev)
 	case Outcome:
@@ -106,7 +110,9 @@
 			c.queue.remove(r)
 		}
 	case Purged:
-		c.purged(ev)
+		if c.purged(ev) && ev.Object == 0 { // a group's copies are gone at all hubs at once
+			c.strain, c.pooled = 1, true
+		}
 	case Woken:
 		c.woken(ev.Token)
 	}
@@ -171,7 +177,7 @@
 
 // ---- Members and health ----
 
-func (c *Controller) listed(ev Members) {
+func (c *Controller) list(ev Members) {
 	if ev.Failed {
 		if c.set.AskList {
 			c.do(Watch{})
@@ -181,7 +187,7 @@
 	c.version++
 	if ev.Whole { // what a whole list lacks is gone; entries stay, as late outcomes may name them
 		for _, m := range c.members {
-			m.State = Gone
+			m.State, m.said = Gone, Gone
 		}
 	}
 	for _, e := range ev.List {
@@ -194,14 +200,50 @@
 		}
 		m := c.members[i]
 		if ok && e.Started > m.Started { // a new process: empty, and judged afresh
-			*m = member{open: m.open, load: Load{-1, -1, -1, -1}, slow: 1}
+			m.renew()
 		}
-		m.Member = e
+		if e.Started <= m.outAt { // the list may not know yet that it was restarted meanwhile
+			e.Started = max(e.Started, m.backAt)
+		}
+		m.Member, m.said = e, e.State
+		c.name(e.ID)
+		c.settle(m)
 	}
 	c.members = slices.DeleteFunc(c.members, func(m *member) bool { return m.State == Gone && len(m.open) == 0 })
 	c.pump()
 }
 
+// bar takes a member out, or lets it serve again: with old faults forgotten, and cold, as it was restarted
+// meanwhile. The list's word counts again from then on.
+func (c *Controller) bar(ev Barred) {
+	_, was := c.barred[ev.Member]
+	delete(c.barred, ev.Member)
+	if ev.On {
+		c.barred[ev.Member] = struct{}{}
+	}
+	if i, ok := c.find(ev.Member); ok && was != ev.On {
+		m := c.members[i]
+		if ev.On {
+			m.outAt = c.now
+		} else {
+			m.renew()
+			m.Started, m.backAt = max(c.now, 1), c.now
+		}
+		c.settle(m)
+		c.version++
+		c.pump()
+	}
+}
+
+// settle gives a member the state that counts: one that is barred drains, whatever the list says.
+func (c *Controller) settle(m *member) {
+	if m.State = m.said; m.State == Ready {
+		if _, out := c.barred[m.ID]; out {
+			m.State = Draining
+		}
+	}
+}
+
 // usable tells whether a member takes new work as far as its health goes.
 func (m *member) usable(now time.Duration) bool {
 	return m.State == Ready && now >= m.until && (!m.trial || len(m.open) == 0)
@@ -419,12 +461,6 @@
 
 // ---- WRC: when a held fill leaves (paper 3.3) ----
 
-type window struct {
-	w, max int
-	fast   bool // fast start goes on
-	filled int  // completed fills in this interval
-}
-
 // open tells whether a fill may leave: a slot is free or the link is shown to have room.
 func (w *window) open(u float64) bool { return w.w < w.max || u >= 0 && u < linkFull }
 
@@ -481,19 +517,6 @@
 	}
 }
 
-// linkMeter gives U. Where caches report how full the link is, that is U. Else it is the paper's
-// own (3.3.1): the amount received over the interval, in seconds of sending, against what the link
-// was seen to carry when fills ran slower than clients are sent.
-type linkMeter struct {
-	told     bool
-	amount   float64 // received in this interval
-	since    time.Duration
-	slow     float64 // sum of transfer time over sending time of its fills
-	fills    float64
-	capacity float64 // transfers that the link carries; 0: never seen full
-	u        float64
-}
-
 func (l *linkMeter) fill(now time.Duration, sending, took time.Duration) {
 	l.amount += sending.Seconds()
 	l.fills++
@@ -927,14 +950,6 @@
 	return source == to || source.State == Ready && c.bears(source, r.sending.Seconds())
 }
 
-// sharers is the number of fronts that may send to a member.
-func (c *Controller) sharers(m *member) int {
-	if !c.isParent(m) && m.Zone < len(c.set.FrontsByZone) {
-		return max(1, c.set.FrontsByZone[m.Zone])
-	}
-	return max(1, c.set.Fronts)
-}
-
 // coldRate is what this front may send a cold member: its share of what all fronts together may send, with
 // margin, and of what the member can do: more than that makes all of it late, long before the member falls.
 func (c *Controller) coldRate(m *member) (rate float64, fall time.Duration, cold bool) {
@@ -971,21 +986,6 @@
 	return m.budget >= work
 }
 
-func (c *Controller) purged(ev Purged) {
-	k := purgeKey{ev.Object, ev.Group}
-	if ev.Object != 0 {
-		k.group = 0
-	}
-	at := c.now - ev.Ago
-	if old, ok := c.purges[k]; !ok || at > old.at {
-		c.purges[k] = purge{at, c.now}
-		if ev.Object == 0 { // a group's copies are gone at all hubs at once
-			c.strain, c.pooled = 1, true
-		}
-		c.purgeLog = append(c.purgeLog, k)
-	}
-}
-
 // maxAge keeps rule 5: after a purge no older copy will do.
 func (c *Controller) maxAge(r *request) time.Duration {
 	p, ok := c.purgeOf(r)
--- a/control/state.go
+++ b/control/state.go
@@ -54,13 +54,15 @@
 	seed     uint64
 	now      time.Duration
 	acts     []Action
-	members  []*member     // sorted by id
-	version  int           // of the list, counted up with each change
-	ranks    []*member     // scratch of the pick
-	counted  time.Duration // when late was counted
-	late     int           // fills under way past their aim, of those at caches that are not slowed
-	timely   int           // all of those
-	fills    []*attempt    // those that hold a slot of the window
+	members  []*member                // sorted by id
+	listed   [2]map[MemberID]struct{} // ids that a list has named, in two generations
+	barred   map[MemberID]struct{}    // by the operators
+	version  int                      // of the list, counted up with each change
+	ranks    []*member                // scratch of the pick
+	counted  time.Duration            // when late was counted
+	late     int                      // fills under way past their aim, of those at caches that are not slowed
+	timely   int                      // all of those
+	fills    []*attempt               // those that hold a slot of the window
 	requests map[RequestID]*request
 	objects  [2]map[objectKey]*object
 	purges   map[purgeKey]purge // the last purge, by object or group
@@ -79,7 +81,10 @@
 }
 
 type member struct {
-	Member
+	Member                  // its State is what counts here: one that the operators took out drains
+	said      State         // the list's word
+	outAt     time.Duration // when the operators took it out
+	backAt    time.Duration // and let it serve again
 	open      []*attempt    // our attempts under way, as target
 	heard     time.Duration // last sign of life
 	passed    time.Duration // the latest send that it has answered, as target or source
@@ -101,6 +106,11 @@
 	filledAt  time.Duration
 }
 
+// renew forgets what was learned of a member but the attempts under way.
+func (m *member) renew() {
+	*m = member{Member: m.Member, said: m.said, outAt: m.outAt, backAt: m.backAt, open: m.open, load: Load{-1, -1, -1, -1}, slow: 1}
+}
+
 func (c *Controller) isParent(m *member) bool { return m.Kind == c.set.ParentKind }
 func (c *Controller) isOrigin(m *member) bool { return m.Kind == c.set.OriginKind }
 func (c *Controller) isCache(m *member) bool {
@@ -135,6 +145,25 @@
 	return slices.BinarySearchFunc(c.members, id, func(m *member, id MemberID) int { return int(int64(m.ID) - int64(id)) })
 }
 
+// Listed tells whether a list has named a member, lately or not too long ago.
+func (c *Controller) Listed(id MemberID) bool {
+	_, now := c.listed[0][id]
+	_, before := c.listed[1][id]
+	_, out := c.barred[id]
+	return now || before || out
+}
+
+// name remembers an id; two generations bound the memory, and members that are there are named again.
+func (c *Controller) name(id MemberID) {
+	if len(c.listed[0]) >= idsKept {
+		c.listed[1], c.listed[0] = c.listed[0], map[MemberID]struct{}{}
+		for _, m := range c.members {
+			c.listed[0][m.ID] = struct{}{}
+		}
+	}
+	c.listed[0][id] = struct{}{}
+}
+
 func (c *Controller) hubOf(zone int) int {
 	if zone >= 0 && zone < len(c.set.ZoneHub) {
 		return c.set.ZoneHub[zone]
@@ -300,3 +329,45 @@
 	}
 	return sum, worst
 }
+
+type window struct {
+	w, max int
+	fast   bool // fast start goes on
+	filled int  // completed fills in this interval
+}
+
+// linkMeter gives U. Where caches report how full the link is, that is U. Else it is the paper's
+// own (3.3.1): the amount received over the interval, in seconds of sending, against what the link
+// was seen to carry when fills ran slower than clients are sent.
+type linkMeter struct {
+	told     bool
+	amount   float64 // received in this interval
+	since    time.Duration
+	slow     float64 // sum of transfer time over sending time of its fills
+	fills    float64
+	capacity float64 // transfers that the link carries; 0: never seen full
+	u        float64
+}
+
+// sharers is the number of fronts that may send to a member.
+func (c *Controller) sharers(m *member) int {
+	if !c.isParent(m) && m.Zone < len(c.set.FrontsByZone) {
+		return max(1, c.set.FrontsByZone[m.Zone])
+	}
+	return max(1, c.set.Fronts)
+}
+
+// purged enters a purge and tells whether it is news.
+func (c *Controller) purged(ev Purged) bool {
+	k := purgeKey{ev.Object, ev.Group}
+	if ev.Object != 0 {
+		k.group = 0
+	}
+	at := c.now - ev.Ago
+	if old, ok := c.purges[k]; ok && at <= old.at {
+		return false
+	}
+	c.purges[k] = purge{at, c.now}
+	c.purgeLog = append(c.purgeLog, k)
+	return true
+}
--- a/core/core.go
+++ b/core/core.go
@@ -8,6 +8,7 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,6 +20,9 @@
 // eventsQueued bounds the events that wait for the core; who posts more waits.
 const eventsQueued = 4096
 
+// ordersQueued bounds the operators' orders that wait.
+const ordersQueued = 64
+
 // Options are what a core is made of.
 type Options struct {
 	Settings control.Settings
@@ -29,6 +33,8 @@
 	Log      zerolog.Logger
 }
 
+var errEnded = errors.New("core: ended")
+
 // Core is the part between fronts and upstreams.
 type Core struct {
 	opt     Options
@@ -36,6 +42,7 @@
 	up      Upstream
 	classes map[string]int
 	events  chan Event
+	orders  chan Event // read before events
 	done    chan struct{}
 	timers  timerHeap
 	acts    []control.Action
@@ -69,7 +76,8 @@
 	}
 	c := &Core{
 		opt: opt, module: module, up: up, classes: map[string]int{}, events: make(chan Event, eventsQueued),
-		done: make(chan struct{}), requests: map[control.RequestID]*request{}, byTag: map[tagKey]*request{},
+		orders: make(chan Event, ordersQueued),
+		done:   make(chan struct{}), requests: map[control.RequestID]*request{}, byTag: map[tagKey]*request{},
 		probes: map[uint32]float64{},
 	}
 	for i, name := range opt.Classes {
@@ -86,6 +94,19 @@
 	}
 }
 
+// Order hands an event to the core ahead of all that Post has handed it, unless ctx ends first. An operator's
+// call must not wait behind the traffic that it is about.
+func (c *Core) Order(ctx context.Context, ev Event) error {
+	select {
+	case c.orders <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.done:
+		return errEnded
+	}
+}
+
 // Run owns the core until ctx ends.
 func (c *Core) Run(ctx context.Context) error {
 	defer close(c.done)
@@ -99,6 +120,14 @@
 		}
 		wake.Reset(next)
 		select {
+		case ev := <-c.orders:
+			c.Handle(ev)
+			continue
+		default:
+		}
+		select {
+		case ev := <-c.orders:
+			c.Handle(ev)
 		case <-ctx.Done():
 			c.opt.Log.Info().Interface("stats", c.stats).Msg("core ends")
 			return nil
@@ -132,6 +161,8 @@
 	case Purge:
 		ago := max(0, c.opt.Clock.Unix()-ev.At)
 		c.tell(control.Purged{Object: control.ObjectID(ev.Object), Group: ev.Group, Ago: clock.Duration(ago)})
+	case Bar:
+		c.bar(ev)
 	case WhenIdle:
 		c.idle = append(c.idle, ev.Tell)
 	case Query:
@@ -145,6 +176,21 @@
 	}
 }
 
+// bar takes a store out or lets it serve again. The module decides what that means for requests; the upstream
+// takes back what has not left yet.
+func (c *Core) bar(b Bar) {
+	var err error
+	if b.Listed || c.module.Listed(control.MemberID(b.Member)) {
+		c.up.Bar(b.Member, b.On)
+		c.tell(control.Barred{Member: control.MemberID(b.Member), On: b.On})
+	} else {
+		err = ErrUnknown
+	}
+	if b.Reply != nil {
+		b.Reply <- err
+	}
+}
+
 // Tick handles the timers that are due. Only the goroutine that owns the core may call it.
 func (c *Core) Tick() {
 	for len(c.timers) > 0 && c.timers[0].at <= c.now() {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -17,11 +18,14 @@
 	out     map[control.RequestID]map[int]Send // attempts without an end
 	sends   []Send
 	drops   []Key
+
+	barredAt []int // how many attempts had been sent
 }
 
 func (w *wires) Answer(tag uint64, a Answer) { w.answers[tag] = append(w.answers[tag], a) }
 func (w *wires) Probe(uint32)                {}
 func (w *wires) Update(Stores)               {}
+func (w *wires) Bar(uint32, bool)            { w.barredAt = append(w.barredAt, len(w.sends)) }
 func (w *wires) Drop(k Key, as control.Result) {
 	w.drops = append(w.drops, k)
 }
@@ -90,6 +94,44 @@
 	}
 }
 
+// An operator's order overtakes all the traffic that waits, and one about a store never listed is refused.
+func TestOrdersOvertakeTraffic(t *testing.T) {
+	c, w, clk := newCore(t)
+	for i := range uint64(15) {
+		c.Post(ask(w, i+1, "tile", clk.Now()))
+	}
+	ctx, end := context.WithCancel(context.Background())
+	for _, b := range []struct {
+		id   uint32
+		want error
+	}{{1, nil}, {99, ErrUnknown}} {
+		reply := make(chan error, 1)
+		if err := c.Order(ctx, Bar{Member: b.id, On: true, Reply: reply}); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := <-reply; err != b.want {
+				t.Errorf("store %d: %v", b.id, err)
+			}
+		}()
+	}
+	done := make(chan error)
+	go func() { done <- c.Run(ctx) }()
+	reply := make(chan Stats, 1)
+	c.Post(Query{Reply: reply}) // behind the traffic
+	<-reply
+	end()
+	<-done
+	if len(w.barredAt) != 1 || w.barredAt[0] != 0 || len(w.sends) == 0 {
+		t.Errorf("barred after %v of %d attempts", w.barredAt, len(w.sends))
+	}
+	for _, s := range w.sends {
+		if s.To == 1 || s.Source == 1 {
+			t.Errorf("sent to a store that was out: %+v", s)
+		}
+	}
+}
+
 // What may have run and is unsafe is not sent again, and not refused either.
 func TestUnsafeInDoubt(t *testing.T) {
 	for _, res := range []control.Result{control.Broken, control.Errored, control.TimedOut} {
--- a/core/types.go
+++ b/core/types.go
@@ -1,6 +1,10 @@
 package core
 
-import "turnfork.dev/turnfork/control"
+import (
+	"errors"
+
+	"turnfork.dev/turnfork/control"
+)
 
 // Front is where requests come from. Answer must not block and is called once for each Ask that the
 // front has not withdrawn with Leave.
@@ -54,8 +58,10 @@
 	Drop(k Key, as control.Result)
 	// Probe asks a store for its report; exactly one Probed follows.
 	Probe(member uint32)
-	// Update tells of the stores.
+	// Update tells of the stores. What has not left for one that takes no new work any more does not leave.
 	Update(s Stores)
+	// Bar has nothing new leave for a store, nor name it as a source, until it is told otherwise.
+	Bar(member uint32, on bool)
 }
 
 // Key names one attempt of a request.
@@ -148,6 +154,18 @@
 	At     float64
 }
 
+// Bar is the operators' order that nothing more goes to a store, or with On false that it may serve again.
+// Reply, with room for one, is told nil once that holds; nil: nobody asks.
+type Bar struct {
+	Member uint32
+	On     bool
+	Listed bool // the store is known by another way to have been listed
+	Reply  chan<- error
+}
+
+// ErrUnknown says that no list has named a store.
+var ErrUnknown = errors.New("core: no list has named this store")
+
 // WhenIdle has Tell closed once no request is in hand.
 type WhenIdle struct{ Tell chan<- struct{} }
 
@@ -160,6 +178,7 @@
 func (Probed) event()   {}
 func (Stores) event()   {}
 func (Purge) event()    {}
+func (Bar) event()      {}
 func (WhenIdle) event() {}
 func (Query) event()    {}
 
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -24,13 +24,14 @@
 
 // Options are what a front is made of.
 type Options struct {
-	Post     func(core.Event) // to the core
-	Clock    *clock.Clock
-	Log      zerolog.Logger
-	MaxConns int                          // connections at once; 0: 300
-	MaxBytes int64                        // answers that wait to be written, on all connections; 0: 48 MB
-	MaxTaken int64                        // parameters and bodies of requests without an answer; 0: 16 MB
-	Tap      func(conn net.Conn) net.Conn // wraps each connection, for recording; nil: none
+	Post       func(core.Event) // to the core
+	Clock      *clock.Clock
+	Log        zerolog.Logger
+	MaxConns   int                          // connections at once; 0: 300
+	MaxBytes   int64                        // answers that wait to be written, on all connections; 0: 48 MB
+	RetryAfter float64                      // ms that clients should stay away which a drain refuses; 0: no advice
+	MaxTaken   int64                        // parameters and bodies of requests without an answer; 0: 16 MB
+	Tap        func(conn net.Conn) net.Conn // wraps each connection, for recording; nil: none
 }
 
 const (
@@ -81,10 +82,14 @@
 // Open counts the requests that are not answered, or whose answer is not yet written.
 func (f *Front) Open() int { return int(f.open.Load()) }
 
+// Drain begins to empty the front of connections, or with on false ends that.
+func (f *Front) Drain(on bool) { f.server.Drain(on) }
+
 func (f *Front) handle(nc net.Conn, seat *front.Seat) {
 	c := &conn{
 		front: f, net: nc, seat: seat, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
+	seat.Yields(c.yield)
 	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
 	c.read()
@@ -321,7 +326,10 @@
 	c.asked = true
 	var ok bool
 	a.Class, ok = strings.CutPrefix(script, "/v1/")
+	draining, refuse := c.front.server.Draining()
 	switch {
+	case script == "/healthz" && draining:
+		c.reply(id, "503 Service Unavailable", "", []byte("draining\n"))
 	case script == "/healthz":
 		c.reply(id, "200 OK", "", []byte("ok\n"))
 	case !ok:
@@ -329,6 +337,8 @@
 	case bad != "" || a.Txn == "" || a.Name == "" || a.Left <= 0:
 		c.front.opt.Log.Warn().Str("field", bad).Str("txn", a.Txn).Msg("request with unusable fields")
 		c.reply(id, "400 Bad Request", "", nil)
+	case refuse:
+		c.reply(id, "503 Service Unavailable", throttle(c.front.opt.RetryAfter), nil)
 	default:
 		q.asked, q.body = true, nil
 		c.mu.Unlock()
@@ -357,10 +367,7 @@
 		return // withdrawn
 	}
 	defer c.report()
-	head := ""
-	if a.RetryAfter > 0 {
-		head = "X-Throttle-Ms: " + strconv.FormatInt(max(1, int64(a.RetryAfter)), 10) + "\r\n"
-	}
+	head := throttle(a.RetryAfter)
 	switch a.Verdict {
 	case core.Served:
 		c.reply(id, "200 OK", head, a.Body)
@@ -380,6 +387,27 @@
 	}
 }
 
+// throttle words how long a client should stay away.
+func throttle(ms float64) string {
+	if ms <= 0 {
+		return ""
+	}
+	return "X-Throttle-Ms: " + strconv.FormatInt(max(1, int64(ms)), 10) + "\r\n"
+}
+
+// yield refuses the requests that have begun and are not whole, as their connection has to go.
+func (c *conn) yield() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.report()
+	for id, q := range c.open {
+		if !q.asked {
+			c.forget(id)
+			c.send(appendEnd(nil, id, 0, protoOverload))
+		}
+	}
+}
+
 // reply writes the one answer of a request and forgets it.
 func (c *conn) reply(id uint16, status, head string, body []byte) {
 	q := c.open[id]
--- a/front/front.go
+++ b/front/front.go
@@ -26,9 +26,11 @@
 	Log       zerolog.Logger
 	Tap       func(net.Conn) net.Conn // wraps each connection, for recording; nil: none
 
-	mu    sync.Mutex
-	seats map[*Seat]struct{}
-	full  bool // told already
+	mu       sync.Mutex
+	seats    map[*Seat]struct{}
+	full     bool // told already
+	draining bool
+	drained  float64 // when the drain was asked for
 }
 
 const (
@@ -38,6 +40,13 @@
 	placeWait  = 500 * time.Millisecond // a new connection waits so long for a place
 	fewSilent  = 4                      // silent connections may hold one place in so many before they go first
 	silentMost = 50.0                   // ms that a new connection has in any case
+
+	// Of a drain, in ms from its call. The platform's front asks ten times a second and sends nothing new 0.2 s
+	// after a no, and wants every connection gone by 4 s.
+	drainNotice = 500.0  // then connections close once they are quiet
+	drainRefuse = 1200.0 // then what is asked for is refused, so that each one becomes quiet
+	drainHalf   = 2500.0 // then what is not whole is refused too
+	drainIdle   = 200.0  // ms that a new connection has to ask after that
 )
 
 // Seat is a connection's place. Its front keeps it up to date.
@@ -49,6 +58,15 @@
 	came   float64
 	since  float64 // when the last of them ended, or the connection came
 	until  float64 // when a request that has begun must be whole; 0: none is under way
+	yield  func()  // has the front refuse what has begun and is not whole; nil: the connection is closed
+}
+
+// Yields names what a drain calls to have the connection's half requests refused. It is called once at most
+// at a time, without the server's lock.
+func (s *Seat) Yields(f func()) {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.yield = f
 }
 
 // Update tells how many requests are open on the connection, whether a whole one has come on it yet, and
@@ -60,6 +78,34 @@
 		s.since = s.server.Clock.Now()
 	}
 	s.open, s.asked, s.until = open, s.asked || asked, until
+	if s.server.draining && s.quiet(s.server.Clock.Now()) {
+		s.server.leave(s)
+		s.conn.Close()
+	}
+}
+
+// quiet tells whether a connection can be closed in a drain: the platform has had time to notice, nothing is open
+// and nothing waits to be read, as what crosses the close is lost to its client.
+func (s *Seat) quiet(now float64) bool {
+	due := max(s.server.drained+drainNotice, s.came+drainIdle)
+	return s.open == 0 && s.until == 0 && now >= due && !unread(s.conn)
+}
+
+// Drain begins to empty the server of connections, or with on false ends that.
+func (s *Server) Drain(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on && !s.draining {
+		s.drained = s.Clock.Now()
+	}
+	s.draining = on
+}
+
+// Draining tells whether the server is being emptied, and whether new requests are refused by now.
+func (s *Server) Draining() (draining, refuse bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining, s.draining && s.Clock.Now() >= s.drained+drainRefuse
 }
 
 // Serve accepts until the listener closes or ctx ends, and returns once every connection has ended.
@@ -199,6 +245,12 @@
 // Sweep closes the connections whose time is up: no whole request came within the limit, or none for long.
 func (s *Server) Sweep() {
 	now := s.Clock.Now()
+	var yields []func()
+	defer func() {
+		for _, yield := range yields {
+			yield()
+		}
+	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.full = s.full && len(s.seats) >= s.Max
@@ -209,6 +261,12 @@
 		} else if x.open == 0 {
 			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
 		}
+		if s.draining {
+			late = late || x.quiet(now)
+			if x.until > 0 && now >= s.drained+drainHalf && x.yield != nil {
+				yields = append(yields, x.yield)
+			}
+		}
 		if late {
 			s.leave(x)
 			x.conn.Close()
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -117,3 +117,55 @@
 		}
 	}
 }
+
+// A drain closes nothing before the platform can have noticed, then what is quiet, and a busy connection with its
+// last answer; what is not whole late in the drain is refused, new requests from before that. Ended, it closes
+// nothing more.
+func TestDrain(t *testing.T) {
+	clk := clock.Manual(1e6)
+	s := &Server{Max: 40, FirstMost: 60000, IdleMost: 60000, Clock: clk, Log: zerolog.Nop()}
+	closed := func(x *Seat) bool { return x.conn.(*testConn).closed }
+	seat := func(open int, until float64) *Seat {
+		x := s.place(&testConn{})
+		x.Update(open, true, until)
+		return x
+	}
+	idle, busy, half := seat(0, 0), seat(1, 0), seat(1, 1e9)
+	yielded := 0
+	half.Yields(func() { yielded++; half.Update(0, true, 0) })
+	s.Drain(true)
+	step := func(ms float64) {
+		clk.Advance(ms)
+		s.Drain(true) // again changes nothing
+		s.Sweep()
+	}
+	step(drainNotice - 1)
+	if closed(idle) || closed(busy) {
+		t.Error("closed before the platform can have noticed")
+	}
+	step(1)
+	fresh := seat(0, 0)
+	if !closed(idle) || closed(busy) || closed(fresh) {
+		t.Error("what is quiet is closed then, and nothing else")
+	}
+	if _, refuse := s.Draining(); refuse {
+		t.Error("requests are refused too early")
+	}
+	if busy.Update(0, true, 0); !closed(busy) {
+		t.Error("a busy connection outlives its last answer")
+	}
+	step(drainRefuse - drainNotice)
+	if _, refuse := s.Draining(); !refuse || !closed(fresh) {
+		t.Error("requests are not refused, or a new silent connection is kept")
+	}
+	if step(drainHalf - drainRefuse); yielded != 1 || !closed(half) {
+		t.Errorf("half a request was told to yield %d times", yielded)
+	}
+	last := seat(0, 0)
+	s.Drain(false)
+	clk.Advance(5000)
+	s.Sweep()
+	if draining, refuse := s.Draining(); draining || refuse || closed(last) {
+		t.Error("the drain does not end")
+	}
+}
--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -110,21 +111,24 @@
 }
 
 // manage answers the operator's endpoints and the health check.
-func (f *Front) manage(m *message) []byte {
-	if m.path == "/healthz" {
-		return answer(200, "text/plain", "", 3, []byte("ok\n"), m.close)
+func (f *Front) manage(m *http1.Message) []byte {
+	if draining, _ := f.server.Draining(); draining && m.Path == "/healthz" {
+		return http1.ErrorAnswer(503, "draining", "this gateway is being emptied", "", m.Close)
+	}
+	if m.Path == "/healthz" {
+		return http1.Answer(200, "text/plain", "", 3, []byte("ok\n"), m.Close)
 	}
 	if f.opt.Operator == "" {
-		return errorAnswer(404, "not_found", "no such path", "", m.close)
+		return http1.ErrorAnswer(404, "not_found", "no such path", "", m.Close)
 	}
-	secret, _ := strings.CutPrefix(m.header["authorization"], "Bearer ")
+	secret, _ := strings.CutPrefix(m.Header["authorization"], "Bearer ")
 	// Digests have one length, so the comparison tells nothing of the secret's.
 	got, want := sha256.Sum256([]byte(secret)), sha256.Sum256([]byte(f.opt.Operator))
 	if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
-		return errorAnswer(401, "missing", "for the operator alone", "WWW-Authenticate: Bearer\r\n", m.close)
+		return http1.ErrorAnswer(401, "missing", "for the operator alone", "WWW-Authenticate: Bearer\r\n", m.Close)
 	}
-	if m.method != "POST" {
-		return errorAnswer(405, "method", "this takes POST", "Allow: POST\r\n", m.close)
+	if m.Method != "POST" {
+		return http1.ErrorAnswer(405, "method", "this takes POST", "Allow: POST\r\n", m.Close)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), manageMost)
 	defer cancel()
@@ -133,10 +137,10 @@
 		out any = map[string]bool{"ok": true}
 		err error
 	)
-	switch m.path {
+	switch m.Path {
 	case "/-/tokens":
 		var q IssueRequest
-		if err = readJSON(m.body, &q); err == nil {
+		if err = readJSON(m.Body, &q); err == nil {
 			out, err = Issue(f.ring.Load(), q, now/1000, f.policy.Load().TokenSeconds, rand.Text())
 		}
 	case "/-/revocations":
@@ -144,7 +148,7 @@
 			Key, ID string
 			Until   float64 // Unix seconds; 0: as long as a token may last
 		}
-		if err = readJSON(m.body, &q); err != nil {
+		if err = readJSON(m.Body, &q); err != nil {
 			break
 		}
 		if q.Key == "" || q.ID == "" {
@@ -155,42 +159,42 @@
 			q.Until = now/1000 + f.policy.Load().TokenSeconds
 		}
 		if e := f.opt.Claims.Revoke(ctx, token.Grant{Key: q.Key, ID: q.ID}.Use(), q.Until*1000+f.policy.Load().LeewayMs); e != nil {
-			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
 		}
 	case "/-/keys":
 		var keys []token.Key
-		if err = readJSON(m.body, &keys); err != nil {
+		if err = readJSON(m.Body, &keys); err != nil {
 			break
 		}
 		if _, err = token.NewRing(keys); err != nil {
 			break
 		}
 		if e := f.opt.Claims.Put(ctx, ConfigKeys, keys); e != nil {
-			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
 		}
 	case "/-/policy":
 		p := *f.policy.Load()
-		if err = readJSON(m.body, &p); err != nil {
+		if err = readJSON(m.Body, &p); err != nil {
 			break
 		}
 		if err = p.check(); err != nil {
 			break
 		}
 		if e := f.opt.Claims.Put(ctx, ConfigPolicy, p); e != nil {
-			return errorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.close)
+			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
 		}
 	default:
-		return errorAnswer(404, "not_found", "no such path", "", m.close)
+		return http1.ErrorAnswer(404, "not_found", "no such path", "", m.Close)
 	}
 	if err != nil {
-		return errorAnswer(400, "malformed", err.Error(), "", m.close)
+		return http1.ErrorAnswer(400, "malformed", err.Error(), "", m.Close)
 	}
 	body, err := json.Marshal(out)
 	if err != nil {
-		return errorAnswer(502, "failed", "the answer can't be written", "", m.close)
+		return http1.ErrorAnswer(502, "failed", "the answer can't be written", "", m.Close)
 	}
 	body = append(body, '\n')
-	return answer(200, "application/json", "Cache-Control: no-store\r\n", len(body), body, m.close)
+	return http1.Answer(200, "application/json", "Cache-Control: no-store\r\n", len(body), body, m.Close)
 }
 
 func readJSON(b []byte, into any) error {
--- a/front/signed/object.go
+++ b/front/signed/object.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // ask words the request for the core.
-func (o path) ask(q token.Query, m *message) (a core.Ask, err error) {
+func (o path) ask(q token.Query, m *http1.Message) (a core.Ask, err error) {
 	a.Class, a.Name = o.class, o.object
 	if a.Object, err = strconv.ParseUint(o.object, 16, 64); err != nil || len(o.object) != objectDigits {
 		return a, fmt.Errorf("the object is no %d hexadecimal digits", objectDigits)
@@ -53,12 +54,12 @@
 			return a, fmt.Errorf("kb: no size")
 		}
 	}
-	if v := m.header["x-ttl-ms"]; v != "" {
+	if v := m.Header["x-ttl-ms"]; v != "" {
 		if a.Left, err = strconv.ParseFloat(v, 64); err != nil || !(a.Left >= 1 && a.Left < 1e9) {
 			return a, fmt.Errorf("X-Ttl-Ms: no time")
 		}
 	}
-	a.Known = known(m.header["if-none-match"])
+	a.Known = known(m.Header["if-none-match"])
 	var txn [8]byte
 	rand.Read(txn[:])
 	a.Txn = hex.EncodeToString(txn[:])
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -21,6 +20,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -45,20 +45,21 @@
 
 // Options are what a front is made of.
 type Options struct {
-	Post      func(core.Event)
-	Clock     *clock.Clock
-	Log       zerolog.Logger
-	Classes   []Class
-	Ring      *token.Ring
-	Claims    Claims
-	Leeway    float64 // ms that clocks may differ by, either way
-	Scheme    string  // of the URIs that clients see; "": http
-	Operator  string  // the secret of the issuing endpoint; "": there is none
-	TokenMost float64 // s that an issued token may last; 0: one day
-	MaxConns  int     // 0: 200
-	MaxBytes  int64   // answers that wait to be written; 0: 24 MB
-	ClaimMost float64 // ms that a claim may take; 0: 1000
-	Tap       func(net.Conn) net.Conn
+	Post       func(core.Event)
+	Clock      *clock.Clock
+	Log        zerolog.Logger
+	Classes    []Class
+	Ring       *token.Ring
+	Claims     Claims
+	Leeway     float64 // ms that clocks may differ by, either way
+	Scheme     string  // of the URIs that clients see; "": http
+	Operator   string  // the secret of the issuing endpoint; "": there is none
+	TokenMost  float64 // s that an issued token may last; 0: one day
+	MaxConns   int     // 0: 200
+	RetryAfter float64 // ms that clients should stay away which a drain refuses; 0: no advice
+	MaxBytes   int64   // answers that wait to be written; 0: 24 MB
+	ClaimMost  float64 // ms that a claim may take; 0: 1000
+	Tap        func(net.Conn) net.Conn
 }
 
 const (
@@ -133,10 +134,13 @@
 // Open counts the requests whose answer is not yet written.
 func (f *Front) Open() int { return int(f.open.Load()) }
 
+// Drain begins to empty the front of connections, or with on false ends that.
+func (f *Front) Drain(on bool) { f.server.Drain(on) }
+
 // slot is one request's place in the order of answers.
 type slot struct {
 	tag    uint64
-	msg    message
+	msg    http1.Message
 	class  Class
 	grant  token.Grant
 	claim  string // the name of its claim, if it has one
@@ -185,14 +189,14 @@
 		c.unwritten.Add(1) // a request under way, like one whose answer is to come, keeps the place
 		c.report(false)
 		c.net.SetReadDeadline(time.Now().Add(headWait))
-		m, err := readMessage(r, bodyMost, c.goOn)
+		m, err := http1.Read(r, bodyMost, c.goOn)
 		s := &slot{msg: m, ready: make(chan struct{})}
-		if b, ok := isBad(err); ok {
-			c.front.opt.Log.Warn().Int("status", b.status).Str("what", b.text).Stringer("from", c.net.RemoteAddr()).
+		if b, ok := http1.IsBad(err); ok {
+			c.front.opt.Log.Warn().Int("status", b.Status).Str("what", b.Text).Stringer("from", c.net.RemoteAddr()).
 				Msg("request can't be read")
-			s.msg.close = true
+			s.msg.Close = true
 			c.front.open.Add(1)
-			s.finish(errorAnswer(b.status, "malformed", b.text, "", true))
+			s.finish(http1.ErrorAnswer(b.Status, "malformed", b.Text, "", true))
 			c.push(s)
 			c.drain(r)
 			return
@@ -207,7 +211,7 @@
 			return
 		}
 		c.take(s)
-		if s.msg.close {
+		if s.msg.Close {
 			c.drain(r)
 			return
 		}
@@ -313,7 +317,7 @@
 		c.front.open.Add(-1)
 		c.unwritten.Add(-1)
 		c.report(true)
-		if err != nil || s.msg.close || s.answer == nil {
+		if err != nil || s.msg.Close || s.answer == nil {
 			return
 		}
 	}
@@ -323,57 +327,61 @@
 func (c *conn) take(s *slot) {
 	f, m := c.front, &s.msg
 	at := f.opt.Clock.Now()
-	if strings.HasPrefix(m.path, "/-/") || m.path == "/healthz" {
+	if strings.HasPrefix(m.Path, "/-/") || m.Path == "/healthz" {
 		c.reply(s, f.manage(m))
 		return
 	}
-	object, ok := objectPath(m.path)
+	object, ok := objectPath(m.Path)
 	if !ok {
-		if !token.Canonical(m.path) {
-			c.reply(s, errorAnswer(400, "malformed", "the path is not in canonical form", "", m.close))
+		if !token.Canonical(m.Path) {
+			c.reply(s, http1.ErrorAnswer(400, "malformed", "the path is not in canonical form", "", m.Close))
 		} else {
-			c.reply(s, errorAnswer(404, "not_found", "no such path", "", m.close))
+			c.reply(s, http1.ErrorAnswer(404, "not_found", "no such path", "", m.Close))
 		}
 		return
 	}
 	now := f.opt.Clock.Unix()
 	grant, rest, err := f.ring.Load().Verify(token.Request{
-		Scheme: f.opt.Scheme, Host: m.host, Path: m.path, RawQuery: m.query, Cookie: m.cookie(token.ParamPackage),
+		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Cookie: m.Cookie(token.ParamPackage),
 	}, now/1000, f.policy.Load().LeewayMs/1000)
 	if err != nil {
-		c.reply(s, rejected(err, m.close))
-		f.opt.Log.Info().Err(err).Str("path", m.path).Msg("token not accepted")
+		c.reply(s, rejected(err, m.Close))
+		f.opt.Log.Info().Err(err).Str("path", m.Path).Msg("token not accepted")
 		return
 	}
 	if grant.ID != "" && f.opt.Claims.Revoked(grant.Use()) {
-		c.reply(s, errorAnswer(403, "revoked", "the token was revoked", "", m.close))
+		c.reply(s, http1.ErrorAnswer(403, "revoked", "the token was revoked", "", m.Close))
 		return
 	}
 	class, ok := f.classes[object.class]
 	if !ok {
-		c.reply(s, errorAnswer(404, "unknown_class", "no such class", "", m.close))
+		c.reply(s, http1.ErrorAnswer(404, "unknown_class", "no such class", "", m.Close))
 		return
 	}
 	method := "GET"
 	if class.Write {
 		method = "POST"
 	}
-	if m.method != method && !(m.method == "HEAD" && !class.Write) {
-		c.reply(s, errorAnswer(405, "method", "this class takes "+method, "Allow: "+method+"\r\n", m.close))
+	if m.Method != method && !(m.Method == "HEAD" && !class.Write) {
+		c.reply(s, http1.ErrorAnswer(405, "method", "this class takes "+method, "Allow: "+method+"\r\n", m.Close))
 		return
 	}
 	ask, err := object.ask(rest, m)
 	if err != nil {
-		c.reply(s, errorAnswer(400, "malformed", err.Error(), "", m.close))
+		c.reply(s, http1.ErrorAnswer(400, "malformed", err.Error(), "", m.Close))
+		return
+	}
+	if _, refuse := f.server.Draining(); refuse {
+		c.reply(s, http1.ErrorAnswer(503, "draining", "this gateway is being emptied", throttle(f.opt.RetryAfter), m.Close))
 		return
 	}
-	if !f.intake.Take(len(m.body)) {
-		c.reply(s, errorAnswer(503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n", m.close))
+	if !f.intake.Take(len(m.Body)) {
+		c.reply(s, http1.ErrorAnswer(503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n", m.Close))
 		return
 	}
-	s.held = len(m.body)
+	s.held = len(m.Body)
 	s.class, s.grant = class, grant
-	ask.From, ask.At, ask.Body = c, at, m.body
+	ask.From, ask.At, ask.Body = c, at, m.Body
 	if ask.Left == 0 || ask.Left > class.Deadline {
 		ask.Left = class.Deadline
 	}
@@ -396,7 +404,7 @@
 func (c *conn) claim(s *slot, left float64) bool {
 	f, m := c.front, &s.msg
 	if s.grant.ID == "" {
-		c.reply(s, errorAnswer(403, "bad_claim", "this class needs a token of a single use, with a jti", "", m.close))
+		c.reply(s, http1.ErrorAnswer(403, "bad_claim", "this class needs a token of a single use, with a jti", "", m.Close))
 		return false
 	}
 	s.claim, s.owner = s.grant.Use(), rand.Text()
@@ -407,9 +415,9 @@
 	switch {
 	case err != nil:
 		f.opt.Log.Warn().Err(err).Msg("claim not made")
-		c.reply(s, errorAnswer(503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n", m.close))
+		c.reply(s, http1.ErrorAnswer(503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n", m.Close))
 	case !ok:
-		c.reply(s, errorAnswer(403, "replayed", "the token has been used", "", m.close))
+		c.reply(s, http1.ErrorAnswer(403, "replayed", "the token has been used", "", m.Close))
 	}
 	return err == nil && ok
 }
@@ -458,39 +466,45 @@
 	lasts := float64(s.grant.Claims.Renew) <= f.policy.Load().TokenSeconds
 	if g := s.grant.Claims; g.Transport == 1 && g.Renew > 0 && lasts && (a.Verdict == core.Served || a.Verdict == core.Same) {
 		if next, err := f.ring.Load().Renewed(s.grant, f.opt.Clock.Unix()/1000); err == nil {
-			head += "Set-Cookie: " + token.ParamPackage + "=" + next + "; Path=" + cookiePath(s.msg.path, g.Depth) +
+			head += "Set-Cookie: " + token.ParamPackage + "=" + next + "; Path=" + cookiePath(s.msg.Path, g.Depth) +
 				"; Max-Age=" + strconv.Itoa(g.Renew) + "; HttpOnly\r\n"
 		}
 	}
-	closes := s.msg.close
+	closes := s.msg.Close
 	switch a.Verdict {
 	case core.Served:
 		body := a.Body
-		if s.msg.method == "HEAD" {
-			return answer(200, "application/octet-stream", head, len(body), nil, closes)
+		if s.msg.Method == "HEAD" {
+			return http1.Answer(200, "application/octet-stream", head, len(body), nil, closes)
 		}
-		return answer(200, "application/octet-stream", head, len(body), body, closes)
+		return http1.Answer(200, "application/octet-stream", head, len(body), body, closes)
 	case core.Same:
-		return answer(304, "", head, 0, nil, closes)
+		return http1.Answer(304, "", head, 0, nil, closes)
 	case core.Refused:
-		head := "Retry-After: " + strconv.Itoa(max(1, int((a.RetryAfter+999)/1000))) + "\r\n"
-		if a.RetryAfter > 0 {
-			head += "X-Throttle-Ms: " + strconv.Itoa(max(1, int(a.RetryAfter))) + "\r\n"
-		}
+		head := throttle(a.RetryAfter)
 		if a.Reason == core.Deadline {
-			return errorAnswer(504, "deadline", "no answer in time; trying again is harmless", head, closes)
+			return http1.ErrorAnswer(504, "deadline", "no answer in time; trying again is harmless", head, closes)
 		}
-		return errorAnswer(503, "refused", "not now; trying again is harmless", head, closes)
+		return http1.ErrorAnswer(503, "refused", "not now; trying again is harmless", head, closes)
 	}
 	switch a.Reason {
 	case core.UnknownClass:
-		return errorAnswer(404, "unknown_class", "no such class", "", closes)
+		return http1.ErrorAnswer(404, "unknown_class", "no such class", "", closes)
 	case core.Deadline:
-		return errorAnswer(504, "deadline", "no answer in time", "", closes)
+		return http1.ErrorAnswer(504, "deadline", "no answer in time", "", closes)
 	case core.Expired:
-		return errorAnswer(403, "expired", "the token expired before the request could be sent on", "", closes)
+		return http1.ErrorAnswer(403, "expired", "the token expired before the request could be sent on", "", closes)
 	}
-	return errorAnswer(502, "upstream_failed", "the store failed", "", closes)
+	return http1.ErrorAnswer(502, "upstream_failed", "the store failed", "", closes)
+}
+
+// throttle words how long a client should stay away, in whole seconds and in ms.
+func throttle(ms float64) string {
+	head := "Retry-After: " + strconv.Itoa(max(1, int((ms+999)/1000))) + "\r\n"
+	if ms > 0 {
+		head += "X-Throttle-Ms: " + strconv.Itoa(max(1, int(ms))) + "\r\n"
+	}
+	return head
 }
 
 // cookiePath keeps the leading segments of a path, as cdnistd says; 0 keeps none.
@@ -515,39 +529,9 @@
 	text := strings.TrimPrefix(err.Error(), "token: ")
 	switch why {
 	case token.Missing:
-		return errorAnswer(401, string(why), text, "WWW-Authenticate: URISigning realm=\"turnfork\"\r\n", closes)
+		return http1.ErrorAnswer(401, string(why), text, "WWW-Authenticate: URISigning realm=\"turnfork\"\r\n", closes)
 	case token.Malformed:
-		return errorAnswer(400, string(why), text, "", closes)
-	}
-	return errorAnswer(403, string(why), text, "", closes)
-}
-
-var statuses = map[int]string{
-	200: "OK", 201: "Created", 204: "No Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
-	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 414: "URI Too Long",
-	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
-	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
-}
-
-func answer(status int, kind, head string, length int, body []byte, closes bool) []byte {
-	b := make([]byte, 0, 256+len(head)+len(body))
-	b = append(b, "HTTP/1.1 "+strconv.Itoa(status)+" "+statuses[status]+"\r\n"...)
-	if kind != "" {
-		b = append(b, "Content-Type: "+kind+"\r\n"...)
+		return http1.ErrorAnswer(400, string(why), text, "", closes)
 	}
-	if status != 304 && status != 204 {
-		b = append(b, "Content-Length: "+strconv.Itoa(length)+"\r\n"...)
-	}
-	if closes {
-		b = append(b, "Connection: close\r\n"...)
-	}
-	b = append(b, head...)
-	b = append(b, "\r\n"...)
-	return append(b, body...)
-}
-
-func errorAnswer(status int, code, text, head string, closes bool) []byte {
-	body, _ := json.Marshal(map[string]string{"error": code, "detail": text})
-	body = append(body, '\n')
-	return answer(status, "application/json", "Cache-Control: no-store\r\n"+head, len(body), body, closes)
+	return http1.ErrorAnswer(403, string(why), text, "", closes)
 }
--- a/front/signed/http.go
+++ b/internal/http1/http1.go
@@ -1,7 +1,10 @@
-package signed
+// Package http1 reads HTTP/1.1 requests for the signed front and the console: every length is bounded, and what
+// two readers could understand differently is refused.
+package http1
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -17,23 +20,23 @@
 	chunkLine   = 128
 )
 
-// message is one HTTP/1.1 request.
-type message struct {
-	method, path, query, host string
-	header                    map[string]string // by lower-case name
-	body                      []byte
-	close                     bool // the connection ends after the answer
+// Message is one HTTP/1.1 request.
+type Message struct {
+	Method, Path, Query, Host string
+	Header                    map[string]string // by lower-case name
+	Body                      []byte
+	Close                     bool // the connection ends after the answer
 }
 
-// badMessage is a request that gets an error answer and ends the connection.
-type badMessage struct {
-	status int
-	text   string
+// BadMessage is a request that gets an error answer and ends the connection.
+type BadMessage struct {
+	Status int
+	Text   string
 }
 
-func (b *badMessage) Error() string { return fmt.Sprintf("%d: %s", b.status, b.text) }
+func (b *BadMessage) Error() string { return fmt.Sprintf("%d: %s", b.Status, b.Text) }
 
-func bad(status int, text string) error { return &badMessage{status, text} }
+func bad(status int, text string) error { return &BadMessage{status, text} }
 
 // readLine reads a line of at most so many bytes and takes its end off. A bare CR or NUL has no place
 // in one: readers that differ over it would see different requests.
@@ -66,8 +69,8 @@
 	return text, nil
 }
 
-// readMessage reads one request. cont is called before a body that the client holds back for a 100.
-func readMessage(r *bufio.Reader, bodyMost int, cont func()) (m message, err error) {
+// Read reads one request. cont is called before a body that the client holds back for a 100.
+func Read(r *bufio.Reader, bodyMost int, cont func()) (m Message, err error) {
 	line, err := readLine(r, lineMost, 414)
 	if err == nil && line == "" { // one empty line before a request is passed over (RFC 9112, 2.2)
 		line, err = readLine(r, lineMost, 414)
@@ -79,11 +82,11 @@
 	if len(parts) != 3 || !isToken(parts[0]) || parts[1] == "" {
 		return m, bad(400, "no request line")
 	}
-	m.method = parts[0]
+	m.Method = parts[0]
 	switch {
 	case parts[2] == "HTTP/1.1":
 	case parts[2] == "HTTP/1.0":
-		m.close = true
+		m.Close = true
 	case strings.HasPrefix(parts[2], "HTTP/"):
 		return m, bad(505, "HTTP/1.1 is spoken here")
 	default:
@@ -95,15 +98,15 @@
 	if err := m.headers(r); err != nil {
 		return m, noEnd(err)
 	}
-	if parts[2] == "HTTP/1.1" && m.host == "" {
+	if parts[2] == "HTTP/1.1" && m.Host == "" {
 		return m, bad(400, "no Host")
 	}
-	for _, v := range strings.Split(m.header["connection"], ",") {
+	for _, v := range strings.Split(m.Header["connection"], ",") {
 		switch strings.ToLower(strings.TrimSpace(v)) {
 		case "close":
-			m.close = true
+			m.Close = true
 		case "keep-alive":
-			m.close = m.close && parts[2] != "HTTP/1.0"
+			m.Close = m.Close && parts[2] != "HTTP/1.0"
 		}
 	}
 	return m, noEnd(m.readBody(r, bodyMost, cont))
@@ -117,11 +120,11 @@
 }
 
 // target reads the origin form, or the absolute form as proxies send it.
-func (m *message) target(t string) error {
+func (m *Message) target(t string) error {
 	for _, scheme := range []string{"http://", "https://"} {
 		if rest, ok := strings.CutPrefix(t, scheme); ok {
 			host, path, _ := strings.Cut(rest, "/")
-			m.host, t = host, "/"+path
+			m.Host, t = host, "/"+path
 		}
 	}
 	if t[0] != '/' {
@@ -132,12 +135,12 @@
 			return bad(400, "the target holds a character it can't")
 		}
 	}
-	m.path, m.query, _ = strings.Cut(t, "?")
+	m.Path, m.Query, _ = strings.Cut(t, "?")
 	return nil
 }
 
-func (m *message) headers(r *bufio.Reader) error {
-	m.header = map[string]string{}
+func (m *Message) headers(r *bufio.Reader) error {
+	m.Header = map[string]string{}
 	left := headMost
 	for n := 0; ; n++ {
 		line, err := readLine(r, min(lineMost, left+2), 431)
@@ -152,7 +155,7 @@
 			return bad(400, "a header can't be read")
 		}
 		name, value = strings.ToLower(name), strings.Trim(value, " \t")
-		if old, twice := m.header[name]; twice {
+		if old, twice := m.Header[name]; twice {
 			switch name {
 			case "host", "content-length", "transfer-encoding", "authorization", "if-none-match", "x-ttl-ms":
 				return bad(400, "a header that stands alone comes twice")
@@ -162,21 +165,21 @@
 				value = old + ", " + value
 			}
 		}
-		m.header[name] = value
+		m.Header[name] = value
 		if name == "host" {
 			if value == "" || strings.ContainsAny(value, "/?#@ ,\\") {
 				return bad(400, "the Host can't be read")
 			}
-			if m.host == "" { // an absolute target comes first
-				m.host = value
+			if m.Host == "" { // an absolute target comes first
+				m.Host = value
 			}
 		}
 	}
 }
 
-func (m *message) readBody(r *bufio.Reader, most int, cont func()) error {
-	length, sized := m.header["content-length"]
-	coding, coded := m.header["transfer-encoding"]
+func (m *Message) readBody(r *bufio.Reader, most int, cont func()) error {
+	length, sized := m.Header["content-length"]
+	coding, coded := m.Header["transfer-encoding"]
 	if sized && coded { // the classic way to smuggle a request past a proxy
 		return bad(400, "both Content-Length and Transfer-Encoding")
 	}
@@ -196,12 +199,12 @@
 			return bad(413, "the body is too large")
 		}
 	}
-	if strings.EqualFold(m.header["expect"], "100-continue") && (coded || n > 0) {
+	if strings.EqualFold(m.Header["expect"], "100-continue") && (coded || n > 0) {
 		cont()
 	}
 	if sized {
-		m.body = make([]byte, n)
-		_, err := io.ReadFull(r, m.body)
+		m.Body = make([]byte, n)
+		_, err := io.ReadFull(r, m.Body)
 		return err
 	}
 	for {
@@ -217,12 +220,12 @@
 		if n == 0 {
 			break
 		}
-		if n > uint64(most-len(m.body)) {
+		if n > uint64(most-len(m.Body)) {
 			return bad(413, "the body is too large")
 		}
-		at := len(m.body)
-		m.body = append(m.body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, m.body[at:]); err != nil {
+		at := len(m.Body)
+		m.Body = append(m.Body, make([]byte, n)...)
+		if _, err := io.ReadFull(r, m.Body[at:]); err != nil {
 			return err
 		}
 		if end, err := readLine(r, chunkLine, 400); err != nil || end != "" {
@@ -243,9 +246,9 @@
 	}
 }
 
-// cookie gives a cookie's value.
-func (m *message) cookie(name string) string {
-	for item := range strings.SplitSeq(m.header["cookie"], ";") {
+// Cookie gives a cookie's value.
+func (m *Message) Cookie(name string) string {
+	for item := range strings.SplitSeq(m.Header["cookie"], ";") {
 		if n, v, ok := strings.Cut(strings.TrimSpace(item), "="); ok && n == name {
 			return v
 		}
@@ -263,9 +266,41 @@
 	return s != ""
 }
 
-// isBad gives a malformed request's answer.
-func isBad(err error) (*badMessage, bool) {
-	var b *badMessage
+// IsBad gives a malformed request's answer.
+func IsBad(err error) (*BadMessage, bool) {
+	var b *BadMessage
 	ok := errors.As(err, &b)
 	return b, ok
 }
+
+var statuses = map[int]string{
+	200: "OK", 201: "Created", 204: "No Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
+	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 414: "URI Too Long",
+	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+}
+
+// Answer words an answer; a nil body with a length answers HEAD.
+func Answer(status int, kind, head string, length int, body []byte, closes bool) []byte {
+	b := make([]byte, 0, 256+len(head)+len(body))
+	b = append(b, "HTTP/1.1 "+strconv.Itoa(status)+" "+statuses[status]+"\r\n"...)
+	if kind != "" {
+		b = append(b, "Content-Type: "+kind+"\r\n"...)
+	}
+	if status != 304 && status != 204 {
+		b = append(b, "Content-Length: "+strconv.Itoa(length)+"\r\n"...)
+	}
+	if closes {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, head...)
+	b = append(b, "\r\n"...)
+	return append(b, body...)
+}
+
+// ErrorAnswer words an error as JSON.
+func ErrorAnswer(status int, code, text, head string, closes bool) []byte {
+	body, _ := json.Marshal(map[string]string{"error": code, "detail": text})
+	body = append(body, '\n')
+	return Answer(status, "application/json", "Cache-Control: no-store\r\n"+head, len(body), body, closes)
+}
--- a/turnfork.go
+++ b/turnfork.go
@@ -12,6 +12,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"turnfork.dev/turnfork/changelog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/console"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front/fastcgi"
 	"turnfork.dev/turnfork/front/signed"
@@ -41,10 +43,10 @@
 	Tap      func(front string, c net.Conn) net.Conn // wraps the fronts' connections, for recording; nil: none
 }
 
-// Addrs are the addresses that the fronts listen on, nil where a front is off.
+// Addrs are the addresses that the fronts listen on, nil where one is off.
 type Addrs struct {
-	FastCGI, Signed net.Addr
-	Fronts          Fronts
+	FastCGI, Signed, Console net.Addr
+	Fronts                   Fronts
 }
 
 // Fronts take connections from elsewhere than their listener.
@@ -58,8 +60,10 @@
 	stopAccepting = 1000 * time.Millisecond // after the signal; connections keep coming for a while
 	stopSlack     = 550 * time.Millisecond  // beyond the longest deadline, before the platform kills
 	memoryPart    = 0.6                     // of the memory limit, for the collector to aim at
-	frontPart     = 0.5                     // of the descriptors; usual clients hold a third of them at most
-	upstreamPart  = 0.35
+	ownSockets    = 16                      // descriptors for all but callers, clients and stores
+	callerPart    = 1.0 / 16                // of the descriptors, for operators' calls
+	frontPart     = 0.58                    // of the others; usual clients hold a third of all at most
+	upstreamPart  = 0.4
 	unwrittenPart = 0.15 // of the memory, for answers that wait to be written
 	takenPart     = 0.05 // for requests without an answer
 	connsPerStore = 16
@@ -82,6 +86,17 @@
 type serving interface {
 	Serve(ctx context.Context, l net.Listener) error
 	Open() int
+	Drain(on bool)
+}
+
+// places are a process's parts of the descriptors.
+type places struct{ callers, front, upstream int }
+
+func placesOf(sockets int) (p places) {
+	p.callers = max(4, min(console.MaxConns, int(callerPart*float64(sockets))))
+	rest := max(8, float64(sockets-ownSockets-p.callers))
+	p.front, p.upstream = int(frontPart*rest), int(upstreamPart*rest)
+	return p
 }
 
 // Run serves until ctx ends, or until Stop is closed and what was taken is answered.
@@ -93,6 +108,7 @@
 	if node.Sockets <= 0 {
 		node.Sockets = 1024
 	}
+	room := placesOf(node.Sockets)
 	// The upstreams post to the core and the core sends by the upstreams: the core is made first.
 	up := &struct{ core.Upstream }{}
 	c, err := core.New(core.Options{
@@ -109,7 +125,7 @@
 	}
 	pool := resp.New(resp.Options{
 		DialTimeout: node.DialTimeout, IdleClose: node.IdleClose, ProbeTimeout: probeTimeout, Streams: node.Streams,
-		MaxConns: int(upstreamPart * float64(node.Sockets)), Clock: cfg.Clock, Log: cfg.Log,
+		MaxConns: room.upstream, Clock: cfg.Clock, Log: cfg.Log,
 	}, post)
 	defer pool.Close()
 	up.Upstream = pool
@@ -167,7 +183,7 @@
 
 	if node.Listen != "" {
 		f := fastcgi.New(fastcgi.Options{
-			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: int(frontPart * float64(node.Sockets)), Tap: tap("fastcgi"),
+			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: room.front, Tap: tap("fastcgi"), RetryAfter: retryAfter(node),
 			MaxBytes: bytesOf(unwrittenPart, node), MaxTaken: bytesOf(takenPart, node),
 		})
 		if addrs.FastCGI, err = listen("listen", node.Listen, f); err != nil {
@@ -180,14 +196,13 @@
 		if err != nil {
 			return err
 		}
-		part := frontPart
 		if node.Listen != "" {
-			part /= 2
+			room.front /= 2
 		}
 		f := signed.New(signed.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
 			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
-			MaxConns: int(part * float64(node.Sockets)), Tap: tap("signed"), MaxBytes: bytesOf(unwrittenPart, node),
+			MaxConns: room.front, Tap: tap("signed"), RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
 		})
 		changed.Store(f)
 		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
@@ -208,10 +223,33 @@
 		}
 		return n
 	}
+	own := &operated{core: c, fronts: fronts, open: addrs.Fronts.Open, waits: map[string]struct{}{waitFront: {}}}
+	if node.Console != "" {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", node.Console)
+		if err != nil {
+			return fmt.Errorf("console: %w", err)
+		}
+		addrs.Console = l.Addr()
+		desk := console.New(console.Options{Gateway: own, MaxConns: room.callers, Clock: cfg.Clock, Log: cfg.Log})
+		g.Go(func() error { return desk.Serve(ctx, l) })
+	}
 	g.Go(func() error { return c.Run(ctx) })
 	moves := make(chan changelog.Move)
 	if node.Changelog != "" {
+		own.waits[waitLog] = struct{}{}
 		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Moves: moves, Post: c.Post, Log: cfg.Log}
+		var once sync.Once
+		feed.Caught = func() { // the core holds what came before once it has taken a question that follows
+			once.Do(func() {
+				reply := make(chan core.Stats, 1)
+				c.Post(core.Query{Reply: reply})
+				select {
+				case <-reply:
+					own.done(waitLog)
+				case <-ctx.Done():
+				}
+			})
+		}
 		g.Go(func() error { return feed.Run(ctx) })
 	}
 	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
@@ -222,17 +260,22 @@
 		select {
 		case <-ctx.Done():
 		case <-cfg.Stop:
+			own.stop()
 			drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
 			end()
 		}
 		return nil
 	})
+	own.done(waitFront)
 	if cfg.Ready != nil {
 		cfg.Ready(addrs)
 	}
 	for _, l := range listeners {
 		cfg.Log.Info().Str("name", node.Name).Stringer("listen", l.Addr()).Msg("serving")
 	}
+	if addrs.Console != nil {
+		cfg.Log.Info().Stringer("console", addrs.Console).Msg("operators' calls are taken")
+	}
 	return g.Wait()
 }
 
@@ -319,6 +362,14 @@
 	}
 }
 
+// retryAfter is the advice that the settings allow for a client refused in a drain.
+func retryAfter(n config.Node) float64 {
+	if !n.Settings.CanRetryAfter {
+		return 0
+	}
+	return clock.Ms(n.Settings.MaxRetryAfter)
+}
+
 func longest(n config.Node) (most time.Duration) {
 	for _, c := range n.Settings.Classes {
 		most = max(most, c.Deadline)
--- a/upstream/both/both.go
+++ b/upstream/both/both.go
@@ -65,6 +65,12 @@
 	u.Rest.Update(s)
 }
 
+// Bar tells both, as a store of one may be the source of another's fill.
+func (u *Upstream) Bar(member uint32, on bool) {
+	u.First.Bar(member, on)
+	u.Rest.Bar(member, on)
+}
+
 // Seen wraps the sink of events, to forget the attempts that have ended.
 func (u *Upstream) Seen(post func(core.Event)) func(core.Event) {
 	return func(ev core.Event) {
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,7 @@
 	mu       sync.Mutex
 	peers    map[uint32]*peer
 	attempts map[core.Key]*attempt
+	bars     map[uint32]struct{} // stores that the operators took out
 	probes   uint64
 	conns    int
 	late     chan core.Event // what a call from the core found at once
@@ -93,7 +95,7 @@
 		opt.Dial = (&net.Dialer{}).DialContext
 	}
 	p := &Pool{
-		opt: opt, post: post, peers: map[uint32]*peer{}, attempts: map[core.Key]*attempt{},
+		opt: opt, post: post, peers: map[uint32]*peer{}, attempts: map[core.Key]*attempt{}, bars: map[uint32]struct{}{},
 		late: make(chan core.Event, 8192),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
@@ -138,8 +140,65 @@
 	}
 }
 
+// Bar has nothing leave for a store that has not left yet, nor name it as a source, until it is lifted. The work
+// under way there goes on.
+func (p *Pool) Bar(member uint32, on bool) {
+	p.mu.Lock()
+	delete(p.bars, member)
+	var ended []core.Event
+	if on {
+		p.bars[member] = struct{}{}
+		ended = p.retract(member)
+	}
+	p.mu.Unlock()
+	for _, ev := range ended {
+		p.soon(ev)
+	}
+}
+
+// retract takes back all that waits to leave for a store or to name it as a source. Guards against work that a
+// dial or a full connection has held up reaching a store that takes nothing new any more: what was decided
+// before the word came would leave after its grace.
+func (p *Pool) retract(id uint32) (ended []core.Event) {
+	back := func(a *attempt) {
+		if a.on != nil {
+			a.on.unqueue(a)
+		}
+		if ev := p.end(a, control.Unsent); ev != nil {
+			ended = append(ended, ev)
+		}
+	}
+	for _, a := range p.attempts {
+		if (a.To == id || a.Fill && a.Source == id) && !a.writing && !a.dropped {
+			back(a)
+		}
+	}
+	if q := p.peers[id]; q != nil { // probes have no key
+		for _, a := range q.waiting {
+			back(a)
+		}
+		for _, c := range q.conns {
+			for _, a := range c.open {
+				if a.probe && !a.writing {
+					back(a)
+				}
+			}
+		}
+	}
+	for _, q := range p.peers {
+		q.waiting = slices.DeleteFunc(q.waiting, func(a *attempt) bool { return a.over })
+	}
+	return ended
+}
+
 // Update tells of the stores. A store that is gone keeps its connections until its work has ended.
 func (p *Pool) Update(s core.Stores) {
+	var ended []core.Event
+	defer func() {
+		for _, ev := range ended {
+			p.soon(ev)
+		}
+	}()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.Whole {
@@ -163,9 +222,13 @@
 			q.addr = e.Addr
 		}
 		q.gone = e.Member.State == control.Gone
+		if e.Member.State != control.Ready {
+			ended = append(ended, p.retract(id)...)
+		}
 	}
 	for id, q := range p.peers {
 		if q.gone {
+			ended = append(ended, p.retract(id)...)
 			for _, c := range q.conns {
 				c.leaving = true
 				c.closeIfDone()
@@ -182,7 +245,11 @@
 	a := &attempt{Send: s, wire: s.Txn, member: s.To}
 	p.mu.Lock()
 	q := p.peers[s.To]
-	if q == nil || p.attempts[s.Key] != nil {
+	_, barred := p.bars[s.To]
+	if s.Fill && !barred {
+		_, barred = p.bars[s.Source]
+	}
+	if q == nil || barred || p.attempts[s.Key] != nil {
 		p.mu.Unlock()
 		p.soon(core.Ended{Key: s.Key, Result: control.Unsent})
 		return
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -61,9 +61,12 @@
 
 	mu   sync.Mutex
 	open map[core.Key]*attempt
+	bars map[uint32]struct{}
 }
 
 type attempt struct {
+	to      uint32
+	left    bool // it has a connection, so bytes of it may have left
 	cancel  context.CancelFunc
 	dropped bool
 	as      control.Result
@@ -71,7 +74,7 @@
 
 // New returns an upstream that lives until Close.
 func New(opt Options, post func(core.Event)) *Upstream {
-	u := &Upstream{opt: opt, post: post, open: map[core.Key]*attempt{}}
+	u := &Upstream{opt: opt, post: post, open: map[core.Key]*attempt{}, bars: map[uint32]struct{}{}}
 	u.ctx, u.stop = context.WithCancel(context.Background())
 	dialer := &net.Dialer{Timeout: clock.Duration(opt.DialTimeout)}
 	client := func(alone bool) *http.Client {
@@ -104,19 +107,22 @@
 // Send makes an attempt.
 func (u *Upstream) Send(s core.Send) {
 	ctx, cancel := context.WithCancel(u.ctx)
-	a := &attempt{cancel: cancel}
+	a := &attempt{cancel: cancel, to: s.To}
 	u.mu.Lock()
 	u.open[s.Key] = a
+	if _, barred := u.bars[s.To]; barred {
+		cancel()
+	}
 	u.mu.Unlock()
 	u.wg.Add(1)
 	go func() {
 		defer u.wg.Done()
 		defer cancel()
-		ev := u.run(ctx, s)
+		ev := u.run(ctx, s, a)
 		u.mu.Lock()
 		delete(u.open, s.Key)
 		// A drop's end is told here, once the request's connection is closed or has given its answer.
-		if a.dropped && ev.Result != control.OK && ev.Result != control.Unreached {
+		if a.dropped && ev.Result != control.OK && ev.Result != control.Unreached && ev.Result != control.Unsent {
 			ev = core.Ended{Key: s.Key, Result: a.as}
 		}
 		u.mu.Unlock()
@@ -134,14 +140,34 @@
 	}
 }
 
-func (u *Upstream) run(ctx context.Context, s core.Send) core.Ended {
+// Bar keeps what has no connection yet from leaving for a store, and all that comes later.
+func (u *Upstream) Bar(member uint32, on bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if delete(u.bars, member); !on {
+		return
+	}
+	u.bars[member] = struct{}{}
+	for _, a := range u.open {
+		if a.to == member && !a.left {
+			a.cancel()
+		}
+	}
+}
+
+func (u *Upstream) run(ctx context.Context, s core.Send, a *attempt) core.Ended {
 	end := core.Ended{Key: s.Key, Result: control.Unsent}
 	store, ok := u.opt.Stores[s.To]
 	if !ok {
 		return end
 	}
 	var wrote atomic.Bool // some byte may have left
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		wrote.Store(true)
+		u.mu.Lock()
+		a.left = true
+		u.mu.Unlock()
+	}})
 	method := http.MethodGet
 	if len(s.Body) > 0 || s.Write {
 		method = http.MethodPost
@@ -174,7 +200,9 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		end.Result = control.Broken
-		if !wrote.Load() {
+		if !wrote.Load() && ctx.Err() != nil {
+			end.Result = control.Unsent // given up, or its store was taken out
+		} else if !wrote.Load() {
 			end.Result = control.Unreached // no connection came up, so nothing ran
 		} else if ctx.Err() != nil {
 			end.Result = control.Cancelled
