Let a second process take over from the first on an inherited socket

With the socket shared, 20 requests an upgrade were lost on connections that the old process still held when it was killed. Ruled out: the accepting side (the old process accepts nothing after SIGTERM, none was left unread), closes that cross a request (4 at most, sent again by clients), the ban file (18 calls, none late or wrong). Cause: with 5 requests open on a connection at any time it is never quiet within the 3 s, so closing between requests alone does not empty it. At fault: turnfork.go listened only by address; front.go knew no leaving. Now internal/kin keeps who lives and the orders; a leaving process refuses after 0.6 s on connections that are never quiet.

--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -41,9 +41,15 @@
 
 // launch starts the program and waits for the line that says where it listens.
 func launch(t *testing.T, bin string, env []string, args ...string) *program {
+	t.Helper()
+	return launchWith(t, bin, env, nil, args...)
+}
+
+// launchWith starts it with files from descriptor 3 on.
+func launchWith(t *testing.T, bin string, env []string, files []*os.File, args ...string) *program {
 	t.Helper()
 	p := &program{cmd: exec.Command(bin, args...), log: &bytes.Buffer{}, done: make(chan error, 1)}
-	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Env, p.cmd.ExtraFiles = append(os.Environ(), env...), files
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -175,6 +181,14 @@
 	}
 }
 
+// settings is a configuration, less the address of the change log.
+const settings = `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"changelog":%q,"known":{"seq":0,"results":[]},"settings":{"az":1,"balancers":1,"zones":["hub","edge"],"kinds":["box","parent","origin"],
+"quantum":0.002,"classes":[{"name":"firmware","aim":0.6,"deadline":5,"repeat":"free","worth":1},
+{"name":"app-assets","aim":0.6,"deadline":5,"repeat":"free","worth":1}],"allowed":{"max-attempts":8,"cancel":true,"dial-timeout":0.4,
+"idle-close":15,"max-open":1000,"probes":true},"family-info":{"origin-kind":2,"shield-kind":1,"client-kb-per-s":3400,
+"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all","straight":true}}}`
+
 // The platform's way: NODE_CONFIG, FastCGI, a change log that names the store, and SIGTERM, after which
 // what is taken is still answered and the program ends by itself.
 func TestPlatform(t *testing.T) {
@@ -216,12 +230,6 @@
 		}
 	}()
 	conf := filepath.Join(t.TempDir(), "config.json")
-	settings := `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
-"changelog":%q,"known":{"seq":0,"results":[]},"settings":{"az":1,"balancers":1,"zones":["hub","edge"],"kinds":["box","parent","origin"],
-"quantum":0.002,"classes":[{"name":"firmware","aim":0.6,"deadline":5,"repeat":"free","worth":1},
-{"name":"app-assets","aim":0.6,"deadline":5,"repeat":"free","worth":1}],"allowed":{"max-attempts":8,"cancel":true,"dial-timeout":0.4,
-"idle-close":15,"max-open":1000,"probes":true},"family-info":{"origin-kind":2,"shield-kind":1,"client-kb-per-s":3400,
-"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all","straight":true}}}`
 	os.WriteFile(conf, fmt.Appendf(nil, settings, feed.Addr()), 0o600)
 	p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1", "NODE_CONSOLE=127.0.0.1:0"})
 	c, err := net.Dial("tcp", p.addr)
@@ -316,6 +324,113 @@
 	}
 }
 
+// A second process takes over from the first, on the socket that both inherit: it holds what operators ordered before
+// and meanwhile, at either process; the first answers what it took, accepts nothing more and ends by itself.
+func TestReplace(t *testing.T) {
+	bin := build(t)
+	release := make(chan struct{})
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		if c.Fields["lane"] == "app-assets" {
+			<-release
+		}
+		return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	dir := t.TempDir()
+	conf := filepath.Join(dir, "config.json")
+	text := strings.Replace(fmt.Sprintf(settings, ""), `"results":[]`, fmt.Sprintf(`"results":[{"seq":1,"fleet":{"full":true,"servers":[
+{"id":"s-00000007","addr":%q,"zone":"edge","kind":"box","state":"Ready","weight":10},
+{"id":"s-00000008","addr":"127.0.0.1:1","zone":"edge","kind":"box","state":"Ready","weight":10}]}}]`, s.Addr()), 1)
+	os.WriteFile(conf, []byte(text), 0o600)
+	start := func() *program {
+		return launchWith(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_CONSOLE=127.0.0.1:0", "NODE_SOCKET_FD=3", "TMPDIR=" + dir}, []*os.File{socket})
+	}
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(30 * time.Second))
+		return c, bufio.NewReader(c)
+	}
+	first := start()
+	if got := call(t, first.console(t), "PUT", "/stores/disable", `{"id":"s-00000008"}`); got != 200 {
+		t.Fatalf("disable: %d", got)
+	}
+	c, r := dial()
+	c.Write(get("app-assets", 1))
+	for len(s.Calls("GET")) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := start()
+	until(t, 200, second.console(t), "GET", "/ready", "")
+	for _, p := range []*program{first, second} {
+		if got := state(t, p.console(t)); len(got.Disabled) != 1 || got.Disabled[0] != "s-00000008" {
+			t.Errorf("%+v", got)
+		}
+	}
+	// Ordered at one, it holds at the other.
+	if got := call(t, second.console(t), "PUT", "/stores/enable", `{"id":"s-00000008"}`); got != 200 {
+		t.Errorf("enable: %d", got)
+	}
+	for end := time.Now().Add(30 * time.Second); len(state(t, first.console(t)).Disabled) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the first process never heard of the order at the second")
+		}
+	}
+	first.cmd.Process.Signal(syscall.SIGTERM)
+	first.await(t, "another process serves")
+	for id := uint16(2); id < 12; id++ { // accepted by the second one alone
+		c, r := dial()
+		c.Write(get("firmware", id))
+		if _, text := answer(t, r); !strings.HasPrefix(text, "Status: 200") {
+			t.Errorf("beside a process that leaves: %q", text)
+		}
+		c.Close()
+	}
+	close(release)
+	if id, text := answer(t, r); id != 1 || !strings.HasSuffix(text, "hello") {
+		t.Errorf("what the first process took: %d %q", id, text)
+	}
+	if err := <-first.done; err != nil {
+		t.Errorf("exit: %v\n%s", err, first.lines())
+	}
+	if got := state(t, second.console(t)); !got.Ready {
+		t.Errorf("%+v", got)
+	}
+}
+
+// state asks a console for what it tells of the gateway.
+func state(t *testing.T, addr string) (s struct {
+	Ready    bool
+	Disabled []string
+}) {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // The operator's way: a file, signed URLs from the subcommand, and pcap files written and read again.
 func TestOperatorAndPcap(t *testing.T) {
 	bin, dir := build(t), t.TempDir()
--- a/config/config.go
+++ b/config/config.go
@@ -18,6 +18,7 @@
 type Node struct {
 	Name, Listen string
 	Console      string // where operators call; "": nowhere
+	SocketFD     int    // an inherited descriptor that listens in place of Listen; 0: none
 	Seed         uint64
 	Cores        float64
 	MemoryMB     int
@@ -56,6 +57,11 @@
 	if v := getenv("NODE_CONSOLE"); err == nil && v != "" {
 		n.Console, err = v, address("NODE_CONSOLE", v)
 	}
+	if v := getenv("NODE_SOCKET_FD"); err == nil && v != "" {
+		if n.SocketFD, err = strconv.Atoi(v); err != nil || n.SocketFD < 3 {
+			return n, fmt.Errorf("config: NODE_SOCKET_FD: %q is no descriptor from 3 on", v)
+		}
+	}
 	return n, err
 }
 
--- a/console/console.go
+++ b/console/console.go
@@ -26,6 +26,8 @@
 	Draining bool     `json:"draining"`
 	Disabled []string `json:"disabled"` // stores that were taken out
 	Open     int      `json:"open"`     // requests taken and not yet answered
+	// Processes counts those that live: two while one replaces the other.
+	Processes int `json:"processes"`
 }
 
 // ErrUnknown says that no list ever named a store.
--- a/control/api.go
+++ b/control/api.go
@@ -235,6 +235,9 @@
 	On     bool
 }
 
+// Shared tells that this front is so many processes at present, which share what one front may send.
+type Shared struct{ Processes int }
+
 func (Members) event() {}
 func (Request) event() {}
 func (Outcome) event() {}
@@ -244,6 +247,7 @@
 func (Woken) event()   {}
 func (Purged) event()  {}
 func (Barred) event()  {}
+func (Shared) event()  {}
 
 // Action is something the host does, in the order given; see the types below.
 type Action interface{ action() }
--- a/control/control.go
+++ b/control/control.go
@@ -63,8 +63,8 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	c := &Controller{set: s, seed: seed, requests: map[RequestID]*request{}, purges: map[purgeKey]purge{}}
-	c.listed[0], c.barred = map[MemberID]struct{}{}, map[MemberID]struct{}{}
+	c := &Controller{set: s, seed: seed, parts: 1, requests: map[RequestID]*request{}}
+	c.purges, c.listed[0], c.barred = map[purgeKey]purge{}, map[MemberID]struct{}{}, map[MemberID]struct{}{}
 	c.objects[0], c.objects[1] = map[objectKey]*object{}, map[objectKey]*object{}
 	for _, class := range s.Classes {
 		// Until answers are seen a class's sending time is taken to be its aim: too long, so
@@ -94,6 +94,8 @@
 		c.list(ev)
 	case Barred:
 		c.bar(ev)
+	case Shared:
+		c.parts = max(1, ev.Processes)
 	case Request:
 		c.arrive(ev)
 	case Outcome:
@@ -562,7 +564,7 @@
 		r.useful = c.now
 	}
 	c.requests[q.ID] = r
-	c.probes = min(c.probes+probeShare, probesSaved)
+	c.probes = min(c.probes+probeShare/float64(c.parts), probesSaved)
 	o := c.remember(objectKey{object: q.Object, part: q.Part, whole: true})
 	o.demand = o.demand*math.Exp(-(c.now-o.at).Seconds()/hotOver.Seconds()) + sending
 	o.at = c.now
--- a/control/state.go
+++ b/control/state.go
@@ -78,6 +78,7 @@
 	pooled   bool            // fills hash over all hubs' parents
 	ticking  bool
 	probes   float64 // that may be sent
+	parts    int     // processes that make up this front
 }
 
 type member struct {
@@ -349,12 +350,12 @@
 	u        float64
 }
 
-// sharers is the number of fronts that may send to a member.
+// sharers is the number of processes that may send to a member, were every front made up of as many as this one.
 func (c *Controller) sharers(m *member) int {
 	if !c.isParent(m) && m.Zone < len(c.set.FrontsByZone) {
-		return max(1, c.set.FrontsByZone[m.Zone])
+		return max(1, c.set.FrontsByZone[m.Zone]) * c.parts
 	}
-	return max(1, c.set.Fronts)
+	return max(1, c.set.Fronts) * c.parts
 }
 
 // purged enters a purge and tells whether it is news.
--- a/core/core.go
+++ b/core/core.go
@@ -163,6 +163,8 @@
 		c.tell(control.Purged{Object: control.ObjectID(ev.Object), Group: ev.Group, Ago: clock.Duration(ago)})
 	case Bar:
 		c.bar(ev)
+	case Share:
+		c.tell(control.Shared{Processes: ev.Processes})
 	case WhenIdle:
 		c.idle = append(c.idle, ev.Tell)
 	case Query:
--- a/core/types.go
+++ b/core/types.go
@@ -163,6 +163,9 @@
 	Reply  chan<- error
 }
 
+// Share tells how many processes make up this gateway at present.
+type Share struct{ Processes int }
+
 // ErrUnknown says that no list has named a store.
 var ErrUnknown = errors.New("core: no list has named this store")
 
@@ -179,6 +182,7 @@
 func (Stores) event()   {}
 func (Purge) event()    {}
 func (Bar) event()      {}
+func (Share) event()    {}
 func (WhenIdle) event() {}
 func (Query) event()    {}
 
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -85,6 +85,19 @@
 // Drain begins to empty the front of connections, or with on false ends that.
 func (f *Front) Drain(on bool) { f.server.Drain(on) }
 
+// Leave closes each connection once nothing is open on it: another process takes what is new.
+func (f *Front) Leave() { f.server.Leave() }
+
+// Conns counts the connections.
+func (f *Front) Conns() int { return f.server.Conns() }
+
+// Share leaves the front one part in so many of the memory it may use, and so many connections.
+func (f *Front) Share(parts, conns int) {
+	f.server.Limit(conns)
+	f.budget.Limit(f.opt.MaxBytes / int64(parts))
+	f.intake.Limit(f.opt.MaxTaken / int64(parts))
+}
+
 func (f *Front) handle(nc net.Conn, seat *front.Seat) {
 	c := &conn{
 		front: f, net: nc, seat: seat, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
--- a/front/front.go
+++ b/front/front.go
@@ -31,6 +31,9 @@
 	full     bool // told already
 	draining bool
 	drained  float64 // when the drain was asked for
+	leaving  bool    // another process takes what is new
+	left     float64 // since when
+	max      int     // in place of Max, where set later
 }
 
 const (
@@ -47,6 +50,10 @@
 	drainRefuse = 1200.0 // then what is asked for is refused, so that each one becomes quiet
 	drainHalf   = 2500.0 // then what is not whole is refused too
 	drainIdle   = 200.0  // ms that a new connection has to ask after that
+
+	// Of a process that another one replaces, in ms from its signal. It is killed the longest deadline and 0.7 s later.
+	leaveRefuse = 600.0  // a connection still never quiet has its new requests refused
+	leaveHalf   = 1500.0 // and what is not whole
 )
 
 // Seat is a connection's place. Its front keeps it up to date.
@@ -78,16 +85,23 @@
 		s.since = s.server.Clock.Now()
 	}
 	s.open, s.asked, s.until = open, s.asked || asked, until
-	if s.server.draining && s.quiet(s.server.Clock.Now()) {
+	if (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now()) {
 		s.server.leave(s)
 		s.conn.Close()
 	}
 }
 
 // quiet tells whether a connection can be closed in a drain: the platform has had time to notice, nothing is open
-// and nothing waits to be read, as what crosses the close is lost to its client.
+// and nothing waits to be read, as what crosses the close is lost to its client. One that another process can take
+// over is closed as soon as that; a new one has a moment to ask.
 func (s *Seat) quiet(now float64) bool {
-	due := max(s.server.drained+drainNotice, s.came+drainIdle)
+	due := s.came
+	if !s.asked {
+		due += drainIdle
+	}
+	if !s.server.leaving {
+		due = max(due, s.server.drained+drainNotice)
+	}
 	return s.open == 0 && s.until == 0 && now >= due && !unread(s.conn)
 }
 
@@ -101,11 +115,42 @@
 	s.draining = on
 }
 
+// Leave closes each connection as soon as it is quiet, for good: clients come again to another process.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving, s.left = true, s.Clock.Now()
+	s.mu.Unlock()
+	s.Sweep()
+}
+
+// Limit sets the number of places anew. Connections beyond it stay until they end.
+func (s *Server) Limit(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.max = max(1, most)
+}
+
+// Conns counts the connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seats)
+}
+
+// most is the number of places.
+func (s *Server) most() int {
+	if s.max > 0 {
+		return s.max
+	}
+	return s.Max
+}
+
 // Draining tells whether the server is being emptied, and whether new requests are refused by now.
 func (s *Server) Draining() (draining, refuse bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining, s.draining && s.Clock.Now() >= s.drained+drainRefuse
+	now := s.Clock.Now()
+	return s.draining, s.draining && now >= s.drained+drainRefuse || s.leaving && now >= s.left+leaveRefuse
 }
 
 // Serve accepts until the listener closes or ctx ends, and returns once every connection has ended.
@@ -155,7 +200,7 @@
 			time.Sleep(pauseFirst)
 		}
 		if seat == nil {
-			s.Log.Warn().Int("connections", s.Max).Msg("too many connections, all with requests open")
+			s.Log.Warn().Int("connections", s.Conns()).Msg("too many connections, all with requests open")
 			nc.Close()
 			continue
 		}
@@ -193,14 +238,14 @@
 	if s.seats == nil {
 		s.seats = map[*Seat]struct{}{}
 	}
-	if len(s.seats) >= s.Max {
+	if len(s.seats) >= s.most() {
 		old := s.spare()
 		if old == nil {
 			return nil
 		}
 		if !s.full {
 			s.full = true
-			s.Log.Warn().Int("connections", s.Max).Msg("all places taken: idle connections are closed for new ones")
+			s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
 		}
 		s.leave(old)
 		old.conn.Close()
@@ -236,7 +281,7 @@
 			idle = x
 		}
 	}
-	if silent != nil && fewSilent*silents > s.Max {
+	if silent != nil && fewSilent*silents > s.most() {
 		return silent
 	}
 	return idle
@@ -253,7 +298,7 @@
 	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.full = s.full && len(s.seats) >= s.Max
+	s.full = s.full && len(s.seats) >= s.most()
 	for x := range s.seats {
 		late := x.until > 0 && now > x.until
 		if !x.asked {
@@ -261,11 +306,12 @@
 		} else if x.open == 0 {
 			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
 		}
-		if s.draining {
+		if s.draining || s.leaving {
 			late = late || x.quiet(now)
-			if x.until > 0 && now >= s.drained+drainHalf && x.yield != nil {
-				yields = append(yields, x.yield)
-			}
+		}
+		if x.until > 0 && x.yield != nil &&
+			(s.draining && now >= s.drained+drainHalf || s.leaving && now >= s.left+leaveHalf) {
+			yields = append(yields, x.yield)
 		}
 		if late {
 			s.leave(x)
@@ -291,7 +337,7 @@
 
 // Take books n bytes, or tells that there is no room.
 func (b *Budget) Take(n int) bool {
-	if b.held.Add(int64(n)) > b.Most {
+	if b.held.Add(int64(n)) > atomic.LoadInt64(&b.Most) {
 		b.held.Add(-int64(n))
 		return false
 	}
@@ -300,3 +346,6 @@
 
 // Give returns n bytes.
 func (b *Budget) Give(n int) { b.held.Add(-int64(n)) }
+
+// Limit sets the bound anew. What is booked beyond it stays.
+func (b *Budget) Limit(most int64) { atomic.StoreInt64(&b.Most, most) }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -144,7 +144,7 @@
 		t.Error("closed before the platform can have noticed")
 	}
 	step(1)
-	fresh := seat(0, 0)
+	fresh := s.place(&testConn{})
 	if !closed(idle) || closed(busy) || closed(fresh) {
 		t.Error("what is quiet is closed then, and nothing else")
 	}
@@ -161,7 +161,7 @@
 	if step(drainHalf - drainRefuse); yielded != 1 || !closed(half) {
 		t.Errorf("half a request was told to yield %d times", yielded)
 	}
-	last := seat(0, 0)
+	last := s.place(&testConn{})
 	s.Drain(false)
 	clk.Advance(5000)
 	s.Sweep()
--- a/operate.go
+++ b/operate.go
@@ -4,24 +4,38 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
+	"time"
 
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/console"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/kin"
 )
 
-// operated is the gateway as operators see it: what they may ask of it, and what it tells of itself.
+// operated is the gateway as operators see it: what they may ask of it, what it tells of itself, and what it shares
+// with a process that replaces it or that it replaces.
 type operated struct {
 	core   *core.Core
 	fronts []serving
 	open   func() int
+	kin    *kin.Kin
+	share  func(processes int) // sets this process's part of what the gateway may use
+	log    zerolog.Logger
+
+	orders chan struct{} // held by the one that carries an order out
 
 	mu       sync.Mutex
 	waits    map[string]struct{} // what has yet to happen before it is ready
 	stopping bool
-	draining bool
-	disabled []uint32 // sorted
+	held     kin.State // the orders that hold here
+	others   kin.Others
+	told     string // the last trouble with the files, told once
 }
 
 // Reasons why a gateway is not ready.
@@ -30,6 +44,160 @@
 	waitLog   = "the change log is not caught up"
 )
 
+const (
+	lookEvery  = 50 * time.Millisecond // at the other process and its orders: well inside the grace for a ban
+	followMost = 200 * time.Millisecond
+)
+
+func newOperated(c *core.Core, k *kin.Kin, log zerolog.Logger) *operated {
+	return &operated{
+		core: c, kin: k, log: log, orders: make(chan struct{}, 1), waits: map[string]struct{}{waitFront: {}},
+		share: func(int) {},
+	}
+}
+
+// openKin enters the process among those of its gateway: in $TMPDIR, where that is set, as the platform does.
+// Without it the process stands alone.
+func openKin(n config.Node, more string) (*kin.Kin, error) {
+	dir := os.Getenv("TMPDIR")
+	if dir == "" {
+		return nil, nil
+	}
+	clean := func(r rune) rune {
+		if strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-", r) {
+			return r
+		}
+		return '_'
+	}
+	k, err := kin.Open(filepath.Join(dir, strings.Map(clean, "turnfork_"+n.Name+"_"+n.Listen+more)))
+	if err != nil {
+		return nil, fmt.Errorf("TMPDIR: %w", err)
+	}
+	return k, nil
+}
+
+// inherit takes up the orders that were left, before anything is sent.
+func (o *operated) inherit() {
+	o.others, _ = o.kin.Look()
+	s, err := o.kin.Read()
+	o.trouble(err)
+	if s.Draining && o.others.Serving+o.others.Leaving == 0 {
+		// The drain was of a process that has ended: a new start serves. What is out stays out.
+		s.Draining = false
+	}
+	for _, id := range s.Disabled {
+		o.core.Handle(core.Bar{Member: id, On: true, Listed: true}) // nothing else runs yet
+	}
+	o.held = s
+	o.share(1 + o.others.Serving + o.others.Leaving)
+}
+
+// trouble logs what is wrong with the files, once as long as it stays the same.
+func (o *operated) trouble(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text != "" && text != o.told {
+		o.log.Error().Err(err).Msg("orders: what holds here stays in force")
+	}
+	o.told = text
+}
+
+// watch looks at the other process and at the orders given to it, until ctx ends.
+func (o *operated) watch(ctx context.Context) {
+	if o.kin == nil {
+		return
+	}
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		others, err := o.kin.Look()
+		o.mu.Lock()
+		o.trouble(err)
+		if err == nil && others != o.others {
+			o.log.Info().Int("serving", others.Serving).Int("leaving", others.Leaving).Msg("other processes of this gateway")
+			if others.Serving+others.Leaving != o.others.Serving+o.others.Leaving {
+				o.share(1 + others.Serving + others.Leaving)
+			}
+			o.others = others
+		}
+		o.mu.Unlock()
+		o.follow(ctx)
+	}
+}
+
+// alone tells whether no other process serves.
+func (o *operated) alone() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.others.Serving == 0
+}
+
+// ready tells whether nothing is left that the process waited for, its fronts aside.
+func (o *operated) ready() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, front := o.waits[waitFront]
+	return len(o.waits) == 0 || front && len(o.waits) == 1
+}
+
+// follow carries out here what was ordered at another process.
+func (o *operated) follow(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, followMost)
+	defer cancel()
+	if !o.take(ctx) {
+		return
+	}
+	defer o.give()
+	s, err := o.kin.Read()
+	o.mu.Lock()
+	o.trouble(err)
+	held := o.held
+	o.mu.Unlock()
+	if err != nil || s.Change == held.Change {
+		return
+	}
+	o.log.Info().Uint64("change", s.Change).Msg("orders given to another process")
+	for _, id := range held.Disabled {
+		if !slices.Contains(s.Disabled, id) && o.bar(ctx, id, false, true) != nil {
+			return // looked at again
+		}
+	}
+	for _, id := range s.Disabled {
+		if !slices.Contains(held.Disabled, id) && o.bar(ctx, id, true, true) != nil {
+			return
+		}
+	}
+	o.hold(s)
+}
+
+func (o *operated) take(ctx context.Context) bool {
+	select {
+	case o.orders <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (o *operated) give() { <-o.orders }
+
+// hold notes the orders that hold here from now on.
+func (o *operated) hold(s kin.State) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = s
+	for _, f := range o.fronts {
+		f.Drain(s.Draining)
+	}
+}
+
 // done tells that something the gateway waited for has happened.
 func (o *operated) done(what string) {
 	o.mu.Lock()
@@ -37,29 +205,36 @@
 	delete(o.waits, what)
 }
 
-// stop tells that the process ends.
-func (o *operated) stop() {
+// stop tells that the process ends, and whether another one serves in its place.
+func (o *operated) stop() (replaced bool) {
+	if err := o.kin.Leave(); err != nil {
+		o.log.Error().Err(err).Msg("the other process can't be told that this one leaves")
+	}
+	others, _ := o.kin.Look()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopping = true
+	return others.Serving > 0
 }
 
 // State tells of the gateway.
 func (o *operated) State() console.State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := console.State{Draining: o.draining, Disabled: []string{}, Open: o.open()}
+	s := console.State{
+		Draining: o.held.Draining, Disabled: []string{}, Open: o.open(), Processes: 1 + o.others.Serving + o.others.Leaving,
+	}
 	for what := range o.waits {
 		s.Why = append(s.Why, what)
 	}
 	slices.Sort(s.Why)
-	if o.draining {
+	if o.held.Draining {
 		s.Why = append(s.Why, "drained by an operator")
 	}
 	if o.stopping {
 		s.Why = append(s.Why, "the process ends")
 	}
-	for _, id := range o.disabled {
+	for _, id := range o.held.Disabled {
 		s.Disabled = append(s.Disabled, fmt.Sprintf("s-%08x", id))
 	}
 	s.Ready = len(s.Why) == 0
@@ -67,30 +242,48 @@
 }
 
 // Drain empties the gateway, or ends that.
-func (o *operated) Drain(_ context.Context, on bool) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.draining = on
-	for _, f := range o.fronts {
-		f.Drain(on)
-	}
-	return nil
+func (o *operated) Drain(ctx context.Context, on bool) error {
+	return o.order(ctx, nil, func(s *kin.State) { s.Draining = on })
 }
 
 // Disable takes a store out, or lets it serve again.
 func (o *operated) Disable(ctx context.Context, id uint32, on bool) error {
-	if err := o.bar(ctx, id, on, false); err != nil {
-		return err
+	return o.order(ctx, func() error { return o.bar(ctx, id, on, false) }, func(s *kin.State) {
+		s.Disabled = slices.DeleteFunc(s.Disabled, func(x uint32) bool { return x == id })
+		if on {
+			s.Disabled = append(s.Disabled, id)
+			slices.Sort(s.Disabled)
+		}
+	})
+}
+
+// order has an order hold here, by first and alter, and writes it down for the other process. One that can't be
+// written holds here all the same, and its caller is told no: an order that was given must not wait for a disk.
+func (o *operated) order(ctx context.Context, first func() error, alter func(*kin.State)) error {
+	if !o.take(ctx) {
+		return ctx.Err()
+	}
+	defer o.give()
+	if first != nil {
+		if err := first(); err != nil {
+			return err
+		}
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	at, there := slices.BinarySearch(o.disabled, id)
-	if on && !there {
-		o.disabled = slices.Insert(o.disabled, at, id)
-	} else if !on && there {
-		o.disabled = slices.Delete(o.disabled, at, at+1)
+	held := o.held
+	o.mu.Unlock()
+	held.Disabled = slices.Clone(held.Disabled)
+	s, err := o.kin.Change(ctx, held, alter)
+	alter(&held)
+	if err == nil {
+		// What the other process wrote meanwhile does not hold here yet: one number short, so that the next look
+		// takes it up.
+		if held.Change++; s.Change != held.Change {
+			held.Change = s.Change - 1
+		}
 	}
-	return nil
+	o.hold(held)
+	return err
 }
 
 // bar has the core hold a ban, and returns once it does.
--- a/turnfork.go
+++ b/turnfork.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -79,6 +80,13 @@
 	}
 }
 
+// debugLimit aims the collector at this process's part of the memory.
+func debugLimit(n config.Node, processes int) {
+	if n.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) / float64(processes) * (1 << 20)))
+	}
+}
+
 // bytesOf gives a part of the node's memory; 0 where that is not told.
 func bytesOf(part float64, n config.Node) int64 { return int64(part * float64(n.MemoryMB) * (1 << 20)) }
 
@@ -86,7 +94,10 @@
 type serving interface {
 	Serve(ctx context.Context, l net.Listener) error
 	Open() int
+	Conns() int
 	Drain(on bool)
+	Leave()
+	Share(parts, conns int)
 }
 
 // places are a process's parts of the descriptors.
@@ -138,6 +149,20 @@
 		mix.First, mix.Rest = stores, pool
 		up.Upstream = mix
 	}
+	more := ""
+	if cfg.Operator != nil {
+		more = "_" + cfg.Operator.Listen
+	}
+	relatives, err := openKin(node, more)
+	if err != nil {
+		return err
+	}
+	defer relatives.Close()
+	own := newOperated(c, relatives, cfg.Log)
+	if node.Changelog != "" {
+		own.waits[waitLog] = struct{}{}
+	}
+	own.inherit() // before anything is sent
 	for _, ev := range node.Known {
 		c.Handle(ev) // nothing else runs yet
 	}
@@ -150,10 +175,10 @@
 		listeners []net.Listener
 		addrs     Addrs
 	)
-	listen := func(field, addr string, f serving) (net.Addr, error) {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	listen := func(field, addr string, fd int, f serving) (net.Addr, error) {
+		l, err := listenOn(ctx, field, addr, fd)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", field, err)
+			return nil, err
 		}
 		fronts, listeners = append(fronts, f), append(listeners, l)
 		return l.Addr(), nil
@@ -186,7 +211,7 @@
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, MaxConns: room.front, Tap: tap("fastcgi"), RetryAfter: retryAfter(node),
 			MaxBytes: bytesOf(unwrittenPart, node), MaxTaken: bytesOf(takenPart, node),
 		})
-		if addrs.FastCGI, err = listen("listen", node.Listen, f); err != nil {
+		if addrs.FastCGI, err = listen("listen", node.Listen, node.SocketFD, f); err != nil {
 			return err
 		}
 		addrs.Fronts.FastCGI = f.Handle
@@ -196,8 +221,10 @@
 		if err != nil {
 			return err
 		}
+		fd := node.SocketFD // the platform's front comes first
 		if node.Listen != "" {
 			room.front /= 2
+			fd = 0
 		}
 		f := signed.New(signed.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
@@ -211,7 +238,7 @@
 				f.Changed(name, value)
 			}
 		}
-		if addrs.Signed, err = listen("listen", o.Listen, f); err != nil {
+		if addrs.Signed, err = listen("listen", o.Listen, fd, f); err != nil {
 			return err
 		}
 		addrs.Fronts.Signed = f.Handle
@@ -223,7 +250,18 @@
 		}
 		return n
 	}
-	own := &operated{core: c, fronts: fronts, open: addrs.Fronts.Open, waits: map[string]struct{}{waitFront: {}}}
+	own.fronts, own.open = fronts, addrs.Fronts.Open
+	own.share = func(processes int) {
+		debugLimit(node, processes)
+		part := placesOf(node.Sockets / processes)
+		pool.Limit(part.upstream)
+		for _, f := range fronts {
+			f.Share(processes, part.front/len(fronts))
+		}
+		go c.Post(core.Share{Processes: processes})
+	}
+	own.hold(own.held)
+	own.share(1 + own.others.Serving + own.others.Leaving)
 	if node.Console != "" {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", node.Console)
 		if err != nil {
@@ -236,7 +274,6 @@
 	g.Go(func() error { return c.Run(ctx) })
 	moves := make(chan changelog.Move)
 	if node.Changelog != "" {
-		own.waits[waitLog] = struct{}{}
 		feed := &changelog.Feed{Addr: node.Changelog, Seq: node.Seq, Moves: moves, Post: c.Post, Log: cfg.Log}
 		var once sync.Once
 		feed.Caught = func() { // the core holds what came before once it has taken a question that follows
@@ -253,26 +290,38 @@
 		g.Go(func() error { return feed.Run(ctx) })
 	}
 	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
-	for i, f := range fronts {
-		g.Go(func() error { return f.Serve(ctx, listeners[i]) })
-	}
+	g.Go(func() error { own.watch(ctx); return nil })
+	g.Go(func() error {
+		// A process that replaces another one takes nothing before it is ready, unless the other one takes
+		// nothing any more.
+		for !own.ready() && !own.alone() && !ended(ctx, cfg.Stop) {
+			wait(ctx, lookEvery/5)
+		}
+		for i, f := range fronts {
+			g.Go(func() error { return f.Serve(ctx, listeners[i]) })
+		}
+		own.done(waitFront)
+		for _, l := range listeners {
+			cfg.Log.Info().Str("name", node.Name).Stringer("listen", l.Addr()).Msg("serving")
+		}
+		if cfg.Ready != nil {
+			cfg.Ready(addrs)
+		}
+		return nil
+	})
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-cfg.Stop:
-			own.stop()
-			drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
+			if own.stop() {
+				leave(ctx, cfg, listeners, fronts, longest(node))
+			} else {
+				drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
+			}
 			end()
 		}
 		return nil
 	})
-	own.done(waitFront)
-	if cfg.Ready != nil {
-		cfg.Ready(addrs)
-	}
-	for _, l := range listeners {
-		cfg.Log.Info().Str("name", node.Name).Stringer("listen", l.Addr()).Msg("serving")
-	}
 	if addrs.Console != nil {
 		cfg.Log.Info().Stringer("console", addrs.Console).Msg("operators' calls are taken")
 	}
@@ -355,6 +404,62 @@
 	wait(ctx, 20*time.Millisecond) // the last answer's way out
 }
 
+// leave ends a process that another one replaces: it takes no connection any more, closes each between requests,
+// and is done once all it took is answered.
+func leave(ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, most time.Duration) {
+	cfg.Log.Info().Msg("asked to stop; another process serves")
+	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
+	defer cancel()
+	for _, l := range listeners {
+		l.Close()
+	}
+	for _, f := range fronts {
+		f.Leave()
+	}
+	left := func() (n int) {
+		for _, f := range fronts {
+			n += f.Conns() + f.Open()
+		}
+		return n
+	}
+	for ctx.Err() == nil && left() > 0 {
+		wait(ctx, 5*time.Millisecond)
+	}
+	wait(ctx, 20*time.Millisecond) // the last answer's way out
+}
+
+// ended tells whether a process has been told to stop.
+func ended(ctx context.Context, stop <-chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return ctx.Err() != nil
+	}
+}
+
+// listenOn listens at an address, or on an inherited descriptor where one is told.
+func listenOn(ctx context.Context, field, addr string, fd int) (net.Listener, error) {
+	if fd == 0 {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", field, err)
+		}
+		return l, nil
+	}
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("NODE_SOCKET_FD: %d is no descriptor", fd)
+	}
+	// The listener has a copy of its own; ours is closed. Neither close ends the socket, which others hold too.
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_SOCKET_FD: %w", err)
+	}
+	return l, nil
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// Limit sets the number of connections anew. Those beyond it stay until they are idle.
+func (p *Pool) Limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opt.MaxConns = max(1, most)
+}
+
 // Bar has nothing leave for a store that has not left yet, nor name it as a source, until it is lifted. The work
 // under way there goes on.
 func (p *Pool) Bar(member uint32, on bool) {
