Hand connections to the process that stays, with what is open on them

Two causes: a connection that had once been handed over was not handed over again (elder kept), and Serve's errgroup, once the accepted connections had ended, closed the adopted ones (front.go Serve). Also fixed: a quiet connection was closed without asking its reader, which may hold bytes of the next request.

--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -4,11 +4,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,6 +49,7 @@
 	server front.Server
 	budget front.Budget
 	intake front.Budget
+	heir   atomic.Pointer[func() (*net.UnixConn, error)]
 	open   atomic.Int64 // requests without an answer, and answers not yet written
 }
 
@@ -85,8 +88,14 @@
 // Drain begins to empty the front of connections, or with on false ends that.
 func (f *Front) Drain(on bool) { f.server.Drain(on) }
 
-// Leave closes each connection once nothing is open on it: another process takes what is new.
-func (f *Front) Leave() { f.server.Leave() }
+// Leave hands the connections to the process that heir reaches; where that can't be, or heir is nil, each is closed
+// once nothing is open on it.
+func (f *Front) Leave(heir func() (*net.UnixConn, error)) {
+	if heir != nil {
+		f.heir.Store(&heir)
+	}
+	f.server.Leave(heir != nil)
+}
 
 // Conns counts the connections.
 func (f *Front) Conns() int { return f.server.Conns() }
@@ -98,14 +107,29 @@
 	f.intake.Limit(f.opt.MaxTaken / int64(parts))
 }
 
-func (f *Front) handle(nc net.Conn, seat *front.Seat) {
+func (f *Front) handle(nc net.Conn, seat *front.Seat) { f.serve(nc, seat, nil) }
+
+// serve serves a connection; from is what came with one that was handed over, else nil.
+func (f *Front) serve(nc net.Conn, seat *front.Seat, from *estate) {
 	c := &conn{
 		front: f, net: nc, seat: seat, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
-	seat.Yields(c.yield)
+	seat.Yields(c.yield) // before the place is told of anything open or not
+	seat.Hushes()
+	seat.Passes(c.interrupt)
+	in := io.Reader(nc)
 	var g errgroup.Group
+	if from != nil {
+		c.elder, c.theirs, c.asked = from.elder, from.theirs, true
+		f.open.Add(int64(len(c.theirs)))
+		in = io.MultiReader(bytes.NewReader(from.begun), nc)
+		c.mu.Lock()
+		c.report()
+		c.mu.Unlock()
+		g.Go(func() error { c.relay(); return nil })
+	}
 	g.Go(func() error { c.write(); return nil })
-	c.read()
+	c.read(in)
 	g.Wait()
 }
 
@@ -135,22 +159,37 @@
 	asked   bool // a whole request has come
 	closing bool // once all is written
 	dead    bool
+	writing bool // the writer has something in hand
+	held    bool // it takes nothing more, as the connection is handed over
 	wake    chan struct{}
+
+	elder  net.Conn        // the process that the connection came from, which still answers
+	theirs map[uint16]bool // these requests; true: an answer has begun
 }
 
 // read is the reader goroutine.
-func (c *conn) read() {
+func (c *conn) read(in io.Reader) {
 	defer c.end()
-	r := bufio.NewReaderSize(c.net, 4<<10)
-	var buf []byte
+	buffered := bufio.NewReaderSize(in, 4<<10)
+	r := &records{r: buffered}
 	for {
-		rec, err := readRecord(r, &buf)
+		rec, err := r.next()
 		if err == nil {
 			err = c.take(rec)
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // nothing else sets one
+			next, passed := c.pass(r, buffered)
+			if passed {
+				buffered = bufio.NewReaderSize(next, 4<<10)
+				r = &records{r: buffered}
+			} else if r.idle() && buffered.Buffered() == 0 && c.seat.Quiet() {
+				return
+			}
+			continue
+		}
 		if err != nil {
 			if errors.Is(err, errRecord) {
-				c.front.opt.Log.Warn().Err(err).Stringer("from", c.net.RemoteAddr()).Msg("connection dropped")
+				c.front.opt.Log.Warn().Err(err).Stringer("from", c.seat.From()).Msg("connection dropped")
 			} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				c.front.opt.Log.Debug().Err(err).Msg("connection ended")
 			}
@@ -161,10 +200,15 @@
 
 // end closes the connection and withdraws what is open on it.
 func (c *conn) end() {
-	c.net.Close()
 	f := c.front
 	c.mu.Lock()
 	c.dead = true
+	c.net.Close()
+	if c.elder != nil {
+		c.elder.Close()
+	}
+	f.open.Add(-int64(len(c.theirs)))
+	c.theirs = nil
 	var left []uint64
 	for _, q := range c.open {
 		f.intake.Give(q.held)
@@ -199,13 +243,14 @@
 		if len(rec.data) < 8 {
 			return fmt.Errorf("%w: BEGIN_REQUEST of %d bytes", errRecord, len(rec.data))
 		}
+		_, theirs := c.theirs[rec.id]
 		role, keep := uint16(rec.data[0])<<8|uint16(rec.data[1]), rec.data[2]&flagKeepConn != 0
 		switch {
-		case q != nil:
+		case q != nil || theirs:
 			return fmt.Errorf("%w: request %d begun twice", errRecord, rec.id)
 		case role != roleResponder:
 			c.send(appendEnd(nil, rec.id, 0, protoRole))
-		case len(c.open) >= requestsAtOnce:
+		case len(c.open)+len(c.theirs) >= requestsAtOnce:
 			c.send(appendEnd(nil, rec.id, 0, protoOverload))
 		default:
 			c.tags++
@@ -213,6 +258,10 @@
 			c.front.open.Add(1)
 		}
 	case typeAbort:
+		if _, theirs := c.theirs[rec.id]; theirs {
+			c.elder.SetWriteDeadline(time.Now().Add(abortMost))
+			c.elder.Write(appendRecord(nil, typeAbort, rec.id, nil))
+		}
 		if q != nil {
 			c.forget(rec.id)
 			if q.asked {
@@ -263,7 +312,7 @@
 			until = q.begun + wholeMost
 		}
 	}
-	c.seat.Update(len(c.open)+c.pending, c.asked, until)
+	c.seat.Update(len(c.open)+len(c.theirs)+c.pending, c.asked, until)
 }
 
 // manage answers a management record.
@@ -414,7 +463,7 @@
 	defer c.mu.Unlock()
 	defer c.report()
 	for id, q := range c.open {
-		if !q.asked {
+		if !q.asked && !c.held {
 			c.forget(id)
 			c.send(appendEnd(nil, id, 0, protoOverload))
 		}
@@ -481,24 +530,29 @@
 		case <-c.wake:
 		}
 		c.mu.Lock()
-		out, last := c.out, c.closing && len(c.open) == 0
-		c.out = nil
+		if c.held {
+			c.mu.Unlock()
+			continue // woken again once the connection is handed over
+		}
+		out, last, nc := c.out, c.closing && len(c.open)+len(c.theirs) == 0, c.net
+		c.out, c.writing = nil, true
 		c.mu.Unlock()
 		n, count := 0, len(out)
 		for _, b := range out {
 			n += len(b)
 		}
-		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+		nc.SetWriteDeadline(time.Now().Add(writeLimit))
 		bufs := net.Buffers(out)
-		_, err := bufs.WriteTo(c.net)
+		_, err := bufs.WriteTo(nc)
 		c.front.budget.Give(n)
 		c.front.open.Add(-int64(count))
 		c.mu.Lock()
+		c.writing = false
 		c.pending -= count
 		c.report()
 		c.mu.Unlock()
 		if err != nil || last {
-			c.net.Close()
+			nc.Close()
 			return
 		}
 	}
--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -50,13 +50,17 @@
 
 func dial(f *Front) *client {
 	near, far := net.Pipe()
-	c := &client{Conn: near, got: map[uint16]*ends{}, news: make(chan struct{}, 1024), done: make(chan struct{})}
 	go f.Handle(far)
+	return listen(near)
+}
+
+func listen(near net.Conn) *client {
+	c := &client{Conn: near, got: map[uint16]*ends{}, news: make(chan struct{}, 1024), done: make(chan struct{})}
 	go func() {
 		defer close(c.done)
-		r, buf := bufio.NewReader(near), []byte(nil)
+		r := &records{r: bufio.NewReader(near)}
 		for {
-			rec, err := readRecord(r, &buf)
+			rec, err := r.next()
 			if err != nil {
 				return
 			}
--- /dev/null
+++ b/front/fastcgi/pass.go
@@ -0,0 +1,273 @@
+package fastcgi
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"turnfork.dev/turnfork/front"
+)
+
+// How a connection is handed to the process that stays: over a Unix connection of its own go a byte with the
+// descriptor, the numbers of the requests that the old process still answers, and the bytes of those that are not
+// whole. From then on that Unix connection stands for the client at the old process, in the same records: its answers
+// go one way, ABORT_REQUEST the other, and its end means that nothing more comes.
+
+const (
+	passMost  = time.Second            // for the state to go over
+	parkMost  = 500 * time.Millisecond // for the writer to finish what it has in hand
+	parkLook  = 2 * time.Millisecond
+	abortMost = 100 * time.Millisecond
+	begunMost = 4 << 20
+)
+
+var errPassed = errors.New("malformed handover")
+
+// estate is what comes with a connection that was handed over.
+type estate struct {
+	elder  net.Conn
+	theirs map[uint16]bool
+	begun  []byte
+}
+
+// interrupt has the reader stop between two bytes and hand the connection over.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	nc := c.net
+	c.mu.Unlock()
+	nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// pass hands the connection over. The reader calls it, so nothing is read meanwhile; the writer is held, so that
+// each answer goes whole to the client or whole to the other process.
+func (c *conn) pass(r *records, buffered *bufio.Reader) (next net.Conn, passed bool) {
+	c.mu.Lock()
+	nc, owed := c.net, len(c.theirs) > 0
+	c.mu.Unlock()
+	nc.SetReadDeadline(time.Time{})
+	defer func() {
+		if passed {
+			c.seat.Passed(next)
+		} else {
+			c.seat.Passed(nil)
+		}
+		c.mu.Lock()
+		c.held = false
+		c.report()
+		c.mu.Unlock()
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	}()
+	tcp, ok := nc.(*net.TCPConn)
+	heir := c.front.heir.Load()
+	if !ok || heir == nil || owed { // what a third process owes can't go along
+		return nil, false
+	}
+	to, err := (*heir)()
+	if err != nil {
+		c.front.opt.Log.Warn().Err(err).Msg("no process takes the connection over: it closes once it is quiet")
+		return nil, false
+	}
+	c.mu.Lock()
+	c.held = true
+	for end := time.Now().Add(parkMost); c.writing && time.Now().Before(end); c.mu.Lock() {
+		c.mu.Unlock()
+		time.Sleep(parkLook)
+	}
+	if c.writing || c.dead || c.closing {
+		c.mu.Unlock()
+		to.Close()
+		return nil, false
+	}
+	var ids, begun []byte
+	var halves []uint16
+	for id, q := range c.open {
+		if q.asked {
+			ids = binary.BigEndian.AppendUint16(ids, id)
+			continue
+		}
+		halves = append(halves, id)
+		begun = appendHalf(begun, id, q)
+	}
+	c.mu.Unlock()
+	// What was read after those requests' records: part of one, and what the buffer holds behind it.
+	begun = append(begun, r.rest()...)
+	ahead, _ := buffered.Peek(buffered.Buffered())
+	begun = append(begun, ahead...)
+	if err := sendEstate(to, tcp, ids, begun); err != nil {
+		// Guards against two processes reading one connection: what has gone over can't be taken back.
+		c.front.opt.Log.Error().Err(err).Int("requests", len(ids)/2).Msg("connection lost on its way to the other process")
+		to.Close()
+		tcp.Close()
+		return nil, false
+	}
+	c.mu.Lock()
+	for _, id := range halves {
+		c.forget(id)
+	}
+	c.net = to
+	c.mu.Unlock()
+	tcp.Close() // our copy
+	return to, true
+}
+
+// appendHalf words what has come of a request again.
+func appendHalf(b []byte, id uint16, q *request) []byte {
+	keep := byte(0)
+	if q.keep {
+		keep = flagKeepConn
+	}
+	b = appendRecord(b, typeBegin, id, []byte{0, roleResponder, keep, 0, 0, 0, 0, 0})
+	for _, part := range []struct {
+		kind byte
+		data []byte
+	}{{typeParams, q.params}, {typeStdin, q.body}} {
+		for data := part.data; len(data) > 0; {
+			n := min(len(data), contentMost)
+			b = appendRecord(b, part.kind, id, data[:n])
+			data = data[n:]
+		}
+		if part.kind == typeParams && q.ready {
+			b = appendRecord(b, typeParams, id, nil)
+		}
+	}
+	return b
+}
+
+func sendEstate(to *net.UnixConn, tcp *net.TCPConn, ids, begun []byte) error {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	to.SetDeadline(time.Now().Add(passMost))
+	var sent error
+	if err := raw.Control(func(fd uintptr) {
+		_, _, sent = to.WriteMsgUnix([]byte{version}, syscall.UnixRights(int(fd)), nil)
+	}); err != nil || sent != nil {
+		return errors.Join(err, sent)
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(ids)))
+	b = binary.BigEndian.AppendUint32(append(b, ids...), uint32(len(begun)))
+	if _, err := to.Write(append(b, begun...)); err != nil {
+		return err
+	}
+	return to.SetDeadline(time.Time{})
+}
+
+// Adopt takes a connection that another process of the gateway hands over, and serves it until it ends.
+func (f *Front) Adopt(from *net.UnixConn) {
+	defer from.Close()
+	nc, e, err := readEstate(from)
+	if err != nil {
+		f.opt.Log.Warn().Err(err).Msg("connection not taken over")
+		return
+	}
+	defer nc.Close()
+	f.server.Handle(nc, func(nc net.Conn, seat *front.Seat) { f.serve(nc, seat, e) })
+}
+
+func readEstate(from *net.UnixConn) (nc net.Conn, e *estate, err error) {
+	from.SetDeadline(time.Now().Add(passMost))
+	var b [1]byte
+	oob := make([]byte, syscall.CmsgSpace(4))
+	n, oobn, _, _, err := from.ReadMsgUnix(b[:], oob)
+	if err != nil {
+		return nil, nil, err
+	}
+	messages, err := syscall.ParseSocketControlMessage(oob[:oobn])
+	if err != nil || n != 1 || b[0] != version || len(messages) != 1 {
+		return nil, nil, fmt.Errorf("%w: no descriptor", errPassed)
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) != 1 {
+		return nil, nil, fmt.Errorf("%w: %d descriptors", errPassed, len(fds))
+	}
+	file := os.NewFile(uintptr(fds[0]), "passed")
+	defer file.Close()
+	if nc, err = net.FileConn(file); err != nil {
+		return nil, nil, err
+	}
+	defer func() {
+		if err != nil {
+			nc.Close()
+		}
+	}()
+	ids, err := readPart(from, 2*requestsAtOnce)
+	if err != nil {
+		return nil, nil, err
+	}
+	begun, err := readPart(from, begunMost)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(ids)%2 != 0 {
+		return nil, nil, fmt.Errorf("%w: %d bytes of numbers", errPassed, len(ids))
+	}
+	e = &estate{elder: from, begun: begun, theirs: map[uint16]bool{}}
+	for ; len(ids) > 0; ids = ids[2:] {
+		e.theirs[binary.BigEndian.Uint16(ids)] = false
+	}
+	return nc, e, from.SetDeadline(time.Time{})
+}
+
+func readPart(from io.Reader, most uint32) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > most {
+		return nil, fmt.Errorf("%w: %d bytes", errPassed, n)
+	}
+	b := make([]byte, n)
+	_, err := io.ReadFull(from, b)
+	return b, err
+}
+
+// relay passes the answers of the process that the connection came from on to the client. Where that process ends
+// before it has answered all, those requests have failed; one whose answer had begun ends the connection, as the
+// client must see that it is not whole.
+func (c *conn) relay() {
+	c.mu.Lock()
+	r := &records{r: bufio.NewReaderSize(c.elder, 4<<10)}
+	c.mu.Unlock()
+	for {
+		rec, err := r.next()
+		c.mu.Lock()
+		if err != nil {
+			break
+		}
+		if _, theirs := c.theirs[rec.id]; theirs && (rec.kind == typeStdout || rec.kind == typeEnd) {
+			c.theirs[rec.id] = true
+			if rec.kind == typeEnd {
+				delete(c.theirs, rec.id)
+				c.front.open.Add(-1)
+			}
+			c.send(appendRecord(nil, rec.kind, rec.id, rec.data))
+			c.report()
+		}
+		c.mu.Unlock()
+	}
+	defer c.mu.Unlock()
+	c.elder.Close()
+	for id, begun := range c.theirs {
+		delete(c.theirs, id)
+		c.front.open.Add(-1)
+		c.front.opt.Log.Warn().Uint16("request", id).Msg("the process that was replaced ended without its answer")
+		if begun {
+			c.dead = true
+			c.net.Close()
+			continue
+		}
+		c.send(appendStdout(nil, id, []byte("Status: 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"), nil))
+	}
+	c.report()
+}
--- a/front/fastcgi/record.go
+++ b/front/fastcgi/record.go
@@ -1,7 +1,6 @@
 package fastcgi
 
 import (
-	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -47,29 +46,63 @@
 	data []byte // valid until the next record is read
 }
 
-// readRecord reads one record into buf, which grows as records need it.
-func readRecord(r *bufio.Reader, buf *[]byte) (record, error) {
-	var h [headerLen]byte
-	if _, err := io.ReadFull(r, h[:]); err != nil {
-		if err == io.ErrUnexpectedEOF {
-			err = fmt.Errorf("%w: cut inside a header", errRecord)
+// records reads records, in pieces of any size. A read that fails, as by a deadline, loses nothing: the next one goes
+// on where it stopped.
+type records struct {
+	r    io.Reader
+	head [headerLen]byte
+	got  int    // bytes of the header
+	buf  []byte // of the content and its padding; it grows as records need it
+	have int    // bytes of those
+	done bool   // the record was handed out
+}
+
+// next reads one record, which is valid until the next call.
+func (x *records) next() (record, error) {
+	if x.done {
+		x.got, x.have, x.done = 0, 0, false
+	}
+	for x.got < headerLen {
+		n, err := x.r.Read(x.head[x.got:])
+		if x.got += n; err != nil && x.got < headerLen {
+			if err == io.EOF && x.got > 0 {
+				err = fmt.Errorf("%w: cut inside a header", errRecord)
+			}
+			return record{}, err
 		}
-		return record{}, err
 	}
-	if h[0] != version {
-		return record{}, fmt.Errorf("%w: version %d", errRecord, h[0])
+	if x.head[0] != version {
+		return record{}, fmt.Errorf("%w: version %d", errRecord, x.head[0])
 	}
-	n, pad := int(binary.BigEndian.Uint16(h[4:])), int(h[6])
+	n := int(binary.BigEndian.Uint16(x.head[4:]))
+	whole := n + int(x.head[6])
 	// Guards against a connection that sent one large record holding its buffer for good: most records are
 	// small, and there are many connections.
-	if n+pad > cap(*buf) || cap(*buf) > bufferKept && n+pad <= bufferKept {
-		*buf = make([]byte, max(n+pad, bufferFirst))
+	if x.have == 0 && (whole > cap(x.buf) || cap(x.buf) > bufferKept && whole <= bufferKept) {
+		x.buf = make([]byte, max(whole, bufferFirst))
+	}
+	for b := x.buf[:whole]; x.have < whole; {
+		n, err := x.r.Read(b[x.have:])
+		if x.have += n; err != nil && x.have < whole {
+			if err == io.EOF {
+				err = fmt.Errorf("%w: cut inside the content", errRecord)
+			}
+			return record{}, err
+		}
 	}
-	b := (*buf)[:n+pad]
-	if _, err := io.ReadFull(r, b); err != nil {
-		return record{}, fmt.Errorf("%w: cut inside the content: %v", errRecord, err)
+	x.done = true
+	return record{x.head[1], binary.BigEndian.Uint16(x.head[2:]), x.buf[:n]}, nil
+}
+
+// idle tells whether no byte of a record is in hand.
+func (x *records) idle() bool { return x.done || x.got == 0 }
+
+// rest gives the bytes of a record that is not whole.
+func (x *records) rest() []byte {
+	if x.done {
+		return nil
 	}
-	return record{h[1], binary.BigEndian.Uint16(h[2:]), b[:n]}, nil
+	return append(append([]byte(nil), x.head[:x.got]...), x.buf[:x.have]...)
 }
 
 func appendRecord(b []byte, kind byte, id uint16, data []byte) []byte {
--- a/front/front.go
+++ b/front/front.go
@@ -33,6 +33,7 @@
 	drained  float64 // when the drain was asked for
 	leaving  bool    // another process takes what is new
 	left     float64 // since when
+	heirs    bool    // connections are handed to it
 	max      int     // in place of Max, where set later
 }
 
@@ -65,6 +66,9 @@
 	came   float64
 	since  float64 // when the last of them ended, or the connection came
 	until  float64 // when a request that has begun must be whole; 0: none is under way
+	hushes bool    // its reads are interrupted, and its front closes it
+	pass   func()  // has the front hand the connection to another process
+	passes bool    // which is under way
 	yield  func()  // has the front refuse what has begun and is not whole; nil: the connection is closed
 }
 
@@ -76,6 +80,35 @@
 	s.yield = f
 }
 
+// Passes names what has the connection handed to another process, once the server leaves. Until Passed is called it is
+// not closed for being quiet.
+func (s *Seat) Passes(f func()) {
+	s.server.mu.Lock()
+	s.pass = f
+	now := s.server.heirs
+	s.passes = now
+	s.server.mu.Unlock()
+	if now {
+		f()
+	}
+}
+
+// From is the client's address.
+func (s *Seat) From() net.Addr {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return s.conn.RemoteAddr()
+}
+
+// Passed tells that a connection was handed over and nc has taken its place here, or with nil that it stays.
+func (s *Seat) Passed(nc net.Conn) {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	if s.passes = false; nc != nil {
+		s.conn = nc
+	}
+}
+
 // Update tells how many requests are open on the connection, whether a whole one has come on it yet, and
 // until when the one under way has to be whole (0: none is).
 func (s *Seat) Update(open int, asked bool, until float64) {
@@ -86,9 +119,33 @@
 	}
 	s.open, s.asked, s.until = open, s.asked || asked, until
 	if (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now()) {
-		s.server.leave(s)
-		s.conn.Close()
+		s.server.hush(s)
+	}
+}
+
+// Hushes has a quiet connection not closed but its reads interrupted: the front then closes it, unless it has bytes
+// of a request in hand, which only its reader knows.
+func (s *Seat) Hushes() {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.hushes = true
+}
+
+// Quiet tells whether a drain wants the connection closed now.
+func (s *Seat) Quiet() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	return (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now())
+}
+
+// hush closes a connection that is quiet, or has its front do so.
+func (s *Server) hush(x *Seat) {
+	if x.hushes {
+		x.conn.SetReadDeadline(time.Unix(1, 0))
+		return
 	}
+	s.leave(x)
+	x.conn.Close()
 }
 
 // quiet tells whether a connection can be closed in a drain: the platform has had time to notice, nothing is open
@@ -102,7 +159,7 @@
 	if !s.server.leaving {
 		due = max(due, s.server.drained+drainNotice)
 	}
-	return s.open == 0 && s.until == 0 && now >= due && !unread(s.conn)
+	return s.open == 0 && s.until == 0 && !s.passes && now >= due && !unread(s.conn)
 }
 
 // Drain begins to empty the server of connections, or with on false ends that.
@@ -115,11 +172,22 @@
 	s.draining = on
 }
 
-// Leave closes each connection as soon as it is quiet, for good: clients come again to another process.
-func (s *Server) Leave() {
+// Leave empties the server for good, as another process takes what is new: connections are handed to it where heirs
+// says so and the front can, the others are closed as soon as they are quiet.
+func (s *Server) Leave(heirs bool) {
+	var pass []func()
 	s.mu.Lock()
-	s.leaving, s.left = true, s.Clock.Now()
+	s.leaving, s.left, s.heirs = true, s.Clock.Now(), heirs
+	for x := range s.seats {
+		if x.pass != nil && heirs {
+			x.passes = true
+			pass = append(pass, x.pass)
+		}
+	}
 	s.mu.Unlock()
+	for _, f := range pass {
+		f()
+	}
 	s.Sweep()
 }
 
@@ -156,11 +224,13 @@
 // Serve accepts until the listener closes or ctx ends, and returns once every connection has ended.
 // The end of ctx closes them at once. Handle owns a connection until it returns.
 func (s *Server) Serve(ctx context.Context, l net.Listener, handle func(net.Conn, *Seat)) error {
-	g, ctx := errgroup.WithContext(ctx)
+	// Guards against closing connections that came another way than by this listener: the end of ctx closes all,
+	// the end of those accepted here nothing.
 	stop := context.AfterFunc(ctx, func() {
 		l.Close()
 		s.CloseAll()
 	})
+	var g errgroup.Group
 	defer stop()
 	swept := make(chan struct{})
 	defer close(swept)
@@ -306,8 +376,8 @@
 		} else if x.open == 0 {
 			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
 		}
-		if s.draining || s.leaving {
-			late = late || x.quiet(now)
+		if !late && (s.draining || s.leaving) && x.quiet(now) {
+			s.hush(x)
 		}
 		if x.until > 0 && x.yield != nil &&
 			(s.draining && now >= s.drained+drainHalf || s.leaving && now >= s.left+leaveHalf) {
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -137,8 +137,9 @@
 // Drain begins to empty the front of connections, or with on false ends that.
 func (f *Front) Drain(on bool) { f.server.Drain(on) }
 
-// Leave closes each connection once nothing is open on it: another process takes what is new.
-func (f *Front) Leave() { f.server.Leave() }
+// Leave closes each connection once nothing is open on it, which is between any two requests here: another process
+// takes what is new.
+func (f *Front) Leave(func() (*net.UnixConn, error)) { f.server.Leave(false) }
 
 // Conns counts the connections.
 func (f *Front) Conns() int { return f.server.Conns() }
--- a/internal/kin/kin.go
+++ b/internal/kin/kin.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -39,6 +40,9 @@
 	lockName   = "lock"
 	living     = "p-" // before the name of a process's own file
 	making     = "new-"
+	handing    = "h-" // before the name of the socket at which a process takes connections over
+	dialMost   = 500 * time.Millisecond
+	nameLen    = 10 // a socket's path may have about 100 bytes
 	lockRetry  = 2 * time.Millisecond
 
 	serving = 's'
@@ -60,7 +64,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	k := &Kin{dir: dir, name: living + rand.Text()}
+	k := &Kin{dir: dir, name: living + rand.Text()[:nameLen]}
 	// Guards against another one that finds the file not yet locked and takes its process for dead: it gets its
 	// name once it is locked.
 	first := filepath.Join(dir, making+rand.Text())
@@ -95,18 +99,73 @@
 	if k == nil {
 		return nil
 	}
+	if err := os.Remove(k.socket(k.name)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
 	return errors.Join(os.Remove(filepath.Join(k.dir, k.name)), k.own.Close())
 }
 
+// socket is where the process of a name takes connections over.
+func (k *Kin) socket(name string) string {
+	return filepath.Join(k.dir, handing+strings.TrimPrefix(name, living))
+}
+
+// Listen has this process take connections over from others; nil, where it stands alone.
+func (k *Kin) Listen() (*net.UnixListener, error) {
+	if k == nil {
+		return nil, nil
+	}
+	return net.ListenUnix("unix", &net.UnixAddr{Name: k.socket(k.name), Net: "unix"})
+}
+
+// Heir gives the way to a process that serves and takes connections over; nil: there is none.
+func (k *Kin) Heir() func() (*net.UnixConn, error) {
+	for _, name := range k.serving() {
+		path := k.socket(name)
+		if _, err := os.Stat(path); err == nil {
+			return func() (*net.UnixConn, error) {
+				c, err := (&net.Dialer{Timeout: dialMost}).Dial("unix", path)
+				if err != nil {
+					return nil, err
+				}
+				return c.(*net.UnixConn), nil
+			}
+		}
+	}
+	return nil
+}
+
 // Look counts the others that live, and clears away what dead ones left. A process that was killed no longer holds
 // the lock on its file, whatever became of its number.
 func (k *Kin) Look() (o Others, err error) {
+	err = k.each(func(_ string, leaves bool) {
+		if leaves {
+			o.Leaving++
+		} else {
+			o.Serving++
+		}
+	})
+	return o, err
+}
+
+// serving names the others that serve.
+func (k *Kin) serving() (names []string) {
+	k.each(func(name string, leaves bool) {
+		if !leaves {
+			names = append(names, name)
+		}
+	})
+	return names
+}
+
+// each calls fn for every other process that lives.
+func (k *Kin) each(fn func(name string, leaves bool)) error {
 	if k == nil {
-		return o, nil
+		return nil
 	}
 	list, err := os.ReadDir(k.dir)
 	if err != nil {
-		return o, err
+		return err
 	}
 	for _, e := range list {
 		if !strings.HasPrefix(e.Name(), living) || e.Name() == k.name {
@@ -119,17 +178,15 @@
 		}
 		if syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil {
 			os.Remove(path)
+			os.Remove(k.socket(e.Name()))
 		} else {
 			var b [1]byte
-			if f.ReadAt(b[:], 0); b[0] == leaving {
-				o.Leaving++
-			} else {
-				o.Serving++
-			}
+			f.ReadAt(b[:], 0)
+			fn(e.Name(), b[0] == leaving)
 		}
 		f.Close()
 	}
-	return o, nil
+	return nil
 }
 
 // Read gives the orders; those of a folder that holds none are empty.
--- a/turnfork.go
+++ b/turnfork.go
@@ -96,7 +96,7 @@
 	Open() int
 	Conns() int
 	Drain(on bool)
-	Leave()
+	Leave(heir func() (*net.UnixConn, error))
 	Share(parts, conns int)
 }
 
@@ -195,6 +195,7 @@
 		return func(nc net.Conn) net.Conn { return cfg.Tap(name, nc) }
 	}
 
+	var adopt func(*net.UnixConn)
 	var changed atomic.Pointer[signed.Front]
 	store, err := openReplica(cfg, func(name string, value json.RawMessage) {
 		if f := changed.Load(); f != nil {
@@ -215,6 +216,7 @@
 			return err
 		}
 		addrs.Fronts.FastCGI = f.Handle
+		adopt = f.Adopt
 	}
 	if o := cfg.Operator; o != nil {
 		ring, err := o.Ring()
@@ -291,6 +293,13 @@
 	}
 	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
 	g.Go(func() error { own.watch(ctx); return nil })
+	if adopt != nil {
+		if l, err := relatives.Listen(); err != nil { // such as a path too long for a socket
+			cfg.Log.Warn().Err(err).Msg("no connections can be taken over from another process")
+		} else if l != nil {
+			g.Go(func() error { inherit(ctx, l, adopt); return nil })
+		}
+	}
 	g.Go(func() error {
 		// A process that replaces another one takes nothing before it is ready, unless the other one takes
 		// nothing any more.
@@ -314,7 +323,7 @@
 		case <-ctx.Done():
 		case <-cfg.Stop:
 			if own.stop() {
-				leave(ctx, cfg, listeners, fronts, longest(node))
+				leave(ctx, cfg, listeners, fronts, relatives.Heir(), longest(node))
 			} else {
 				drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
 			}
@@ -404,9 +413,27 @@
 	wait(ctx, 20*time.Millisecond) // the last answer's way out
 }
 
+// inherit takes the connections that another process hands over, until ctx ends.
+func inherit(ctx context.Context, l *net.UnixListener, adopt func(*net.UnixConn)) {
+	defer context.AfterFunc(ctx, func() { l.Close() })()
+	for {
+		c, err := l.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptor is free
+			wait(ctx, 5*time.Millisecond)
+			continue
+		}
+		go adopt(c)
+	}
+}
+
 // leave ends a process that another one replaces: it takes no connection any more, closes each between requests,
 // and is done once all it took is answered.
-func leave(ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, most time.Duration) {
+func leave(
+	ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, heir func() (*net.UnixConn, error), most time.Duration,
+) {
 	cfg.Log.Info().Msg("asked to stop; another process serves")
 	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
 	defer cancel()
@@ -414,7 +441,7 @@
 		l.Close()
 	}
 	for _, f := range fronts {
-		f.Leave()
+		f.Leave(heir)
 	}
 	left := func() (n int) {
 		for _, f := range fronts {
