--- a/front/fastcgi/pass_test.go
+++ b/front/fastcgi/pass_test.go
@@ -76,8 +76,8 @@
 				if err != nil {
 					t.Error(err)
 				}
-				close(handed)
 				wg.Add(1)
+				close(handed)
 				go func() { defer wg.Done(); next.Adopt(from) }()
 			}()
 			f.Leave(heir)
