Hand a connection over only once the answers worded for it are written

Seen: the handover test failed once in three runs under the race detector: a request taken by the old process had no answer. Ruled out: the descriptor's way (the client's connection went on), the relay's reading (it read the answer and passed it over, as no request of that number was owed). At fault: pass.go took the numbers while an answer stood in the writer's queue, whose request is no longer open. It waits now until that queue is empty.

--- a/front/fastcgi/pass.go
+++ b/front/fastcgi/pass.go
@@ -76,17 +76,19 @@
 		c.front.opt.Log.Warn().Err(err).Msg("no process takes the connection over: it closes once it is quiet")
 		return nil, false
 	}
+	// Guards against an answer that is worded and not yet written: its request is no longer open here, so the other
+	// process would not know its number.
 	c.mu.Lock()
-	c.held = true
-	for end := time.Now().Add(parkMost); c.writing && time.Now().Before(end); c.mu.Lock() {
+	for end := time.Now().Add(parkMost); (c.writing || len(c.out) > 0) && time.Now().Before(end); c.mu.Lock() {
 		c.mu.Unlock()
 		time.Sleep(parkLook)
 	}
-	if c.writing || c.dead || c.closing {
+	if c.writing || len(c.out) > 0 || c.dead || c.closing {
 		c.mu.Unlock()
 		to.Close()
 		return nil, false
 	}
+	c.held = true
 	var ids, begun []byte
 	var halves []uint16
 	for id, q := range c.open {
