--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -282,6 +282,14 @@
 	}
 }
 
+// pieces reads a connection on which frames may come in pieces of any size: silence ends it, not a slow frame.
+type pieces struct{ net.Conn }
+
+func (p pieces) Read(b []byte) (int, error) {
+	p.SetReadDeadline(time.Now().Add(silentMost))
+	return p.Conn.Read(b)
+}
+
 func (f *Feed) follow(ctx context.Context, addr string) (got bool, err error) {
 	c, err := (&net.Dialer{Timeout: dialMost}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -294,8 +302,7 @@
 		return false, err
 	}
 	for {
-		c.SetReadDeadline(time.Now().Add(silentMost))
-		fr, err := ReadFrame(c)
+		fr, err := ReadFrame(pieces{c})
 		if err != nil {
 			return got, err
 		}
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -38,8 +38,10 @@
 
 const (
 	writeLimit = 3 * time.Second // a client that takes nothing for so long loses its connection
-	firstMost  = 2500.0          // ms until a connection's first request must be whole
-	wholeMost  = 2500.0          // ms until any request must be whole that has begun
+	writePiece = 64 << 10        // bytes, each with that limit: a client may take little at a time
+	firstMost  = 2500.0          // ms that a new connection may say nothing
+	stallMost  = 2000.0          // ms that a request under way may bring no byte
+	wholeMost  = 8000.0          // ms until any request must be whole that has begun, however it goes on
 	idleMost   = 4500.0          // ms; clients close idle connections after 4 s
 )
 
@@ -67,7 +69,8 @@
 	return &Front{
 		opt: opt,
 		server: front.Server{
-			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
+			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, StallMost: stallMost, WholeMost: wholeMost,
+			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: opt.MaxTaken},
 	}
@@ -117,12 +120,12 @@
 	seat.Yields(c.yield) // before the place is told of anything open or not
 	seat.Hushes()
 	seat.Passes(c.interrupt)
-	in := io.Reader(nc)
+	in := seat.Moves(nc)
 	var g errgroup.Group
 	if from != nil {
 		c.elder, c.theirs, c.asked = from.elder, from.theirs, true
 		f.open.Add(int64(len(c.theirs)))
-		in = io.MultiReader(bytes.NewReader(from.begun), nc)
+		in = io.MultiReader(bytes.NewReader(from.begun), in)
 		c.mu.Lock()
 		c.report()
 		c.mu.Unlock()
@@ -306,13 +309,17 @@
 // report tells the connection's place what is open here: an answer that is not yet written counts, so that
 // no connection is taken for idle and closed before it.
 func (c *conn) report() {
-	until := 0.0
+	until, halves := 0.0, 0
 	for _, q := range c.open {
-		if !q.asked && (until == 0 || q.begun+wholeMost < until) {
+		if q.asked {
+			continue
+		}
+		halves++
+		if until == 0 || q.begun+wholeMost < until {
 			until = q.begun + wholeMost
 		}
 	}
-	c.seat.Update(len(c.open)+len(c.theirs)+c.pending, c.asked, until)
+	c.seat.Update(len(c.open)-halves+len(c.theirs)+c.pending, c.asked, until)
 }
 
 // manage answers a management record.
@@ -541,9 +548,7 @@
 		for _, b := range out {
 			n += len(b)
 		}
-		nc.SetWriteDeadline(time.Now().Add(writeLimit))
-		bufs := net.Buffers(out)
-		_, err := bufs.WriteTo(nc)
+		err := writeAll(nc, out)
 		c.front.budget.Give(n)
 		c.front.open.Add(-int64(count))
 		c.mu.Lock()
@@ -557,3 +562,27 @@
 		}
 	}
 }
+
+// writeAll writes buffers, each piece within the limit. What is small goes in one call.
+func writeAll(nc net.Conn, out [][]byte) (err error) {
+	var next net.Buffers
+	size := 0
+	flush := func() {
+		if err == nil && size > 0 {
+			nc.SetWriteDeadline(time.Now().Add(writeLimit))
+			_, err = next.WriteTo(nc)
+		}
+		next, size = nil, 0
+	}
+	for _, b := range out {
+		for len(b) > 0 {
+			n := min(len(b), writePiece-size)
+			next, size, b = append(next, b[:n]), size+n, b[n:]
+			if size == writePiece {
+				flush()
+			}
+		}
+	}
+	flush()
+	return err
+}
--- a/front/front.go
+++ b/front/front.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -20,8 +22,10 @@
 // nobody.
 type Server struct {
 	Max       int
-	FirstMost float64 // ms within which a connection has to bring its first whole request; 0: no limit
-	IdleMost  float64 // ms that a connection may stay without a request after that; 0: no limit
+	FirstMost float64 // ms that a new connection may say nothing; 0: no limit
+	IdleMost  float64 // ms that a connection may stay without a request after its first; 0: no limit
+	StallMost float64 // ms that a request under way may bring no byte; 0: no limit
+	WholeMost float64 // ms until a connection's first request must be whole, whatever it brings; 0: no limit
 	Clock     *clock.Clock
 	Log       zerolog.Logger
 	Tap       func(net.Conn) net.Conn // wraps each connection, for recording; nil: none
@@ -44,6 +48,7 @@
 	placeWait  = 500 * time.Millisecond // a new connection waits so long for a place
 	fewSilent  = 4                      // silent connections may hold one place in so many before they go first
 	silentMost = 50.0                   // ms that a new connection has in any case
+	stalled    = 300.0                  // ms without a byte after which half a request keeps no place from others
 
 	// Of a drain, in ms from its call. The platform's front asks ten times a second and sends nothing new 0.2 s
 	// after a no, and wants every connection gone by 4 s.
@@ -62,14 +67,15 @@
 	server *Server
 	conn   net.Conn
 	asked  bool // a whole request came on it
-	open   int  // requests begun and not yet answered
+	open   int  // whole requests that are not yet answered, and answers not yet written
 	came   float64
-	since  float64 // when the last of them ended, or the connection came
-	until  float64 // when a request that has begun must be whole; 0: none is under way
-	hushes bool    // its reads are interrupted, and its front closes it
-	pass   func()  // has the front hand the connection to another process
-	passes bool    // which is under way
-	yield  func()  // has the front refuse what has begun and is not whole; nil: the connection is closed
+	since  float64       // when the last of them ended, or the connection came
+	until  float64       // when a request that has begun must be whole at the latest; 0: none is under way
+	moved  atomic.Uint64 // the bits of the time when bytes last came; 0: none did
+	hushes bool          // its reads are interrupted, and its front closes it
+	pass   func()        // has the front hand the connection to another process
+	passes bool          // which is under way
+	yield  func()        // has the front refuse what has begun and is not whole; nil: the connection is closed
 }
 
 // Yields names what a drain calls to have the connection's half requests refused. It is called once at most
@@ -109,8 +115,34 @@
 	}
 }
 
-// Update tells how many requests are open on the connection, whether a whole one has come on it yet, and
-// until when the one under way has to be whole (0: none is).
+// moves reads from r in a connection's place.
+type moves struct {
+	seat *Seat
+	r    io.Reader
+}
+
+func (m moves) Read(b []byte) (int, error) {
+	n, err := m.r.Read(b)
+	if n > 0 {
+		m.seat.moved.Store(math.Float64bits(m.seat.server.Clock.Now()))
+	}
+	return n, err
+}
+
+// Moves has what is read from r count as progress on the connection: limits of time are for those who bring nothing,
+// not for those who bring little.
+func (s *Seat) Moves(r io.Reader) io.Reader { return moves{s, r} }
+
+// last is when bytes last came, or the connection.
+func (s *Seat) last() float64 {
+	if at := math.Float64frombits(s.moved.Load()); at > 0 {
+		return at
+	}
+	return s.came
+}
+
+// Update tells how many whole requests are open on the connection, whether one has come on it yet, and until when the
+// one under way has to be whole at the latest (0: none is).
 func (s *Seat) Update(open int, asked bool, until float64) {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
@@ -329,26 +361,34 @@
 	return seat
 }
 
-// spare gives the connection to close for a new one: of those that never asked the oldest, where they hold
-// many places, else the one that has been idle for longest.
+// spare gives the connection to close for a new one: of those that never brought a whole request the one that has
+// been silent for longest, where they hold many places, else the one that has been idle for longest. Half a request
+// keeps its place only while it goes on.
 func (s *Server) spare() *Seat {
 	now := s.Clock.Now()
 	var idle, silent *Seat
+	var idleFrom, silentFrom float64
 	silents := 0
 	for x := range s.seats {
-		switch {
+		from, least := x.since, 0.0
+		switch half := x.until > 0 || !x.asked && x.moved.Load() > 0; {
 		case x.open > 0:
 			continue
+		case half:
+			from, least = x.last(), stalled
 		case !x.asked:
-			if silents++; now-x.since < silentMost {
+			least = silentMost
+		}
+		if !x.asked || x.until > 0 {
+			if silents++; now-from < least {
 				continue
 			}
-			if silent == nil || x.since < silent.since {
-				silent = x
+			if silent == nil || from < silentFrom {
+				silent, silentFrom = x, from
 			}
 		}
-		if idle == nil || x.since < idle.since {
-			idle = x
+		if idle == nil || from < idleFrom {
+			idle, idleFrom = x, from
 		}
 	}
 	if silent != nil && fewSilent*silents > s.most() {
@@ -370,16 +410,25 @@
 	defer s.mu.Unlock()
 	s.full = s.full && len(s.seats) >= s.most()
 	for x := range s.seats {
-		late := x.until > 0 && now > x.until
-		if !x.asked {
+		late := x.until > 0 && (now > x.until || s.StallMost > 0 && now > x.last()+s.StallMost)
+		switch {
+		case x.asked && (x.open > 0 || x.until > 0):
+		case !x.asked && x.moved.Load() > 0: // also before it is known what has begun
+			late = late || s.StallMost > 0 && now > x.last()+s.StallMost || s.WholeMost > 0 && now > x.came+s.WholeMost
+		case !x.asked:
 			late = late || s.FirstMost > 0 && now > x.came+s.FirstMost
-		} else if x.open == 0 {
+		default:
 			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
 		}
+		// Guards against losing what is open on a connection to half a request there: that one alone is refused.
+		if late && x.open > 0 && x.yield != nil {
+			late = false
+			yields = append(yields, x.yield)
+		}
 		if !late && (s.draining || s.leaving) && x.quiet(now) {
 			s.hush(x)
 		}
-		if x.until > 0 && x.yield != nil &&
+		if !late && x.until > 0 && x.yield != nil &&
 			(s.draining && now >= s.drained+drainHalf || s.leaving && now >= s.left+leaveHalf) {
 			yields = append(yields, x.yield)
 		}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -193,7 +193,7 @@
 // read is the reader goroutine.
 func (c *conn) read() {
 	defer close(c.queue)
-	r := bufio.NewReaderSize(c.net, 4<<10)
+	r := bufio.NewReaderSize(c.seat.Moves(c.net), 4<<10)
 	for {
 		c.net.SetReadDeadline(time.Time{}) // the place's own limits hold while nothing is under way
 		if _, err := r.Peek(1); err != nil {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -183,20 +183,36 @@
 	}
 }
 
+// pieces reads a connection on which answers may come in pieces of any size. Guards against an answer that stops short
+// and leaves everything else on the connection waiting behind it: from its first byte on each piece has so long, and
+// all of it until a time, while an idle connection has no limit.
+type pieces struct {
+	net   net.Conn
+	until time.Time // zero: no answer is under way
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	at := p.until
+	if next := time.Now().Add(answerLimit); !at.IsZero() && next.Before(at) {
+		at = next
+	}
+	p.net.SetReadDeadline(at)
+	return p.net.Read(b)
+}
+
 // read is the reader goroutine; it owns the connection's end.
 func (c *conn) read() {
 	p := c.pool
 	defer p.wg.Done()
-	r := bufio.NewReaderSize(c.net, readBuffer)
+	in := &pieces{net: c.net}
+	r := bufio.NewReaderSize(in, readBuffer)
 	var err error
 	for err == nil {
-		// Guards against an answer that stops short and leaves everything else on the connection waiting
-		// behind it: from its first byte on it has so long, while an idle connection has no limit.
-		c.net.SetReadDeadline(time.Time{})
+		in.until = time.Time{}
 		if _, err = r.Peek(1); err != nil {
 			break
 		}
-		c.net.SetReadDeadline(time.Now().Add(answerLimit))
+		in.until = time.Now().Add(answerMost)
 		var a answer
 		if a, err = readAnswer(r); err == nil {
 			var ev core.Event
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -39,7 +39,8 @@
 	spareConns   = 8                      // kept for stores without one
 	dialAgain    = 1000.0                 // ms after a failed dial until a further connection is tried beside others
 	fewOpen      = 2                      // attempts on each connection before the next one is dialled
-	answerLimit  = 500 * time.Millisecond // from an answer's first byte to its last: stores write them whole
+	answerLimit  = 500 * time.Millisecond // from one piece of an answer to the next
+	answerMost   = 2 * time.Second        // from an answer's first byte to its last, however it goes on
 	readBuffer   = 4 << 10
 )
 
