Drain the signed front like the other, and judge progress there too

Seen in the code: the signed front's half requests kept their places for 10 s and could not yield them, a drain closed its connections without asking their readers, and an unusable TMPDIR ended the program at its start. Ruled out: the pipelining (its order of answers does not change) and 100-continue (no answer owed is what counts, as before). At fault: signed.go counted a request under way as one that is owed an answer. The test of the drain fails without this.

--- /dev/null
+++ b/front/signed/drain_test.go
@@ -0,0 +1,84 @@
+package signed
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/token"
+)
+
+// A drain of this front goes like that of the other: it says no at once, closes what is quiet once that can have been
+// noticed, and half a request later. Ended, it says yes again. A request in small pieces is served beside all that.
+func TestDrain(t *testing.T) {
+	ring, err := token.NewRing(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock.Manual(1e12)
+	f := New(Options{Post: func(core.Event) {}, Clock: clk, Log: zerolog.Nop(), Ring: ring})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Serve(ctx, l) }()
+	defer func() { end(); <-done }()
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(30 * time.Second))
+		return c, bufio.NewReader(c)
+	}
+	const ask = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"
+	health := func(c net.Conn, r *bufio.Reader, want int) {
+		t.Helper()
+		for _, b := range []byte(ask) {
+			c.Write([]byte{b})
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		if resp.StatusCode != want {
+			t.Errorf("%d, not %d", resp.StatusCode, want)
+		}
+	}
+	idle, ir := dial()
+	health(idle, ir, 200)
+	half, hr := dial()
+	half.Write([]byte(ask[:10]))
+	for f.Conns() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Drain(true)
+	health(idle, ir, 503)
+	for f.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clk.Advance(600)
+	if _, err := ir.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection is kept: %v", err)
+	}
+	clk.Advance(2000)
+	if _, err := hr.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("half a request is kept")
+	}
+	f.Drain(false)
+	c, r := dial()
+	health(c, r, 200)
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,10 +64,11 @@
 }
 
 const (
-	bodyMost     = 48000 // a write's
-	headWait     = 10 * time.Second
+	bodyMost     = 48000            // a write's
+	wholeMost    = 30000.0          // ms until a request must be whole, however it goes on
+	stallMost    = 5000.0           // ms that one under way may bring no byte
 	lingerMost   = 60 * time.Second // for a client to close after its last answer
-	firstMost    = 12000.0          // ms until a connection's first request must be whole
+	firstMost    = 12000.0          // ms that a new connection may say nothing
 	idleMost     = 60000.0          // ms without a request
 	writeLimit   = 5 * time.Second
 	pipelineMost = 4
@@ -108,7 +110,8 @@
 	f := &Front{
 		opt: opt,
 		server: front.Server{
-			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
+			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, StallMost: stallMost, WholeMost: wholeMost,
+			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
 	}
@@ -173,9 +176,10 @@
 	queue chan *slot
 	ended chan struct{} // closed when the writer ends
 
-	unwritten atomic.Int64 // requests begun whose answer is not yet written
+	unwritten atomic.Int64 // whole requests, or unreadable ones, whose answer is not yet written
 
 	mu   sync.Mutex
+	half float64 // when the request under way must be whole; 0: none is
 	open map[uint64]*slot
 	tags uint64
 }
@@ -184,6 +188,8 @@
 	c := &conn{
 		front: f, net: nc, seat: seat, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
 	}
+	seat.Hushes()
+	seat.Yields(c.yield)
 	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
 	c.read()
@@ -195,15 +201,18 @@
 	defer close(c.queue)
 	r := bufio.NewReaderSize(c.seat.Moves(c.net), 4<<10)
 	for {
-		c.net.SetReadDeadline(time.Time{}) // the place's own limits hold while nothing is under way
+		c.net.SetReadDeadline(time.Time{}) // the place's own limits hold
 		if _, err := r.Peek(1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.seat.Quiet() { // no drain wants it closed any more
+				continue
+			}
 			c.gone(err)
 			return
 		}
-		c.unwritten.Add(1) // a request under way, like one whose answer is to come, keeps the place
-		c.report(false)
-		c.net.SetReadDeadline(time.Now().Add(headWait))
+		c.begin(c.front.opt.Clock.Now() + wholeMost)
 		m, err := http1.Read(r, bodyMost, c.goOn)
+		c.unwritten.Add(1) // one whose answer is to come keeps the place
+		c.begin(0)
 		s := &slot{msg: m, ready: make(chan struct{})}
 		if b, ok := http1.IsBad(err); ok {
 			c.front.opt.Log.Warn().Int("status", b.Status).Str("what", b.Text).Stringer("from", c.net.RemoteAddr()).
@@ -232,17 +241,32 @@
 	}
 }
 
+// begin tells the connection's place that a request is under way until a time, or with 0 that none is.
+func (c *conn) begin(until float64) {
+	c.mu.Lock()
+	c.half = until
+	c.mu.Unlock()
+	c.report(false)
+}
+
+// yield closes the connection under half a request, unless answers are owed on it.
+func (c *conn) yield() {
+	if c.unwritten.Load() == 0 {
+		c.net.Close()
+	}
+}
+
 // report tells the connection's place what is open here.
 func (c *conn) report(asked bool) {
 	c.mu.Lock() // reader and writer tell in turn
 	defer c.mu.Unlock()
-	c.seat.Update(int(c.unwritten.Load()), asked, 0)
+	c.seat.Update(int(c.unwritten.Load()), asked, c.half)
 }
 
 // goOn lets a client send the body it holds back. Where earlier answers are still to come it says
 // nothing, as the bytes could fall among theirs; such a client sends after a while by itself.
 func (c *conn) goOn() {
-	if c.unwritten.Load() == 1 { // this one
+	if c.unwritten.Load() == 0 {
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
 		c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
--- a/operate.go
+++ b/operate.go
@@ -57,11 +57,11 @@
 }
 
 // openKin enters the process among those of its gateway: in $TMPDIR, where that is set, as the platform does.
-// Without it the process stands alone.
-func openKin(n config.Node, more string) (*kin.Kin, error) {
+// Without it, or where it can't be used, the process stands alone: to serve comes first.
+func openKin(n config.Node, more string, log zerolog.Logger) *kin.Kin {
 	dir := os.Getenv("TMPDIR")
 	if dir == "" {
-		return nil, nil
+		return nil
 	}
 	clean := func(r rune) rune {
 		if strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-", r) {
@@ -71,9 +71,10 @@
 	}
 	k, err := kin.Open(filepath.Join(dir, strings.Map(clean, "turnfork_"+n.Name+"_"+n.Listen+more)))
 	if err != nil {
-		return nil, fmt.Errorf("TMPDIR: %w", err)
+		log.Error().Err(err).Msg("TMPDIR can't be used: no other process can take over from this one")
+		return nil
 	}
-	return k, nil
+	return k
 }
 
 // inherit takes up the orders that were left, before anything is sent.
--- a/turnfork.go
+++ b/turnfork.go
@@ -153,10 +153,7 @@
 	if cfg.Operator != nil {
 		more = "_" + cfg.Operator.Listen
 	}
-	relatives, err := openKin(node, more)
-	if err != nil {
-		return err
-	}
+	relatives := openKin(node, more, cfg.Log)
 	defer relatives.Close()
 	own := newOperated(c, relatives, cfg.Log)
 	if node.Changelog != "" {
