--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -170,3 +170,46 @@
 		t.Errorf("connections: %v", got)
 	}
 }
+
+// What waits for a connection does not leave for a store that the operators have taken out meanwhile, nor does what
+// comes later, until it may serve again. What is under way there goes on.
+func TestTakenOut(t *testing.T) {
+	came, let := make(chan struct{}, 4), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		came <- struct{}{}
+		<-let
+		w.Write([]byte("ok"))
+	}))
+	defer srv.Close()
+	got := make(chan core.Event, 4)
+	u := New(Options{
+		Stores: map[uint32]Store{1: {srv.URL, nil}}, DialTimeout: 5000, IdleClose: 15000, MaxConns: 1,
+		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
+	}, func(ev core.Event) { got <- ev })
+	defer u.Close()
+	send := func(id int) {
+		u.Send(core.Send{Key: core.Key{ID: control.RequestID(id)}, To: 1, Class: "firmware", Name: "x"})
+	}
+	send(1)
+	<-came
+	send(2) // the one connection is taken
+	u.Bar(1, true)
+	send(3)
+	for range 2 {
+		if e := (<-got).(core.Ended); e.ID == 1 || e.Result != control.Unsent {
+			t.Errorf("%+v", e)
+		}
+	}
+	close(let)
+	if e := (<-got).(core.Ended); e.ID != 1 || e.Result != control.OK {
+		t.Errorf("%+v", e)
+	}
+	u.Bar(1, false)
+	send(4)
+	if e := (<-got).(core.Ended); e.ID != 4 || e.Result != control.OK {
+		t.Errorf("%+v", e)
+	}
+	if len(came) != 1 {
+		t.Errorf("%d more requests came", len(came))
+	}
+}
