--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -49,7 +49,7 @@
 func launchWith(t *testing.T, bin string, env []string, files []*os.File, args ...string) *program {
 	t.Helper()
 	p := &program{cmd: exec.Command(bin, args...), log: &bytes.Buffer{}, done: make(chan error, 1)}
-	p.cmd.Env, p.cmd.ExtraFiles = append(os.Environ(), env...), files
+	p.cmd.Env, p.cmd.ExtraFiles = append(append(os.Environ(), "TMPDIR="+t.TempDir()), env...), files
 	errs, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/operate.go
+++ b/operate.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
+	"net"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -56,11 +56,11 @@
 	}
 }
 
-// openKin enters the process among those of its gateway: in $TMPDIR, where that is set, as the platform does.
-// Without it, or where it can't be used, the process stands alone: to serve comes first.
-func openKin(n config.Node, more string, log zerolog.Logger) *kin.Kin {
-	dir := os.Getenv("TMPDIR")
-	if dir == "" {
+// openKin enters the process among those of its gateway, in the folder that they share. Without one, or where it can't
+// be used, the process stands alone: to serve comes first. So does one that listens at a port of the machine's choice,
+// as no other process can be meant to listen there too.
+func openKin(dir string, n config.Node, more string, log zerolog.Logger) *kin.Kin {
+	if _, port, err := net.SplitHostPort(n.Listen); dir == "" || err == nil && port == "0" && n.SocketFD == 0 {
 		return nil
 	}
 	clean := func(r rune) rune {
@@ -71,7 +71,7 @@
 	}
 	k, err := kin.Open(filepath.Join(dir, strings.Map(clean, "turnfork_"+n.Name+"_"+n.Listen+more)))
 	if err != nil {
-		log.Error().Err(err).Msg("TMPDIR can't be used: no other process can take over from this one")
+		log.Error().Err(err).Msg("the shared folder can't be used: no other process can take over from this one")
 		return nil
 	}
 	return k
--- a/turnfork.go
+++ b/turnfork.go
@@ -38,6 +38,7 @@
 	Operator *config.Operator // the second front and what goes with it; nil on the platform
 	Log      zerolog.Logger
 	Clock    *clock.Clock                            // nil: the system's
+	Shared   string                                  // a folder that the processes of this gateway share; "": this one stands alone
 	Stop     <-chan struct{}                         // closed: end in good order; the end of Run's context ends at once
 	Reload   <-chan config.Node                      // a configuration read anew; nil: none comes
 	Ready    func(Addrs)                             // told once the fronts listen; nil: nobody asks
@@ -153,7 +154,7 @@
 	if cfg.Operator != nil {
 		more = "_" + cfg.Operator.Listen
 	}
-	relatives := openKin(node, more, cfg.Log)
+	relatives := openKin(cfg.Shared, node, more, cfg.Log)
 	defer relatives.Close()
 	own := newOperated(c, relatives, cfg.Log)
 	if node.Changelog != "" {
