--- a/config/config.go
+++ b/config/config.go
@@ -57,14 +57,26 @@
 	if v := getenv("NODE_CONSOLE"); err == nil && v != "" {
 		n.Console, err = v, address("NODE_CONSOLE", v)
 	}
-	if v := getenv("NODE_SOCKET_FD"); err == nil && v != "" {
-		if n.SocketFD, err = strconv.Atoi(v); err != nil || n.SocketFD < 3 {
-			return n, fmt.Errorf("config: NODE_SOCKET_FD: %q is no descriptor from 3 on", v)
-		}
+	if err == nil {
+		n.SocketFD, err = SocketFD(getenv)
 	}
 	return n, err
 }
 
+// SocketFD gives the descriptor that NODE_SOCKET_FD names, on which this process listens in place of its address; 0:
+// none is named.
+func SocketFD(getenv func(string) string) (int, error) {
+	v := getenv("NODE_SOCKET_FD")
+	if v == "" {
+		return 0, nil
+	}
+	fd, err := strconv.Atoi(v)
+	if err != nil || fd < 3 {
+		return 0, fmt.Errorf("config: NODE_SOCKET_FD: %q is no descriptor from 3 on", v)
+	}
+	return fd, nil
+}
+
 // Parse reads a configuration. Errors name the field.
 func Parse(text []byte, name, listen string) (n Node, err error) {
 	var raw struct {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -87,3 +87,12 @@
 		}
 	}
 }
+
+func TestSocketFD(t *testing.T) {
+	for v, want := range map[string]int{"": 0, "3": 3, "17": 17, "2": -1, "-1": -1, "x": -1} {
+		fd, err := SocketFD(func(string) string { return v })
+		if want < 0 && (err == nil || !strings.Contains(err.Error(), "NODE_SOCKET_FD")) || want >= 0 && (err != nil || fd != want) {
+			t.Errorf("%q: %d %v", v, fd, err)
+		}
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -108,7 +108,8 @@
 	var seed [8]byte
 	rand.Read(seed[:])
 	cfg.Operator, cfg.Node = o, o.Node(binary.BigEndian.Uint64(seed[:]))
-	return cfg, nil
+	cfg.Node.SocketFD, err = config.SocketFD(os.Getenv)
+	return cfg, err
 }
 
 // serve runs the gateway until a signal asks it to end. SIGHUP has the configuration read again.
