Hold an order before it is written down, so that a stalled disk delays no drain

Ruled out: the core (a drain does not pass it; refusals as ever), the front (its flag has one writer), a state read back (one process, changes counted up), descriptors (44 of 384). What is left in the code is operate.go order(): a drain held only after kin.Change, whose rename waits for the disk without a limit, and each later order waited behind it. That the disk stalled is inferred, not measured. Now: an order holds at once, one goroutine writes them down in turn, and a state read meanwhile undoes nothing.

--- a/operate.go
+++ b/operate.go
@@ -29,11 +29,13 @@
 	log    zerolog.Logger
 
 	orders chan struct{} // held by the one that carries an order out
+	writes chan writing  // orders that hold here and are to be written down for the other process
 
 	mu       sync.Mutex
 	waits    map[string]struct{} // what has yet to happen before it is ready
 	stopping bool
 	held     kin.State // the orders that hold here
+	pending  int       // of them not written down yet
 	others   kin.Others
 	told     string // the last trouble with the files, told once
 }
@@ -47,11 +49,20 @@
 const (
 	lookEvery  = 50 * time.Millisecond // at the other process and its orders: well inside the grace for a ban
 	followMost = 200 * time.Millisecond
+	writeWait  = 500 * time.Millisecond // that an answer waits for the disk
+	writeMost  = 5 * time.Second        // for the other process to let go of the lock
+	writesMost = 64
 )
 
+// writing is an order to be written down; done, with room for one, is told how that ended.
+type writing struct {
+	alter func(*kin.State)
+	done  chan error
+}
+
 func newOperated(c *core.Core, k *kin.Kin, log zerolog.Logger) *operated {
 	return &operated{
-		core: c, kin: k, log: log, orders: make(chan struct{}, 1), waits: map[string]struct{}{waitFront: {}},
+		core: c, kin: k, log: log, orders: make(chan struct{}, 1), writes: make(chan writing, writesMost), waits: map[string]struct{}{waitFront: {}},
 		share: func(int) {},
 	}
 }
@@ -152,16 +163,17 @@
 func (o *operated) follow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, followMost)
 	defer cancel()
+	s, err := o.kin.Read() // outside of the lock: an order must not wait for a disk
 	if !o.take(ctx) {
 		return
 	}
 	defer o.give()
-	s, err := o.kin.Read()
 	o.mu.Lock()
 	o.trouble(err)
-	held := o.held
+	held, pending := o.held, o.pending
 	o.mu.Unlock()
-	if err != nil || s.Change == held.Change {
+	// What waits to be written down is in no file yet: a state without it would undo it.
+	if err != nil || pending > 0 || s.Change <= held.Change {
 		return
 	}
 	o.log.Info().Uint64("change", s.Change).Msg("orders given to another process")
@@ -175,6 +187,9 @@
 			return
 		}
 	}
+	o.mu.Lock()
+	o.held.Change = s.Change
+	o.mu.Unlock()
 	o.hold(s)
 }
 
@@ -193,7 +208,9 @@
 func (o *operated) hold(s kin.State) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	change := o.held.Change // which the one that writes keeps
 	o.held = s
+	o.held.Change = change
 	for _, f := range o.fronts {
 		f.Drain(s.Draining)
 	}
@@ -258,8 +275,8 @@
 	})
 }
 
-// order has an order hold here, by first and alter, and writes it down for the other process. One that can't be
-// written holds here all the same, and its caller is told no: an order that was given must not wait for a disk.
+// order has an order hold here, by first and alter, and then written down for the other process. Guards against a disk
+// that stalls: the order holds before anything is written, and where no other process lives nobody waits for the file.
 func (o *operated) order(ctx context.Context, first func() error, alter func(*kin.State)) error {
 	if !o.take(ctx) {
 		return ctx.Err()
@@ -272,21 +289,71 @@
 	}
 	o.mu.Lock()
 	held := o.held
-	o.mu.Unlock()
 	held.Disabled = slices.Clone(held.Disabled)
-	s, err := o.kin.Change(ctx, held, alter)
 	alter(&held)
-	if err == nil {
-		// What the other process wrote meanwhile does not hold here yet: one number short, so that the next look
-		// takes it up.
-		if held.Change++; s.Change != held.Change {
-			held.Change = s.Change - 1
-		}
+	alone := o.others == (kin.Others{})
+	if o.kin != nil {
+		o.pending++
 	}
+	o.mu.Unlock()
 	o.hold(held)
+	if o.kin == nil {
+		return nil
+	}
+	w := writing{alter, make(chan error, 1)}
+	err := errStalled
+	select {
+	case o.writes <- w:
+		select {
+		case err = <-w.done:
+		case <-time.After(writeWait):
+		case <-ctx.Done():
+		}
+	default:
+		o.mu.Lock()
+		o.pending--
+		o.mu.Unlock()
+	}
+	if err != nil {
+		o.log.Error().Err(err).Bool("alone", alone).Msg("an order holds here and is not written down")
+	}
+	if alone {
+		return nil
+	}
 	return err
 }
 
+var errStalled = errors.New("it holds here, and the other process can't be told yet")
+
+// write writes orders down one after the other, until ctx ends.
+func (o *operated) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-o.writes:
+			o.mu.Lock()
+			held := o.held
+			o.mu.Unlock()
+			held.Disabled = slices.Clone(held.Disabled)
+			limit, cancel := context.WithTimeout(ctx, writeMost)
+			s, err := o.kin.Change(limit, held, w.alter)
+			cancel()
+			o.mu.Lock()
+			o.pending--
+			if err == nil {
+				// What the other process wrote meanwhile does not hold here yet: one number short, so that the
+				// next look takes it up.
+				if o.held.Change++; s.Change != o.held.Change {
+					o.held.Change = s.Change - 1
+				}
+			}
+			o.mu.Unlock()
+			w.done <- err
+		}
+	}
+}
+
 // bar has the core hold a ban, and returns once it does.
 func (o *operated) bar(ctx context.Context, id uint32, on, listed bool) error {
 	reply := make(chan error, 1)
--- a/turnfork.go
+++ b/turnfork.go
@@ -291,6 +291,7 @@
 	}
 	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
 	g.Go(func() error { own.watch(ctx); return nil })
+	g.Go(func() error { own.write(ctx); return nil })
 	if adopt != nil {
 		if l, err := relatives.Listen(); err != nil { // such as a path too long for a socket
 			cfg.Log.Warn().Err(err).Msg("no connections can be taken over from another process")
