Log apart when the process stands still and when the shared folder is slow

The one drain that was not held left no trace of its cause: from outside a stalled process and a stalled disk look alike. The watch over the other process times both.

--- a/operate.go
+++ b/operate.go
@@ -47,7 +47,8 @@
 )
 
 const (
-	lookEvery  = 50 * time.Millisecond // at the other process and its orders: well inside the grace for a ban
+	lookEvery  = 50 * time.Millisecond  // at the other process and its orders: well inside the grace for a ban
+	stallTold  = 500 * time.Millisecond // without progress, that is logged
 	followMost = 200 * time.Millisecond
 	writeWait  = 500 * time.Millisecond // that an answer waits for the disk
 	writeMost  = 5 * time.Second        // for the other process to let go of the lock
@@ -123,12 +124,17 @@
 	}
 	t := time.NewTicker(lookEvery)
 	defer t.Stop()
-	for {
+	for rested := time.Now(); ; rested = time.Now() {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		// Tells two causes of late answers apart, which look alike from outside.
+		woke := time.Now()
+		if late := woke.Sub(rested); late > stallTold {
+			o.log.Warn().Dur("ms", late).Msg("this process stood still")
+		}
 		others, err := o.kin.Look()
 		o.mu.Lock()
 		o.trouble(err)
@@ -141,6 +147,9 @@
 		}
 		o.mu.Unlock()
 		o.follow(ctx)
+		if took := time.Since(woke); took > stallTold {
+			o.log.Warn().Dur("ms", took).Msg("the shared folder answers slowly")
+		}
 	}
 }
 
