Hold a further attempt until the end of the one before has settled at its store

Writing in order proves nothing across two connections.

Change: an end carries Doubt unless the store told it or nothing left. The module decides at once, as before; core holds only a further attempt, until the answer to a PING behind the DROP proves that it was read, or 40 ms have passed. upstream/web marks its ends alike, and every front goes through the same core. An ID in hand is refused with advice to come back, so that a second taking (bad clients do it) is no second attempt either.

FuzzCore knows of settling; it found entries that stayed when a request was given up in doubt. Handing a connection over 3 requests cut at each fifth byte takes each once. A store that needs more than 40 ms to read a close can still see two.

--- a/core/book.go
+++ b/core/book.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"container/heap"
+
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
@@ -16,6 +18,10 @@
 	t.over = true
 	r.open--
 	r.last = e.Result
+	if e.Doubt {
+		r.doubt = doubt{key: e.Key, until: c.now() + c.opt.Settle}
+		heap.Push(&c.timers, timer{at: r.doubt.until, of: t, free: true})
+	}
 	if e.Result == control.OK && !r.answered {
 		a := Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Minted: e.Minted}
 		if e.Same {
@@ -23,9 +29,7 @@
 		}
 		c.answer(r, a)
 	}
-	if r.answered && r.open == 0 {
-		delete(c.requests, r.id)
-	}
+	c.forget(r)
 	c.tell(control.Outcome{
 		ID: e.ID, Attempt: e.N, Member: control.MemberID(t.to), Result: e.Result, Note: e.Note,
 		Latency: clock.Duration(max(0, c.now()-t.sent)), FirstByte: clock.Duration(e.Lag),
--- a/core/core.go
+++ b/core/core.go
@@ -28,7 +28,8 @@
 	Settings control.Settings
 	Classes  []string // names, in the settings' order
 	Seed     uint64
-	MaxOpen  int // requests in hand; more are refused; 0: 4096
+	MaxOpen  int     // requests in hand; more are refused; 0: 4096
+	Settle   float64 // ms that a store may take to notice the end of an attempt; 0: 40
 	Clock    *clock.Clock
 	Log      zerolog.Logger
 }
@@ -49,7 +50,8 @@
 	backlog []control.Event // for the module, once the present actions are carried out
 	busy    bool
 
-	requests map[control.RequestID]*request
+	requests map[control.RequestID]*request // until all attempts of each have ended
+	byTxn    map[string]*request            // the same
 	byTag    map[tagKey]*request
 	lastID   control.RequestID
 	probes   map[uint32]float64 // member to the time its probe left
@@ -59,7 +61,10 @@
 
 // Stats counts what the core has done since its start.
 type Stats struct {
-	Taken, Served, Same, Refused, Failed, Left, Attempts, Probes int
+	Taken, Served, Same, Refused, Failed, Left, Attempts, Probes, Dropped int
+
+	// Attempts that waited for the one before to settle, and those of them that its store's word set free.
+	Held, Settled int
 }
 
 // New returns a core that uses up for its attempts.
@@ -74,11 +79,14 @@
 	if opt.MaxOpen <= 0 || opt.MaxOpen > 4096 {
 		opt.MaxOpen = 4096
 	}
+	if opt.Settle <= 0 {
+		opt.Settle = settleMost
+	}
 	c := &Core{
 		opt: opt, module: module, up: up, classes: map[string]int{}, events: make(chan Event, eventsQueued),
 		orders: make(chan Event, ordersQueued),
 		done:   make(chan struct{}), requests: map[control.RequestID]*request{}, byTag: map[tagKey]*request{},
-		probes: map[uint32]float64{},
+		byTxn: map[string]*request{}, probes: map[uint32]float64{},
 	}
 	for i, name := range opt.Classes {
 		c.classes[name] = i
@@ -149,6 +157,8 @@
 		c.leave(ev)
 	case Ended:
 		c.book(ev)
+	case Settled:
+		c.settled(ev)
 	case Probed:
 		c.bookProbe(ev)
 	case Stores:
@@ -199,6 +209,8 @@
 		t := heap.Pop(&c.timers).(timer)
 		if t.of == nil {
 			c.tell(control.Woken{Token: t.token})
+		} else if t.free {
+			c.settle(t.of.of, t.of.key)
 		} else if !t.of.over {
 			c.timeOut(t.of)
 		}
@@ -225,11 +237,12 @@
 	c.busy = false
 }
 
-// timer is due at a time: for the module with a token, or as the time-out of an attempt.
+// timer is due at a time: for the module with a token, as the time-out of an attempt, or to let a held one leave.
 type timer struct {
 	at    float64
 	token uint64
 	of    *attempt
+	free  bool
 }
 
 type timerHeap []timer
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -20,6 +20,9 @@
 	drops   []Key
 
 	barredAt []int // how many attempts had been sent
+
+	clock   *clock.Clock
+	settles map[control.RequestID]float64 // when the last attempt's end has settled
 }
 
 func (w *wires) Answer(tag uint64, a Answer) { w.answers[tag] = append(w.answers[tag], a) }
@@ -37,6 +40,9 @@
 	if len(w.out[s.ID]) > 0 {
 		w.t.Errorf("request %d has two attempts at once", s.ID)
 	}
+	if w.clock.Now() < w.settles[s.ID] {
+		w.t.Errorf("request %d: attempt %d left before the one before had settled", s.ID, s.N)
+	}
 	if s.N >= 8 {
 		w.t.Errorf("request %d has attempt %d", s.ID, s.N)
 	}
@@ -45,8 +51,9 @@
 }
 
 func newCore(t testing.TB) (*Core, *wires, *clock.Clock) {
-	w := &wires{t: t, answers: map[uint64][]Answer{}, out: map[control.RequestID]map[int]Send{}}
 	clk := clock.Manual(1e12)
+	w := &wires{t: t, answers: map[uint64][]Answer{}, out: map[control.RequestID]map[int]Send{}, clock: clk,
+		settles: map[control.RequestID]float64{}}
 	c, err := New(Options{
 		Classes: []string{"tile", "ride-end"}, Clock: clk, Log: zerolog.Nop(), MaxOpen: 20,
 		Settings: control.Settings{
@@ -191,7 +198,15 @@
 				doubt[k.ID] = true
 			}
 			before := len(w.sends)
-			c.Handle(Ended{Key: k, Result: res, Body: []byte("x")})
+			inDoubt := res == control.Broken || res == control.Cancelled || res == control.TimedOut
+			if inDoubt {
+				w.settles[k.ID] = clk.Now() + settleMost
+			}
+			c.Handle(Ended{Key: k, Result: res, Body: []byte("x"), Doubt: inDoubt})
+			if k.ID%3 == 0 { // the store's word comes
+				delete(w.settles, k.ID)
+				c.Handle(Settled{k})
+			}
 			for _, s := range w.sends[before:] {
 				if s.Class == "ride-end" && doubt[s.ID] {
 					t.Fatalf("ride-end %d was sent again in doubt", s.ID)
@@ -254,8 +269,8 @@
 			}
 			check()
 		}
-		if len(c.byTag) != 0 || len(c.requests) != 0 {
-			t.Fatalf("%d requests and %d entries are left over", len(c.byTag), len(c.requests))
+		if len(c.byTag) != 0 || len(c.requests) != 0 || len(c.byTxn) != 0 {
+			t.Fatalf("%d requests, %d entries and %d IDs are left over", len(c.byTag), len(c.requests), len(c.byTxn))
 		}
 	})
 }
--- /dev/null
+++ b/core/overlap_test.go
@@ -0,0 +1,233 @@
+package core_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/upstream/resp"
+)
+
+// rig is a core before stores that notice late, over sockets.
+type rig struct {
+	*testing.T
+	core  *core.Core
+	clock *clock.Clock
+	lag   *standin.Laggard
+	list  core.Stores
+
+	mu      sync.Mutex
+	answers map[uint64][]core.Answer
+}
+
+func (r *rig) Answer(tag uint64, a core.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[tag] = append(r.answers[tag], a)
+}
+
+// newRig has the first GET of each ID end in the way that the ID's first letter names.
+func newRig(t *testing.T) *rig {
+	r := &rig{T: t, clock: clock.Manual(1e12), answers: map[uint64][]core.Answer{}, list: core.Stores{Whole: true}}
+	var err error
+	r.lag, err = standin.NewLaggard(5, func(c standin.Call, n int) standin.Way {
+		if n > 0 {
+			return standin.Good
+		}
+		return standin.Way(c.ID[0] - 'a')
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.lag.Close)
+	opt := core.Options{
+		Classes: []string{"tile"}, Clock: r.clock, Log: zerolog.Nop(),
+		Settings: control.Settings{
+			Fronts: 1, Zone: 1, FrontsByZone: []int{0, 1}, ZoneHub: []int{0, 0}, Kinds: 3, ParentKind: 1, OriginKind: 2,
+			Quantum: 2 * time.Millisecond, ClientKBps: 1000, WeightsTold: true, MaxAttempts: 8, CanCancel: true,
+			CanRetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, Direct: true, NotesTold: true,
+			Classes: []control.Class{{Aim: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1}},
+		},
+	}
+	pool := resp.New(resp.Options{
+		DialTimeout: 5000, ProbeTimeout: 5000, Streams: 100, MaxConns: 40, Clock: r.clock, Log: zerolog.Nop(),
+	}, func(ev core.Event) { r.core.Post(ev) })
+	if r.core, err = core.New(opt, pool); err != nil {
+		t.Fatal(err)
+	}
+	for i, kind := range []int{0, 0, 0, 1, 2} {
+		r.list.List = append(r.list.List, core.Store{Addr: r.lag.Addrs[i], Member: control.Member{
+			ID: control.MemberID(i + 1), Kind: kind, Zone: min(1, max(0, 1-kind)), Weight: 10, State: control.Ready,
+		}})
+	}
+	ctx, end := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { r.core.Run(ctx) })
+	t.Cleanup(func() { end(); pool.Close(); wg.Wait() })
+	r.core.Post(r.list)
+	return r
+}
+
+func (r *rig) ask(tag uint64, way standin.Way, part uint32) string {
+	txn := string(rune('a'+way)) + strings.Repeat("0", 15)
+	r.core.Post(core.Ask{
+		From: r, Tag: tag, Txn: txn, Class: "tile", Object: 7, Name: "0000000000000007", Part: part, SizeKB: 40,
+		At: r.clock.Now(), Left: 2500,
+	})
+	return txn
+}
+
+// stats also has the core look at its timers.
+func (r *rig) stats() core.Stats {
+	reply := make(chan core.Stats, 1)
+	r.core.Post(core.Query{Reply: reply})
+	return <-reply
+}
+
+// until waits for what must come; only a hung program meets its limit.
+func (r *rig) until(what string, ok func() bool) {
+	r.Helper()
+	for limit := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if r.lag.Twice() > 0 {
+			r.Fatalf("a request was at the stores twice while waiting for: %s", what)
+		}
+		if time.Now().After(limit) {
+			r.Fatalf("never: %s; %+v", what, r.stats())
+		}
+	}
+}
+
+func (r *rig) answered(tag uint64) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.answers[tag])
+}
+
+// dropped moves the time on until the core gives an attempt up, and no further.
+func (r *rig) dropped() {
+	for before := r.stats().Dropped; r.stats().Dropped == before; {
+		r.clock.Advance(20)
+	}
+}
+
+// However an attempt ends, the next one of its request leaves only once the stores can't have both.
+func TestNoSecondCopyAtASlowStore(t *testing.T) {
+	const (
+		told    = iota // by the store
+		closed         // the connection is
+		dropped        // and the store's word proves that it knows
+		unasked        // dropped at a store that may be asked nothing new
+	)
+	ways := []struct {
+		name string
+		way  standin.Way
+		kind int // how it ends for the store
+		act  func(r *rig)
+	}{
+		{"good", standin.Good, told, nil},
+		{"miss", standin.Missing, told, nil},
+		{"full", standin.Busy, told, nil},
+		{"error", standin.Failing, told, nil},
+		{"spoilt", standin.Spoilt, closed, nil},
+		{"cut", standin.Cut, closed, nil},
+		{"reset while reading", standin.ResetReading, closed, nil},
+		{"reset while writing", standin.ResetWriting, closed, nil},
+		{"stalled", standin.Stall, closed, nil},
+		{"silent, given up in time", standin.Hang, dropped, (*rig).dropped},
+		{"given up at a store that drains", standin.Hang, unasked, func(r *rig) {
+			list := core.Stores{}
+			for _, s := range r.list.List[:4] {
+				s.Member.State = control.Draining
+				list.List = append(list.List, s)
+			}
+			r.core.Post(list)
+			r.dropped()
+		}},
+	}
+	for _, w := range ways {
+		t.Run(w.name, func(t *testing.T) {
+			r := newRig(t)
+			r.lag.Hold()
+			// A companion is open beside it, and may lose its connection too.
+			other := r.ask(1, standin.Hang, 1)
+			r.until("companion's attempt", func() bool { return r.lag.Gets(other) == 1 })
+			txn := other
+			if w.way != standin.Hang {
+				txn = r.ask(2, w.way, 2)
+				r.until("attempt", func() bool { return r.lag.Gets(txn) >= 1 })
+			}
+			if w.act != nil {
+				w.act(r)
+			}
+			switch w.kind {
+			case told:
+				r.until("answer", func() bool { r.clock.Advance(1); r.stats(); return r.answered(2) == 1 || w.way != standin.Good })
+				r.lag.Notice()
+			case closed, unasked:
+				r.until("an attempt that waits", func() bool { return r.stats().Held > 0 })
+				r.lag.Notice()
+				r.until("all given up", func() bool { return r.lag.Out(txn) == 0 })
+				r.clock.Advance(41)
+			case dropped:
+				r.until("an attempt that waits", func() bool { return r.stats().Held > 0 })
+				r.lag.Notice()
+				r.until("the store's word", func() bool { return r.stats().Settled > 0 }) // no time has passed
+			}
+			r.until("answers", func() bool {
+				r.clock.Advance(1)
+				r.stats()
+				return r.answered(1) == 1 && (w.way == standin.Hang || r.answered(2) == 1)
+			})
+			if n := r.lag.Twice(); n > 0 {
+				t.Errorf("%d times a request was at the stores twice", n)
+			}
+		})
+	}
+	t.Logf("%d ways in which an attempt ends", len(ways))
+}
+
+// An ID in hand is not taken again, also not while the stores may still have it after its client left.
+func TestIDInHandIsRefused(t *testing.T) {
+	r := newRig(t)
+	r.lag.Hold()
+	txn := r.ask(1, standin.Hang, 1)
+	r.until("attempt", func() bool { return r.lag.Gets(txn) == 1 })
+	r.ask(2, standin.Hang, 2) // another object under it
+	r.until("refusal", func() bool { return r.answered(2) == 1 })
+	r.core.Post(core.Leave{From: r, Tag: 1})
+	r.until("its drop", func() bool { return r.stats().Dropped == 1 })
+	r.ask(3, standin.Hang, 1)
+	r.until("refusal", func() bool { return r.answered(3) == 1 })
+	r.lag.Notice()
+	tag := uint64(4)
+	r.until("taken again", func() bool {
+		r.ask(tag, standin.Hang, 1)
+		r.stats()
+		tag++
+		return r.lag.Gets(txn) == 2
+	})
+	served := 0
+	for i := uint64(2); i < tag; i++ {
+		r.until("answer", func() bool { return r.answered(i) == 1 })
+		switch a := r.answers[i][0]; {
+		case a.Verdict == core.Served:
+			served++
+		case a.Verdict != core.Refused || a.Reason != core.Taken || a.RetryAfter <= 0:
+			t.Errorf("%d: %+v", i, a)
+		}
+	}
+	if served == 0 {
+		t.Error("none served")
+	}
+	if n := r.lag.Twice(); n > 0 || r.answered(1) > 0 {
+		t.Error(fmt.Sprint(n, " times at the stores twice; answers to who left: ", r.answered(1)))
+	}
+}
--- a/core/send.go
+++ b/core/send.go
@@ -19,7 +19,7 @@
 	r.open++
 	// Guards the promise that a request whose leave has run out starts no new attempt: the module
 	// hears that nothing was sent, and the client gets its answer now.
-	if r.NotAfter > 0 && c.opt.Clock.Unix() > r.NotAfter || r.answered {
+	if r.expired(c.opt.Clock.Unix()) || r.answered {
 		t.over = true
 		r.open--
 		if !r.answered {
@@ -32,7 +32,7 @@
 	if a.Timeout > 0 {
 		heap.Push(&c.timers, timer{at: t.sent + clock.Ms(a.Timeout), of: t})
 	}
-	c.up.Send(Send{
+	c.leaveOrHold(t, Send{
 		Key: t.key, To: t.to, Source: uint32(a.Source), Fill: a.Source != a.To, Txn: r.Txn, Class: r.Class,
 		Name: r.Name, Part: r.Part, Keep: a.Keep, Join: a.Join, Timeout: clock.Ms(a.Timeout),
 		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, Write: r.write, Once: r.once,
@@ -50,8 +50,13 @@
 func (c *Core) timeOut(t *attempt) { c.drop(t, control.TimedOut) }
 
 func (c *Core) drop(t *attempt, as control.Result) {
+	if t.held != nil {
+		c.unsent(t)
+		return
+	}
 	if !t.over && !t.asked {
 		t.asked = true
+		c.stats.Dropped++
 		c.up.Drop(t.key, as)
 	}
 }
--- a/core/takein.go
+++ b/core/takein.go
@@ -11,6 +11,13 @@
 		c.opt.Log.Error().Uint64("tag", a.Tag).Msg("front used the tag of an open request")
 		return
 	}
+	// Guards against two attempts at once under one ID: stores know requests by it, so a second one beside it is
+	// another attempt of the first to them, and the DROP of either may end both.
+	if other := c.byTxn[a.Txn]; other != nil {
+		c.stats.Refused++
+		a.From.Answer(a.Tag, Answer{Verdict: Refused, Reason: Taken, RetryAfter: takenAgain})
+		return
+	}
 	class, ok := c.classes[a.Class]
 	if !ok {
 		c.stats.Failed++
@@ -27,9 +34,13 @@
 	r := &request{Ask: a, id: c.lastID, write: set.Write, once: set.Effect != control.Safe}
 	c.requests[r.id] = r
 	c.byTag[key] = r
+	c.byTxn[r.Txn] = r
 	c.admit(r, class)
 }
 
+// takenAgain is the advice, in ms, to who sends a request whose ID is in hand.
+const takenAgain = 100
+
 // leave is a client's withdrawal: nothing more is owed.
 func (c *Core) leave(l Leave) {
 	r := c.byTag[tagKey{l.From, l.Tag}]
@@ -46,7 +57,17 @@
 	r.answered = true
 	r.Body = nil
 	delete(c.byTag, tagKey{r.From, r.Tag})
-	if r.open == 0 {
-		delete(c.requests, r.id)
+	c.forget(r)
+}
+
+// forget drops the entry of a request once it is answered, its attempts have ended and the last has settled.
+func (c *Core) forget(r *request) {
+	if !r.answered || r.open > 0 || c.requests[r.id] != r {
+		return
+	}
+	if r.doubt.until > c.now() {
+		return // a timer comes back to it
 	}
+	delete(c.requests, r.id)
+	delete(c.byTxn, r.Txn)
 }
--- a/core/types.go
+++ b/core/types.go
@@ -33,6 +33,7 @@
 	Deadline            // its time ran out
 	UnknownClass        // no class of that name
 	Crowded             // too many requests in hand
+	Taken               // a request of the same Txn is in hand
 	Expired             // its leave to be sent on ran out
 	NoStore             // its last attempt failed
 )
@@ -53,8 +54,9 @@
 type Upstream interface {
 	// Send makes an attempt; exactly one Ended follows.
 	Send(a Send)
-	// Drop gives an attempt up. Its Ended comes only once nothing of it can still reach the store
-	// behind a later attempt: that is, after the wire was told.
+	// Drop gives an attempt up. Its Ended comes only after the wire was told: the DROP is written, or the
+	// connection closed. Such an end is in Doubt, as the store may read that later than it reads another
+	// connection.
 	Drop(k Key, as control.Result)
 	// Probe asks a store for its report; exactly one Probed follows.
 	Probe(member uint32)
@@ -121,10 +123,12 @@
 	Tag  uint64
 }
 
-// Ended tells how an attempt ended.
+// Ended tells how an attempt ended. Doubt says that no word of the store proves that it has noticed: until Settled,
+// or until the time to settle has passed, no further attempt of the request leaves.
 type Ended struct {
 	Key
 	Result control.Result
+	Doubt  bool
 	Note   control.Note
 	Lag    float64 // ms waited for the source
 	Load   *control.Load
@@ -134,6 +138,9 @@
 	Same   bool
 }
 
+// Settled tells that the store has noticed the end of an attempt that ended in doubt.
+type Settled struct{ Key }
+
 // Probed tells how a probe ended.
 type Probed struct {
 	Member uint32
@@ -178,6 +185,7 @@
 func (Ask) event()      {}
 func (Leave) event()    {}
 func (Ended) event()    {}
+func (Settled) event()  {}
 func (Probed) event()   {}
 func (Stores) event()   {}
 func (Purge) event()    {}
@@ -200,14 +208,18 @@
 	attempts []*attempt
 	open     int // attempts without an end
 	last     control.Result
+	doubt    doubt // of the attempt that ended last
 }
 
+// expired tells whether a request's leave to be sent on has run out.
+func (r *request) expired(unix float64) bool { return r.NotAfter > 0 && unix > r.NotAfter }
+
 type attempt struct {
-	of     *request
-	key    Key
-	to     uint32
-	sent   float64
-	over   bool
-	asked  bool // its drop is under way
-	expire bool
+	of    *request
+	key   Key
+	to    uint32
+	sent  float64
+	over  bool
+	asked bool  // its drop is under way
+	held  *Send // it waits for the attempt before it to settle
 }
--- a/front/fastcgi/pass_test.go
+++ b/front/fastcgi/pass_test.go
@@ -60,10 +60,10 @@
 		var wg sync.WaitGroup
 		wg.Add(1)
 		go func() { defer wg.Done(); fronts[0].Handle(far) }()
-		cl := listen(c)
+		cl, taken := listen(c), map[string]int{}
 		c.Write(stream[:cut])
 		for range cut / (len(stream) / 3) { // what is whole is taken by the old process
-			<-asked
+			taken[<-asked]++
 		}
 		for _, f := range fronts[:2] {
 			next := fronts[1]
@@ -99,6 +99,14 @@
 		c.Close()
 		<-cl.done
 		wg.Wait()
+		for len(asked) > 0 {
+			taken[<-asked]++
+		}
+		for _, txn := range []string{"1", "2", "3"} { // a second taking would be a second copy at a store
+			if taken[txn] != 1 || len(taken) != 3 {
+				t.Errorf("cut at %d: taken %v", cut, taken)
+			}
+		}
 		for i, f := range fronts {
 			if f.Open() != 0 || f.Conns() != 0 {
 				t.Errorf("cut at %d: front %d keeps %d open on %d connections", cut, i, f.Open(), f.Conns())
--- /dev/null
+++ b/internal/standin/laggard.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Way is how an attempt ends at a store.
+type Way int
+
+// The ways. Cut, the resets, Stall and Hang leave the attempt out until the store notices that it is given up.
+const (
+	Good         Way = iota
+	Missing          // NOENT
+	Busy             // AGAIN
+	Failing          // EIO
+	Spoilt           // an answer that can't be read
+	Cut              // the connection ends half way through the answer
+	ResetReading     // the connection is reset behind the request
+	ResetWriting     // the connection is reset half way through the answer
+	Stall            // half an answer, and nothing more
+	Hang             // no answer
+)
+
+// Laggard is a process with several stores that notices late: it takes up a GET at once, but a DROP or the end of a
+// connection only while Hold is not in force. It counts the requests that it has twice at a time.
+type Laggard struct {
+	Addrs []string
+
+	way   func(c Call, n int) Way
+	mu    sync.Mutex
+	gate  *sync.Cond
+	held  bool
+	out   map[string]int // attempts that are out, by ID
+	gets  map[string]int // GETs that came
+	twice int
+	ends  []net.Listener
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// NewLaggard starts so many stores. way tells how the GET number n of an ID ends, from 0.
+func NewLaggard(stores int, way func(c Call, n int) Way) (*Laggard, error) {
+	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	s.gate = sync.NewCond(&s.mu)
+	for range stores {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.ends = append(s.ends, l)
+		s.Addrs = append(s.Addrs, l.Addr().String())
+		s.wg.Add(1)
+		go s.accept(l)
+	}
+	return s, nil
+}
+
+func (s *Laggard) accept(l net.Listener) {
+	defer s.wg.Done()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go s.serve(c)
+	}
+}
+
+// Hold has the stores notice nothing until Notice.
+func (s *Laggard) Hold() { s.set(true) }
+
+// Notice ends Hold.
+func (s *Laggard) Notice() { s.set(false) }
+
+func (s *Laggard) set(held bool) {
+	s.mu.Lock()
+	s.held = held
+	s.mu.Unlock()
+	s.gate.Broadcast()
+}
+
+// Twice counts the GETs that came for a request of which another was out.
+func (s *Laggard) Twice() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.twice
+}
+
+// Out counts the attempts of an ID that are out.
+func (s *Laggard) Out(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out[id]
+}
+
+// Gets counts the GETs that came for an ID.
+func (s *Laggard) Gets(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gets[id]
+}
+
+// Close ends the stores.
+func (s *Laggard) Close() {
+	s.Notice()
+	for _, l := range s.ends {
+		l.Close()
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+func (s *Laggard) serve(c net.Conn) {
+	defer s.wg.Done()
+	mine := map[string]int{} // attempts out on this connection
+	end := func(id string) {
+		if mine[id] > 0 {
+			mine[id]--
+			s.out[id]--
+		}
+	}
+	defer func() { // the end of the connection, noticed late
+		s.mu.Lock()
+		s.wait()
+		for id := range mine {
+			for mine[id] > 0 {
+				end(id)
+			}
+		}
+		delete(s.conns, c)
+		s.mu.Unlock()
+		c.Close()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		words, err := read(r)
+		if err != nil || len(words) < 2 {
+			return
+		}
+		call := Call{Verb: string(words[0]), ID: string(words[1])}
+		s.mu.Lock()
+		switch call.Verb {
+		case "DROP":
+			s.wait()
+			end(call.ID)
+		case "GET":
+			if s.out[call.ID] > 0 {
+				s.twice++
+			}
+			s.out[call.ID]++
+			mine[call.ID]++
+			way := s.way(call, s.gets[call.ID])
+			s.gets[call.ID]++
+			if way <= Spoilt { // its end is written from here on
+				end(call.ID)
+			}
+			s.mu.Unlock()
+			act(c, call.ID, way)
+			s.mu.Lock()
+		default:
+			s.mu.Unlock()
+			write(c, call.ID, "READY")
+			s.mu.Lock()
+		}
+		s.mu.Unlock()
+	}
+}
+
+// wait holds until the store may notice; the lock is held on entry and return.
+func (s *Laggard) wait() {
+	for s.held {
+		s.gate.Wait()
+	}
+}
+
+func write(c net.Conn, id, word string) {
+	fields := "tag=0a,minted=1,why=local"
+	fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$2\r\nok\r\n", len(id), id, len(word), word, len(fields), fields)
+}
+
+func act(c net.Conn, id string, way Way) {
+	if way == ResetReading || way == ResetWriting {
+		c.(*net.TCPConn).SetLinger(0)
+	}
+	if way == Cut || way == ResetWriting || way == Stall {
+		fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$3\r\nAC", len(id), id)
+	}
+	switch way {
+	case Good:
+		write(c, id, "ACK")
+	case Missing:
+		write(c, id, "NOENT")
+	case Busy:
+		write(c, id, "AGAIN")
+	case Failing:
+		write(c, id, "EIO")
+	case Spoilt:
+		fmt.Fprint(c, "*4\r\n$70000\r\n")
+	case Cut, ResetReading, ResetWriting:
+		c.Close()
+	}
+}
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -16,8 +16,9 @@
 	pool    *Pool
 	peer    *peer
 	net     net.Conn
-	open    map[string]*attempt // by ID
-	stale   map[string]float64  // IDs that an answer may still come for, and since when
+	open    map[string]*attempt   // by ID
+	stale   map[string]float64    // IDs that an answer may still come for, and since when
+	proofs  map[string][]core.Key // by the tag of a PING behind their DROPs
 	out     []chunk
 	queued  int
 	wake    chan struct{}
@@ -39,12 +40,15 @@
 const (
 	staleMost = 4096    // IDs remembered; a connection with more takes no new work
 	staleFor  = 10000.0 // ms for which they are: longer than any request lasts
+
+	proofsMost  = 4 // PINGs behind DROPs that may be open on a connection
+	proofPrefix = "d-"
 )
 
 func newConn(p *Pool, q *peer, nc net.Conn) *conn {
 	now := p.now()
 	return &conn{
-		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]float64{},
+		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]float64{}, proofs: map[string][]core.Key{},
 		wake: make(chan struct{}, 1), heard: now, lastUse: now,
 	}
 }
@@ -102,6 +106,19 @@
 	}
 }
 
+// prove gives a PING to write behind DROPs: a store reads a connection in order, so the answer proves that it has
+// read them. A store that takes nothing new is not asked, nor one that leaves several such questions open.
+func (c *conn) prove(drops []core.Key) []byte {
+	_, barred := c.pool.bars[c.peer.id]
+	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= proofsMost {
+		return nil
+	}
+	c.pool.probes++
+	tag := proofPrefix + strconv.FormatUint(c.pool.probes, 10)
+	c.proofs[tag] = drops
+	return appendCommand(nil, "PING", tag)
+}
+
 // suspect notes that an attempt is given up; it counts as silence if nothing was heard since it was
 // written, a good while ago. Where the store has answered on another connection since, it is this one that
 // serves no further use.
@@ -136,11 +153,16 @@
 		p.mu.Lock()
 		take := c.out
 		c.out, c.queued = nil, 0
+		var drops []core.Key
 		for _, k := range take {
 			if !k.of.writing {
 				k.of.writing, k.of.written = true, p.now()
 			}
+			if k.drop && !k.of.over {
+				drops = append(drops, k.of.Key)
+			}
 		}
+		proof := c.prove(drops)
 		broken := c.broken
 		p.mu.Unlock()
 		if broken {
@@ -150,6 +172,7 @@
 		for _, k := range take {
 			buf = append(buf, k.bytes...)
 		}
+		buf = append(buf, proof...)
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
 		if n, err := c.net.Write(buf); err != nil {
 			// What did not leave whole can't have arrived whole, so it is proven not to have run.
@@ -216,7 +239,11 @@
 		var a answer
 		if a, err = readAnswer(r); err == nil {
 			var ev core.Event
-			if ev, err = c.take(a); ev != nil {
+			if proven := c.proven(a.id); proven != nil {
+				for _, k := range proven {
+					p.post(core.Settled{Key: k})
+				}
+			} else if ev, err = c.take(a); ev != nil {
 				p.post(ev)
 			}
 		}
@@ -257,6 +284,16 @@
 	}
 }
 
+// proven gives the attempts whose DROPs a store has read, as its answer under a tag proves. That it reads does not
+// count as work done: a connection on which work comes to nothing is left all the same.
+func (c *conn) proven(tag string) []core.Key {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	keys := c.proofs[tag]
+	delete(c.proofs, tag)
+	return keys
+}
+
 // take books one answer.
 func (c *conn) take(a answer) (core.Event, error) {
 	p := c.pool
@@ -288,6 +325,7 @@
 	if !ok {
 		return p.end(t, control.Errored), fmt.Errorf("%w: word %.20q", errWire, a.word)
 	}
+	t.told = true
 	if res != control.OK { // the request may be asked for again
 		c.retire(a.id)
 	}
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -68,6 +68,7 @@
 	id      uint32
 	addr    string
 	gone    bool
+	ready   bool // it may be asked something new
 	conns   []*conn
 	dialing bool
 	failed  float64    // when a dial last failed
@@ -86,6 +87,7 @@
 	dropped  bool
 	as       control.Result // of a dropped one
 	over     bool
+	told     bool // the store's own word has ended it
 	deadline float64
 	bytes    []byte
 }
@@ -211,7 +213,7 @@
 	defer p.mu.Unlock()
 	if s.Whole {
 		for _, q := range p.peers {
-			q.gone = true
+			q.gone, q.ready = true, false
 		}
 	}
 	for _, e := range s.List {
@@ -229,7 +231,7 @@
 			}
 			q.addr = e.Addr
 		}
-		q.gone = e.Member.State == control.Gone
+		q.gone, q.ready = e.Member.State == control.Gone, e.Member.State == control.Ready
 		if e.Member.State != control.Ready {
 			ended = append(ended, p.retract(id)...)
 		}
@@ -373,7 +375,7 @@
 		return core.Probed{Member: a.member, Result: res}
 	}
 	delete(p.attempts, a.Key)
-	return core.Ended{Key: a.Key, Result: res}
+	return core.Ended{Key: a.Key, Result: res, Doubt: a.writing && !a.told}
 }
 
 // place puts an attempt on a connection, or has one dialled. Work is spread over several connections, as one
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -25,7 +25,8 @@
 	t     testing.TB
 	pool  *Pool
 	mu    sync.Mutex
-	got   []core.Event
+	got   []core.Event // but for what settled
+	sure  []core.Key
 	news  chan struct{}
 	clock *clock.Clock
 }
@@ -36,7 +37,11 @@
 		DialTimeout: 5000, ProbeTimeout: 5000, Streams: 100, MaxConns: 40, Clock: b.clock, Log: zerolog.Nop(),
 	}, func(ev core.Event) {
 		b.mu.Lock()
-		b.got = append(b.got, ev)
+		if s, ok := ev.(core.Settled); ok {
+			b.sure = append(b.sure, s.Key)
+		} else {
+			b.got = append(b.got, ev)
+		}
 		b.mu.Unlock()
 		b.news <- struct{}{}
 	})
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -123,7 +123,7 @@
 		delete(u.open, s.Key)
 		// A drop's end is told here, once the request's connection is closed or has given its answer.
 		if a.dropped && ev.Result != control.OK && ev.Result != control.Unreached && ev.Result != control.Unsent {
-			ev = core.Ended{Key: s.Key, Result: a.as}
+			ev = core.Ended{Key: s.Key, Result: a.as, Doubt: ev.Doubt}
 		}
 		u.mu.Unlock()
 		u.post(ev)
@@ -199,7 +199,7 @@
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		end.Result = control.Broken
+		end.Result, end.Doubt = control.Broken, wrote.Load()
 		if !wrote.Load() && ctx.Err() != nil {
 			end.Result = control.Unsent // given up, or its store was taken out
 		} else if !wrote.Load() {
@@ -212,7 +212,7 @@
 	defer resp.Body.Close()
 	body, err := readAll(resp.Body)
 	if err != nil {
-		end.Result = control.Errored
+		end.Result, end.Doubt = control.Errored, true
 		if ctx.Err() != nil {
 			end.Result = control.Cancelled
 		}
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -118,14 +118,15 @@
 		"ok": control.OK, "same": control.OK, "none": control.Miss, "full": control.Full, "cut": control.Broken,
 		"long": control.Errored,
 	} {
+		inDoubt := name == "cut" || name == "long" // the store may still be at it
 		u.Send(core.Send{Key: core.Key{ID: 1}, To: 1, Class: "firmware", Name: name, Known: "0a", Txn: "1"})
-		if e := (<-got).(core.Ended); e.Result != want || e.Same != (name == "same") ||
+		if e := (<-got).(core.Ended); e.Result != want || e.Same != (name == "same") || e.Doubt != inDoubt ||
 			name == "ok" && (string(e.Body) != "bytes of /rides/firmware/ok/0" || e.Tag != "0a") {
 			t.Errorf("%s: %+v", name, e)
 		}
 	}
 	u.Send(core.Send{Key: core.Key{ID: 2}, To: 2, Class: "ride-end", Name: "ok", Write: true, Body: []byte("x")})
-	if e := (<-got).(core.Ended); e.Result != control.Unreached {
+	if e := (<-got).(core.Ended); e.Result != control.Unreached || e.Doubt {
 		t.Errorf("nobody there: %+v", e)
 	}
 	// A write that breaks off is not sent a second time by anyone, and its 404 proves nothing.
@@ -138,7 +139,7 @@
 	}
 	u.Send(core.Send{Key: core.Key{ID: 4}, To: 1, Class: "firmware", Name: "hang"})
 	u.Drop(core.Key{ID: 4}, control.TimedOut)
-	if e := (<-got).(core.Ended); e.Result != control.TimedOut && e.Result != control.Unsent {
+	if e := (<-got).(core.Ended); (e.Result != control.TimedOut || !e.Doubt) && (e.Result != control.Unsent || e.Doubt) {
 		t.Errorf("dropped: %+v", e)
 	}
 	u.Probe(1)
