--- a/config/operator.go
+++ b/config/operator.go
@@ -16,6 +16,7 @@
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
 	"turnfork.dev/turnfork/upstream/web"
 )
 
@@ -310,12 +311,12 @@
 }
 
 // Ring makes the keys ready.
-func (o *Operator) Ring() (*token.Ring, error) {
+func (o *Operator) Ring() (*ring.Ring, error) {
 	keys := make([]token.Key, len(o.Keys))
 	for i, k := range o.Keys {
 		keys[i] = k.Key
 	}
-	return token.NewRing(keys)
+	return ring.New(keys)
 }
 
 // TLS reads the certificates of the replicated store's links.
--- a/front/signed/drain_test.go
+++ b/front/signed/drain_test.go
@@ -14,18 +14,18 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
 )
 
 // A drain of this front goes like that of the other: it says no at once, closes what is quiet once that can have been
 // noticed, and half a request later. Ended, it says yes again. A request in small pieces is served beside all that.
 func TestDrain(t *testing.T) {
-	ring, err := token.NewRing(nil)
+	keys, err := ring.New(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	clk := clock.Manual(1e12)
-	f := New(Options{Post: func(core.Event) {}, Clock: clk, Log: zerolog.Nop(), Ring: ring})
+	f := New(Options{Post: func(core.Event) {}, Clock: clk, Log: zerolog.Nop(), Ring: keys})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -8,12 +8,12 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net/url"
 	"strings"
 	"time"
 
 	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
 )
 
 // ConfigKeys is the name under which the replicated store keeps the keys.
@@ -42,72 +42,54 @@
 
 // IssueRequest asks for a token or a signed URL.
 type IssueRequest struct {
-	Kind      token.Kind `json:"kind"`            // jws or hmac
-	Key       string     `json:"key,omitempty"`   // "": the newest that signs
-	URI       string     `json:"uri"`             // with scheme and host for jws, a path with its query for hmac
-	Regex     string     `json:"regex,omitempty"` // jws: in place of the one URI
-	Seconds   float64    `json:"seconds"`         // how long it is valid
-	SingleUse bool       `json:"single_use"`      // has a jti; signed URLs always have a nonce
-	Renew     int        `json:"renew,omitempty"` // jws: seconds of a renewed package, by cookie
+	Kind      token.Kind `json:"kind"`              // a dialect
+	Key       string     `json:"key,omitempty"`     // "": the newest of the kind that signs
+	URI       string     `json:"uri"`               // with scheme and host; a path with its query does for hmac and edgeauth
+	Regex     string     `json:"regex,omitempty"`   // jws: in place of the one URI
+	Cover     string     `json:"cover,omitempty"`   // in place of the one URI, as the dialect writes it: an acl, say
+	Address   string     `json:"address,omitempty"` // of the client, or a prefix, where the dialect can say it
+	Method    string     `json:"method,omitempty"`  // presign: "": GET
+	Data      string     `json:"data,omitempty"`    // edgeauth: passed along
+	Seconds   float64    `json:"seconds"`           // how long it is valid
+	After     float64    `json:"after,omitempty"`   // s from now on that it is not valid yet
+	SingleUse bool       `json:"single_use"`        // has an id of its own; signed URLs of kind hmac always have a nonce
+	Renew     int        `json:"renew,omitempty"`   // jws: seconds of a renewed package, by cookie
 }
 
 // Issued is the answer to it.
 type Issued struct {
 	Key     string  `json:"key"`
-	ID      string  `json:"id,omitempty"`
+	ID      string  `json:"id,omitempty"` // by which it is revoked
 	Expires float64 `json:"expires"`
 	Token   string  `json:"token,omitempty"`
 	URL     string  `json:"url"`
 }
 
 // Issue signs what is asked for, at now in Unix seconds. id is the jti or nonce to use.
-func Issue(ring *token.Ring, q IssueRequest, now, most float64, id string) (out Issued, err error) {
+func Issue(keys *ring.Ring, q IssueRequest, now, most float64, id string) (out Issued, err error) {
 	if !(q.Seconds > 0 && q.Seconds <= most) {
 		return out, fmt.Errorf("seconds: more than 0, %v at most", most)
 	}
-	if q.Key == "" {
-		if q.Key, err = ring.Signer(q.Kind, now); err != nil {
-			return out, fmt.Errorf("kind: no key of kind %q signs", q.Kind)
-		}
+	if !(q.After >= 0 && q.After < q.Seconds) {
+		return out, fmt.Errorf("after: less than seconds")
 	}
-	out = Issued{Key: q.Key, Expires: float64(int64(now + q.Seconds))}
-	u, err := url.Parse(q.URI)
-	if err != nil || !token.Canonical(u.Path) || u.RawPath != "" || u.Fragment != "" {
-		return out, fmt.Errorf("uri: not in canonical form")
+	if q.Regex != "" && q.Cover != "" {
+		return out, fmt.Errorf("cover: beside regex")
 	}
-	if q.Kind == token.HMAC {
-		rest, err := token.ParseQuery(u.RawQuery)
-		if err != nil {
-			return out, fmt.Errorf("uri: %w", err)
+	if q.Key == "" {
+		if q.Key, err = keys.Signer(q.Kind, now); err != nil {
+			return out, fmt.Errorf("kind: no key of kind %q signs", q.Kind)
 		}
-		out.ID = id
-		out.URL, err = ring.IssueURL(q.Key, u.Path, rest, out.Expires, id)
-		return out, err
-	}
-	if u.Scheme == "" || u.Host == "" {
-		return out, fmt.Errorf("uri: needs a scheme and a host")
-	}
-	u.Host = strings.ToLower(u.Host)
-	issued := math.Floor(now)
-	c := token.Claims{Expires: &out.Expires, IssuedAt: &issued, Container: token.HashContainer(u.String())}
-	if q.Regex != "" {
-		c.Container = "regex:" + q.Regex
-	}
-	if q.SingleUse {
-		out.ID, c.ID = id, id
-	}
-	if q.Renew > 0 {
-		c.Renew, c.Transport = q.Renew, 1
 	}
-	if out.Token, err = ring.IssuePackage(q.Key, c); err != nil {
-		return out, err
+	t := token.Terms{
+		URI: q.URI, Cover: q.Regex + q.Cover, ID: id, Single: q.SingleUse, Address: q.Address, Method: q.Method, Data: q.Data,
+		Until: math.Floor(now + q.Seconds), Now: now, Renew: q.Renew,
 	}
-	sep := "?"
-	if u.RawQuery != "" {
-		sep = "&"
+	if q.After > 0 {
+		t.From = math.Floor(now + q.After)
 	}
-	out.URL = u.String() + sep + token.ParamPackage + "=" + out.Token
-	return out, nil
+	got, err := keys.Issue(q.Key, t)
+	return Issued{Key: q.Key, ID: got.ID, Expires: t.Until, Token: got.Token, URL: got.URL}, err
 }
 
 // manage answers the operator's endpoints and the health check.
@@ -166,7 +148,7 @@
 		if err = readJSON(m.Body, &keys); err != nil {
 			break
 		}
-		if _, err = token.NewRing(keys); err != nil {
+		if _, err = ring.New(keys); err != nil {
 			break
 		}
 		if e := f.opt.Claims.Put(ctx, ConfigKeys, keys); e != nil {
@@ -213,10 +195,10 @@
 	switch name {
 	case ConfigKeys:
 		var keys []token.Key
-		var ring *token.Ring
+		var next *ring.Ring
 		if err = json.Unmarshal(value, &keys); err == nil {
-			if ring, err = token.NewRing(keys); err == nil {
-				f.SetRing(ring)
+			if next, err = ring.New(keys); err == nil {
+				f.SetRing(next)
 			}
 		}
 	case ConfigPolicy:
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -23,6 +24,7 @@
 	"turnfork.dev/turnfork/front"
 	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
 )
 
 // Claims is where single-use tokens are claimed and revocations are kept.
@@ -50,7 +52,7 @@
 	Clock      *clock.Clock
 	Log        zerolog.Logger
 	Classes    []Class
-	Ring       *token.Ring
+	Ring       *ring.Ring
 	Claims     Claims
 	Leeway     float64 // ms that clocks may differ by, either way
 	Scheme     string  // of the URIs that clients see; "": http
@@ -84,7 +86,7 @@
 	budget  front.Budget
 	intake  front.Budget
 	classes map[string]Class
-	ring    atomic.Pointer[token.Ring]
+	ring    atomic.Pointer[ring.Ring]
 	policy  atomic.Pointer[Policy]
 	open    atomic.Int64
 	release chan struct{}
@@ -124,7 +126,7 @@
 }
 
 // SetRing changes the keys; requests that come whole from now on are judged by them.
-func (f *Front) SetRing(r *token.Ring) { f.ring.Store(r) }
+func (f *Front) SetRing(r *ring.Ring) { f.ring.Store(r) }
 
 // Serve accepts until the listener closes or ctx ends, and returns once all connections have ended.
 func (f *Front) Serve(ctx context.Context, l net.Listener) error {
@@ -380,7 +382,8 @@
 	}
 	now := f.opt.Clock.Unix()
 	grant, rest, err := f.ring.Load().Verify(token.Request{
-		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Cookie: m.Cookie(token.ParamPackage),
+		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Method: m.Method, Addr: c.addr(),
+		Cookie: m.Cookie, Header: func(name string) string { return m.Header[strings.ToLower(name)] },
 	}, now/1000, f.policy.Load().LeewayMs/1000)
 	if err != nil {
 		c.reply(s, rejected(err, m.Close))
@@ -424,7 +427,7 @@
 		ask.Left = class.Deadline
 	}
 	// Validity was judged above, once; this only keeps new attempts from starting too late.
-	ask.NotAfter = grant.Expires*1000 + f.policy.Load().LeewayMs
+	ask.NotAfter = grant.Until*1000 + f.policy.Load().LeewayMs
 	if class.Write && !c.claim(s, ask.Left) {
 		return
 	}
@@ -437,6 +440,14 @@
 	f.opt.Post(ask)
 }
 
+// addr is the client's address.
+func (c *conn) addr() netip.Addr {
+	if a, ok := c.net.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
 // claim makes a write's token used before anything is sent. Without an answer from the store nothing
 // is sent either: the token may be taken, so the client has to come with it again.
 func (c *conn) claim(s *slot, left float64) bool {
@@ -448,7 +459,7 @@
 	s.claim, s.owner = s.grant.Use(), rand.Text()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
 	defer cancel()
-	until := s.grant.Expires*1000 + 2*f.policy.Load().LeewayMs + claimMargin
+	until := s.grant.Until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
 	ok, err := f.opt.Claims.Claim(ctx, s.claim, s.owner, until)
 	switch {
 	case err != nil:
@@ -501,11 +512,12 @@
 		head = "ETag: \"" + a.Tag + "\"\r\n"
 	}
 	// Guards against a package that outlives its revocation, which counts as long as a token may last.
-	lasts := float64(s.grant.Claims.Renew) <= f.policy.Load().TokenSeconds
-	if g := s.grant.Claims; g.Transport == 1 && g.Renew > 0 && lasts && (a.Verdict == core.Served || a.Verdict == core.Same) {
-		if next, err := f.ring.Load().Renewed(s.grant, f.opt.Clock.Unix()/1000); err == nil {
-			head += "Set-Cookie: " + token.ParamPackage + "=" + next + "; Path=" + cookiePath(s.msg.Path, g.Depth) +
-				"; Max-Age=" + strconv.Itoa(g.Renew) + "; HttpOnly\r\n"
+	next := s.grant.Renewal
+	lasts := float64(next.Seconds) <= f.policy.Load().TokenSeconds
+	if next.Cookie && next.Seconds > 0 && lasts && (a.Verdict == core.Served || a.Verdict == core.Same) {
+		if name, text, err := f.ring.Load().Renewed(&s.grant, f.opt.Clock.Unix()/1000); err == nil {
+			head += "Set-Cookie: " + name + "=" + text + "; Path=" + cookiePath(s.msg.Path, next.Depth) +
+				"; Max-Age=" + strconv.Itoa(next.Seconds) + "; HttpOnly\r\n"
 		}
 	}
 	closes := s.msg.Close
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,7 @@
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
 )
 
 const usage = `usage:
@@ -159,10 +161,15 @@
 	flags := flagSet("token issue", errOut)
 	var q signed.IssueRequest
 	file := flags.String("config", "", "the operator's file, with the keys")
-	kind := flags.String("kind", "hmac", "hmac for a signed URL, jws for a URI Signing package")
+	kind := flags.String("kind", "hmac", "the dialect: "+kinds())
 	flags.StringVar(&q.Key, "key", "", "the key; the newest that signs where left out")
-	flags.StringVar(&q.URI, "uri", "", "the path (hmac), or the whole URI (jws)")
+	flags.StringVar(&q.URI, "uri", "", "the whole URI; a path does for hmac and edgeauth")
 	flags.StringVar(&q.Regex, "regex", "", "jws: a POSIX regular expression of the URIs allowed")
+	flags.StringVar(&q.Cover, "cover", "", "in place of the one URI, as the dialect writes it: edgeauth: an acl such as /v1/firmware/*")
+	flags.StringVar(&q.Address, "address", "", "the client's address, where the dialect can say it")
+	flags.StringVar(&q.Method, "method", "", "presign: the method, GET where left out")
+	flags.StringVar(&q.Data, "data", "", "edgeauth: passed along in the token")
+	flags.Float64Var(&q.After, "after", 0, "seconds from now on that it is not valid yet")
 	flags.Float64Var(&q.Seconds, "seconds", 3600, "how long it is valid")
 	flags.BoolVar(&q.SingleUse, "single-use", false, "give it a jti (signed URLs have a nonce anyhow)")
 	flags.IntVar(&q.Renew, "renew", 0, "jws: seconds of a package renewed by cookie; 0: none")
@@ -176,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	ring, err := o.Ring()
+	keys, err := o.Ring()
 	if err != nil {
 		return err
 	}
@@ -185,7 +192,7 @@
 	if most == 0 {
 		most = signed.DefaultTokenSeconds
 	}
-	got, err := signed.Issue(ring, q, clock.System().Unix()/1000, most, rand.Text())
+	got, err := signed.Issue(keys, q, clock.System().Unix()/1000, most, rand.Text())
 	if err != nil {
 		return err
 	}
@@ -193,3 +200,12 @@
 	enc.SetEscapeHTML(false)
 	return enc.Encode(got)
 }
+
+// kinds names the dialects.
+func kinds() string {
+	var out []string
+	for _, k := range ring.Kinds() {
+		out = append(out, string(k))
+	}
+	return strings.Join(out, ", ")
+}
--- a/signed_test.go
+++ b/signed_test.go
@@ -23,6 +23,8 @@
 	"turnfork.dev/turnfork/internal/standin"
 	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/jws"
+	"turnfork.dev/turnfork/token/ring"
 )
 
 const operatorSecret = "a secret for the operator"
@@ -33,7 +35,7 @@
 	t     *testing.T
 	clock *clock.Clock
 	store *standin.Store
-	ring  *token.Ring
+	ring  *ring.Ring
 	addr  string
 	runs  atomic.Int64 // of ride-end
 	stop  func()
@@ -83,6 +85,10 @@
 kind = "hmac"
 secret = %q
 [[key]]
+id = "edge"
+kind = "edgeauth"
+secret = "000102030405060708090a0b0c0d0e0f"
+[[key]]
 id = "pack"
 kind = "jws"
 alg = "HS256"
@@ -137,25 +143,25 @@
 
 func (s *site) url(path string, seconds float64, nonce string) string {
 	s.t.Helper()
-	u, err := s.ring.IssueURL("url", path, nil, s.clock.Unix()/1000+seconds, nonce)
+	u, err := s.ring.Issue("url", token.Terms{URI: path, Until: s.clock.Unix()/1000 + seconds, ID: nonce})
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return u
+	return u.URL
 }
 
-func (s *site) pack(path string, change func(*token.Claims)) string {
+func (s *site) pack(path string, change func(*jws.Claims)) string {
 	s.t.Helper()
 	exp := s.clock.Unix()/1000 + 60
-	c := token.Claims{Expires: &exp, Container: token.HashContainer("http://" + s.addr + path)}
+	c := jws.Claims{Expires: &exp, Container: jws.HashContainer("http://" + s.addr + path)}
 	if change != nil {
 		change(&c)
 	}
-	p, err := s.ring.IssuePackage("pack", c)
+	p, err := s.ring.Package("pack", c)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return path + "?" + token.ParamPackage + "=" + p
+	return path + "?" + jws.Param + "=" + p
 }
 
 func (s *site) expect(what string, status int, code string, method, url string, head ...string) {
@@ -181,29 +187,29 @@
 	s.expect("another URI", 403, "wrong_uri", "GET", strings.Replace(good, "/3?", "/4?", 1))
 	s.expect("cut signature", 403, "bad_signature", "GET", strings.TrimRight(s.url(tile, 60, "n"), "=")[:len(s.url(tile, 60, "n"))-1])
 	s.expect("forged package", 403, "bad_signature", "GET", good[:len(good)-6]+"AAAAAA")
-	s.expect("no package at all", 400, "malformed", "GET", tile+"?"+token.ParamPackage+"=abc")
+	s.expect("no package at all", 400, "malformed", "GET", tile+"?"+jws.Param+"=abc")
 	none := base64.RawURLEncoding.EncodeToString([]byte(`{"alg":"none","kid":"pack"}`))
-	s.expect("alg none", 400, "malformed", "GET", tile+"?"+token.ParamPackage+"="+none+".e30.")
+	s.expect("alg none", 400, "malformed", "GET", tile+"?"+jws.Param+"="+none+".e30.")
 	s.expect("two tokens", 400, "malformed", "GET", good+"&"+strings.SplitN(s.url(tile, 60, "n"), "?", 2)[1])
 	s.expect("path not canonical", 400, "malformed", "GET", strings.Replace(s.url(tile, 60, "n"), "/v1/", "/v1/x/../", 1))
 	s.expect("unknown class", 404, "unknown_class", "GET", s.url("/v1/helppages/7f3a9c21e0b4d655/0", 60, "n"))
-	s.expect("another audience", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { c.Audience = []string{"x"} }))
-	s.expect("unknown version", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { v := 2; c.Version = &v }))
-	s.expect("critical claim", 403, "bad_claim", "GET", s.pack(tile, func(c *token.Claims) { c.Critical = []string{"cdniip"} }))
-	s.expect("regex", 200, "", "GET", s.pack(tile, func(c *token.Claims) { c.Container = "regex:http://[^/]+/v1/firmware/.*" }))
-	s.expect("regex of a part", 403, "wrong_uri", "GET", s.pack(tile, func(c *token.Claims) { c.Container = "regex:/v1/" }))
+	s.expect("another audience", 403, "bad_claim", "GET", s.pack(tile, func(c *jws.Claims) { c.Audience = []string{"x"} }))
+	s.expect("unknown version", 403, "bad_claim", "GET", s.pack(tile, func(c *jws.Claims) { v := 2; c.Version = &v }))
+	s.expect("critical claim", 403, "bad_claim", "GET", s.pack(tile, func(c *jws.Claims) { c.Critical = []string{"cdniip"} }))
+	s.expect("regex", 200, "", "GET", s.pack(tile, func(c *jws.Claims) { c.Container = "regex:http://[^/]+/v1/firmware/.*" }))
+	s.expect("regex of a part", 403, "wrong_uri", "GET", s.pack(tile, func(c *jws.Claims) { c.Container = "regex:/v1/" }))
 
 	// Clocks differ: ten seconds of leeway both ways.
 	u := s.url(tile, 5, "n2")
-	early := s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 + 9; c.NotBefore = &v })
+	early := s.pack(tile, func(c *jws.Claims) { v := s.clock.Unix()/1000 + 9; c.NotBefore = &v })
 	s.expect("from a clock 9 s ahead", 200, "", "GET", early)
 	s.expect("from one 11 s ahead", 403, "not_yet_valid", "GET",
-		s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 + 11; c.IssuedAt = &v }))
+		s.pack(tile, func(c *jws.Claims) { v := s.clock.Unix()/1000 + 11; c.IssuedAt = &v }))
 	s.clock.Advance(14000)
 	s.expect("9 s past expiry", 200, "", "GET", u)
 	s.clock.Advance(2000)
 	s.expect("11 s past expiry", 403, "expired", "GET", u)
-	s.expect("an expired package", 403, "expired", "GET", s.pack(tile, func(c *token.Claims) { v := s.clock.Unix()/1000 - 11; c.Expires = &v }))
+	s.expect("an expired package", 403, "expired", "GET", s.pack(tile, func(c *jws.Claims) { v := s.clock.Unix()/1000 - 11; c.Expires = &v }))
 }
 
 func TestRideEndRunsOnce(t *testing.T) {
@@ -355,7 +361,7 @@
 
 	// Renewal by cookie, but for no longer than a token may last.
 	for seconds, want := range map[int]bool{60: true, 2 * signed.DefaultTokenSeconds: false} {
-		resp, err := http.Get("http://" + s.addr + s.pack(tile, func(c *token.Claims) { c.Transport, c.Renew = 1, seconds }))
+		resp, err := http.Get("http://" + s.addr + s.pack(tile, func(c *jws.Claims) { c.Transport, c.Renew = 1, seconds }))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -373,12 +379,12 @@
 	if code, _, text := s.do("POST", "/-/keys", string(b), auth...); code != 200 {
 		t.Fatal(code, text)
 	}
-	s.ring, _ = token.NewRing(keys)
-	u, err := s.ring.IssueURL("url2", tile, nil, s.clock.Unix()/1000+60, "x")
+	s.ring, _ = ring.New(keys)
+	next, err := s.ring.Issue("url2", token.Terms{URI: tile, Until: s.clock.Unix()/1000 + 60, ID: "x"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.expect("new key", 200, "", "GET", u)
+	s.expect("new key", 200, "", "GET", next.URL)
 	s.expect("old key", 403, "unknown_key", "GET", old)
 	if code, _, _ := s.do("POST", "/-/policy", `{"leeway_ms":-1}`, auth...); code != 400 {
 		t.Error("a negative leeway was taken:", code)
@@ -513,17 +519,17 @@
 // member without a majority sends nothing.
 func TestReplayAtAnotherReplica(t *testing.T) {
 	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	ring, err := token.NewRing([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
+	keys, err := ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	clk := clock.System()
 	url := func(nonce string) string {
-		u, err := ring.IssueURL("url", rideEnd, nil, clk.Unix()/1000+60, nonce)
+		u, err := keys.Issue("url", token.Terms{URI: rideEnd, Until: clk.Unix()/1000 + 60, ID: nonce})
 		if err != nil {
 			t.Fatal(err)
 		}
-		return u
+		return u.URL
 	}
 	cert, err := standin.Authority()
 	if err != nil {
@@ -559,7 +565,7 @@
 			t.Fatal(err)
 		}
 		fronts[i] = signed.New(signed.Options{
-			Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: ring, Claims: stores[i], Leeway: 10000,
+			Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: stores[i], Leeway: 10000,
 			Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 20000,
 		})
 	}
@@ -603,7 +609,7 @@
 	stores[0].Close()
 	stores[1].Close()
 	lonely := signed.New(signed.Options{
-		Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: ring, Claims: stores[2], Leeway: 10000,
+		Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: stores[2], Leeway: 10000,
 		Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 300,
 	})
 	if got := post(t, lonely, url("two")); got != 503 {
@@ -613,3 +619,29 @@
 		t.Errorf("ran %d times", runs.Load())
 	}
 }
+
+// Links signed for other networks go the same way as the gateway's own, over sockets: served, refused, and used once.
+func TestOtherDialects(t *testing.T) {
+	s := newSite(t, nil)
+	for _, key := range []string{"edge"} {
+		sign := func(path string) string {
+			got, err := s.ring.Issue(key, token.Terms{URI: "http://" + s.addr + path, Until: s.clock.Unix()/1000 + 60, ID: key + path, Single: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return strings.TrimPrefix(got.URL, "http://"+s.addr)
+		}
+		good := sign(tile)
+		s.expect(key, 200, "", "GET", good)
+		s.expect(key+": another path", 403, "bad_signature", "GET", strings.Replace(good, "/v1/firmware/", "/v1/ride-end/", 1))
+		s.expect(key+": beside another token", 400, "malformed", "GET", good+"&"+jws.Param+"=a.b.c")
+		before, ride := s.runs.Load(), sign(rideEnd)
+		s.expect(key+": a ride", 200, "", "POST", ride)
+		s.expect(key+": the ride again", 403, "replayed", "POST", ride)
+		if n := s.runs.Load() - before; n != 1 {
+			t.Errorf("%s: the ride ran %d times", key, n)
+		}
+		s.clock.Advance(71000)
+		s.expect(key+": expired", 403, "expired", "GET", good)
+	}
+}
--- /dev/null
+++ b/token/dialect.go
@@ -0,0 +1,60 @@
+package token
+
+// Dialect reads and writes the tokens of one specification. It authenticates a token and words it as a grant; what the
+// grant allows is Grant.Check's to decide, so no dialect judges dates, URIs, methods or addresses.
+type Dialect interface {
+	Kind() Kind
+	// Ready checks a key and makes it ready. Errors begin with the name of the key's field.
+	Ready(k Key) (Material, error)
+	// Find gives the token of this dialect that a request carries, if any. keys are all of the dialect.
+	Find(q *Request, keys []*Ready) (Carried, bool)
+	// Open authenticates a token that Find gave.
+	Open(q *Request, c Carried, keys Keys) (Grant, error)
+	// Issue signs terms with a key that signs.
+	Issue(k *Ready, t Terms) (Issued, error)
+}
+
+// Renewer is a dialect whose tokens are followed by others.
+type Renewer interface {
+	// Renew gives the token that follows a grant's at now, in Unix seconds, and the name of its cookie.
+	Renew(k *Ready, g *Grant, now float64) (cookie, text string, err error)
+}
+
+// Carried is a token as a request carries it.
+type Carried struct {
+	Text   string
+	Params []string // names in the query that belong to the token
+	From   Place
+}
+
+// Place is where a token stands.
+type Place uint8
+
+// The places, in the order in which they are looked at.
+const (
+	InQuery Place = iota
+	InHeader
+	InCookie
+)
+
+// Terms are what is to be issued.
+type Terms struct {
+	URI     string // one URI, whole; a dialect that signs paths takes a path with its query too; "" beside Cover: none
+	Cover   string // in place of the one URI: what the dialect's patterns say
+	ID      string // of the token, where the dialect has one
+	Single  bool   // it serves once
+	Address string // of the client, or a prefix
+	Method  string // "": GET
+	Data    string // passed along in the token
+	From    float64
+	Until   float64 // Unix seconds
+	Now     float64
+	Renew   int // seconds that a renewed token lasts
+}
+
+// Issued is an issued token.
+type Issued struct {
+	ID    string // by which it can be revoked
+	Token string // apart from any URL
+	URL   string // the URI with the token in its query; "": the token covers more than one URI
+}
--- /dev/null
+++ b/token/edgeauth/edgeauth.go
@@ -0,0 +1,224 @@
+// Package edgeauth is the dialect of Akamai's EdgeAuth Token 2.0: fields joined by ~ under an HMAC-SHA256, in the query,
+// a header or a cookie.
+package edgeauth
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"turnfork.dev/turnfork/token"
+)
+
+// DefaultParam names the parameter, header or cookie where the key names none.
+const DefaultParam = "__token__"
+
+const (
+	textMost    = 4 << 10
+	aclsMost    = 16
+	leastSecret = 16 // bytes, as the specification's own examples have
+)
+
+// Dialect implements token.Dialect.
+type Dialect struct{}
+
+// Kind is "edgeauth".
+func (Dialect) Kind() token.Kind { return token.EdgeAuth }
+
+// Ready takes a secret in hexadecimal.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	secret, err := hex.DecodeString(k.Secret)
+	switch {
+	case err != nil:
+		return token.Material{}, fmt.Errorf("secret: no hexadecimal digits")
+	case len(secret) < leastSecret:
+		return token.Material{}, fmt.Errorf("secret: %d bytes, %d at least", len(secret), leastSecret)
+	case k.Alg != "" && k.Alg != "HS256":
+		return token.Material{}, fmt.Errorf("alg: %q does not go with kind edgeauth", k.Alg)
+	case !token.Canonical("/" + param(k)):
+		return token.Material{}, fmt.Errorf("param: %q can't name a parameter, a header and a cookie", k.Param)
+	case strings.ContainsAny(k.Salt, "~"):
+		return token.Material{}, fmt.Errorf("salt: no ~ in it")
+	}
+	return token.Material{Shared: secret, Signs: true}, nil
+}
+
+func param(k token.Key) string {
+	if k.Param == "" {
+		return DefaultParam
+	}
+	return k.Param
+}
+
+// Find looks for the parameters that the keys name, in the query first, then the headers, then the cookies.
+func (Dialect) Find(q *token.Request, keys []*token.Ready) (token.Carried, bool) {
+	names := []string{DefaultParam}
+	for _, k := range keys {
+		if p := param(k.Key); p != DefaultParam {
+			names = append(names, p)
+		}
+	}
+	for at, get := range []func(string) string{q.Query.Get, q.HeaderOf, q.CookieOf} {
+		for _, name := range names {
+			if text := get(name); text != "" {
+				return token.Carried{Text: text, Params: []string{name}, From: token.Place(at)}, true
+			}
+		}
+	}
+	return token.Carried{}, false
+}
+
+// fields are a token's, in the order of the specification; each at most once.
+type fields struct {
+	ip, st, exp, acl, id, data string
+}
+
+var names = []string{"ip", "st", "exp", "acl", "id", "data"}
+
+func (f *fields) of(name string) *string {
+	return map[string]*string{"ip": &f.ip, "st": &f.st, "exp": &f.exp, "acl": &f.acl, "id": &f.id, "data": &f.data}[name]
+}
+
+// read takes a token apart. A field unknown, twice there or out of order is malformed: what is signed is one text.
+func read(text string) (f fields, signed, sum string, err error) {
+	signed, sum, ok := strings.Cut(text, "~hmac=")
+	if !ok || len(text) > textMost {
+		return f, "", "", token.Reject(token.Malformed, "no token with an hmac")
+	}
+	at := 0
+	for item := range strings.SplitSeq(signed, "~") {
+		name, value, ok := strings.Cut(item, "=")
+		for at < len(names) && names[at] != name {
+			at++
+		}
+		if !ok || at == len(names) || value == "" {
+			return f, "", "", token.Reject(token.Malformed, "a field that is unknown, empty, twice there or out of order")
+		}
+		*f.of(name) = value
+		at++
+	}
+	return f, signed, sum, nil
+}
+
+// sum signs the fields with what is not in the token: the path, where the token has no acl, and the salt.
+func sum(k *token.Ready, signed, path string) string {
+	if path != "" {
+		signed += "~url=" + path
+	}
+	if k.Salt != "" {
+		signed += "~salt=" + k.Salt
+	}
+	m := hmac.New(sha256.New, k.Shared)
+	m.Write([]byte(signed))
+	return hex.EncodeToString(m.Sum(nil))
+}
+
+// Open authenticates a token. It names no key, so each key in force whose parameter it came under is tried.
+func (Dialect) Open(q *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	f, signed, mac, err := read(c.Text)
+	if err != nil {
+		return g, err
+	}
+	path := ""
+	if f.acl == "" {
+		path = q.Path
+	}
+	why := token.Reject(token.BadKey, "no key for this parameter")
+	for _, k := range keys.InForce() {
+		if param(k.Key) != c.Params[0] {
+			continue
+		}
+		if token.Same(mac, sum(k, signed, path)) {
+			return f.grant(k.ID, signed, path)
+		}
+		why = token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	return g, why
+}
+
+func (f *fields) grant(key, signed, path string) (g token.Grant, err error) {
+	g = token.Grant{Key: key, ID: token.IDOf(signed + "~" + path), Subject: f.id}
+	if g.Until, err = date(f.exp); err != nil {
+		return g, err
+	}
+	if f.st != "" {
+		if g.From, err = date(f.st); err != nil {
+			return g, err
+		}
+	}
+	if f.ip != "" {
+		addr, err := netip.ParseAddr(f.ip)
+		if err != nil {
+			return g, token.Reject(token.Malformed, "ip: no address")
+		}
+		g.Nets = []netip.Prefix{netip.PrefixFrom(addr, addr.BitLen())}
+	}
+	if path != "" {
+		g.URIs = []token.Pattern{{Form: token.Exact, Text: path, Path: true}}
+		return g, nil
+	}
+	acls := strings.Split(f.acl, "!")
+	if len(acls) > aclsMost {
+		return g, token.Reject(token.Malformed, "acl: too many")
+	}
+	for _, a := range acls {
+		g.URIs = append(g.URIs, token.Pattern{Form: token.Glob, Text: a, Path: true})
+	}
+	g.URIs, err = token.Compile(g.URIs...)
+	return g, err
+}
+
+func date(text string) (float64, error) {
+	n, err := strconv.ParseUint(text, 10, 40)
+	if err != nil || n == 0 || strconv.FormatUint(n, 10) != text {
+		return 0, token.Reject(token.Malformed, "a date that is no number")
+	}
+	return float64(n), nil
+}
+
+// Issue signs a token for one path, or for the paths that an acl names.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	if err != nil {
+		return out, fmt.Errorf("uri: can't be read")
+	}
+	f := fields{ip: t.Address, exp: strconv.FormatUint(uint64(t.Until), 10), acl: t.Cover, data: t.Data}
+	if t.From > 0 {
+		f.st = strconv.FormatUint(uint64(t.From), 10)
+	}
+	if t.Single {
+		f.id = t.ID
+	}
+	var parts []string
+	for _, name := range names {
+		if v := *f.of(name); v != "" {
+			if strings.ContainsAny(v, "~&;\"\\ ") || len(v) > 1<<10 {
+				return out, fmt.Errorf("%s: %.40q can't stand in a token", name, v)
+			}
+			parts = append(parts, name+"="+v)
+		}
+	}
+	if _, err := netip.ParseAddr(f.ip); f.ip != "" && err != nil {
+		return out, fmt.Errorf("address: one address, no prefix")
+	}
+	signed, path := strings.Join(parts, "~"), ""
+	if f.acl == "" {
+		path = u.Path
+	}
+	out.Token = signed + "~hmac=" + sum(k, signed, path)
+	out.ID = token.IDOf(signed + "~" + path)
+	if t.URI == "" {
+		return out, nil
+	}
+	if u.RawQuery != "" {
+		u.RawQuery += "&"
+	}
+	u.RawQuery += param(k.Key) + "=" + url.QueryEscape(out.Token)
+	out.URL = u.String()
+	return out, nil
+}
--- a/token/grant.go
+++ b/token/grant.go
@@ -1,22 +1,112 @@
+// Package token is the core of signed URLs and tokens: what a grant allows, the keys, and the form that the dialects
+// share. A dialect is a package below this one: it authenticates a token of its specification and words it as a Grant,
+// and issues tokens. What a grant allows is decided here alone. All of it depends on the key, the time and the
+// request alone.
 package token
 
 import (
 	"errors"
-	"net/url"
+	"math"
+	"net/netip"
 	"strings"
 )
 
-// Grant is what a valid token allows.
+// Grant is what an authentic token allows, whatever its dialect.
 type Grant struct {
 	Key     string
-	ID      string  // jti, or the nonce of a signed URL
-	Expires float64 // Unix seconds
-	Claims  Claims  // of a package
+	Kind    Kind
+	ID      string // names the token: what it carries as its id, else a digest of all that is signed; "": it has none
+	Subject string // whom it was issued to, where it says
+	URIs    []Pattern
+	Query   bool           // it covers the query too; what it does not cover is passed over
+	Methods []string       // "": any
+	Nets    []netip.Prefix // client addresses; none: any
+	From    float64        // Unix seconds; 0: from ever
+	Issued  float64        // Unix seconds; 0: not told
+	Until   float64        // Unix seconds; 0: it has no end, and is refused
+	Renewal Renewal
+	Native  any // what the dialect needs to issue it anew
+}
+
+// Renewal is how a token is followed by the next one.
+type Renewal struct {
+	Seconds int // that the next one lasts; 0: none follows
+	Cookie  bool
+	Depth   int // leading path segments that a cookie is kept for
 }
 
 // Use names a grant's one use across keys.
 func (g Grant) Use() string { return g.Key + "/" + g.ID }
 
+// dateMost bounds dates, in Unix seconds.
+const dateMost = 1e12
+
+// Check decides whether a grant allows a request at now, in Unix seconds, with a leeway for clocks that differ.
+func (g *Grant) Check(q *Request, now, leeway float64) error {
+	for _, v := range []float64{g.From, g.Issued, g.Until} {
+		if math.IsNaN(v) || math.Abs(v) > dateMost {
+			return Reject(Malformed, "a date out of range")
+		}
+	}
+	switch {
+	case g.Until == 0: // a token without an end can't be taken back by time
+		return Reject(BadClaim, "the end of its validity is missing")
+	case now > g.Until+leeway:
+		return Reject(Expired, "expired")
+	case g.From != 0 && now < g.From-leeway:
+		return Reject(TooEarly, "not valid yet")
+	case g.Issued != 0 && now < g.Issued-leeway:
+		return Reject(TooEarly, "issued in the future")
+	case !g.covers(q):
+		return Reject(WrongURI, "the URI is another")
+	case !g.takes(q.Method):
+		return Reject(WrongMethod, "not for this method")
+	case !g.holds(q.Addr):
+		return Reject(WrongAddress, "not for this address")
+	}
+	return nil
+}
+
+func (g *Grant) covers(q *Request) bool {
+	for i := range g.URIs {
+		if g.URIs[i].match(q) {
+			return true
+		}
+	}
+	return false
+}
+
+// takes tells whether a method is allowed; who may GET may HEAD.
+func (g *Grant) takes(method string) bool {
+	for _, m := range g.Methods {
+		if m == method || m == "GET" && method == "HEAD" {
+			return true
+		}
+	}
+	return len(g.Methods) == 0
+}
+
+func (g *Grant) holds(addr netip.Addr) bool {
+	for _, n := range g.Nets {
+		if n.Contains(addr.Unmap()) {
+			return true
+		}
+	}
+	return len(g.Nets) == 0
+}
+
+// Net reads an address or a prefix.
+func Net(text string) (netip.Prefix, error) {
+	if a, err := netip.ParseAddr(text); err == nil && a.Zone() == "" {
+		return netip.PrefixFrom(a, a.BitLen()), nil
+	}
+	p, err := netip.ParsePrefix(text)
+	if err != nil || p != p.Masked() {
+		return p, Reject(Malformed, "no address or prefix")
+	}
+	return p, nil
+}
+
 // Why is the kind of a rejection.
 type Why string
 
@@ -30,6 +120,8 @@
 	Expired      Why = "expired"
 	TooEarly     Why = "not_yet_valid"
 	WrongURI     Why = "wrong_uri"
+	WrongMethod  Why = "wrong_method"
+	WrongAddress Why = "wrong_address"
 )
 
 // Rejection says why a token is not accepted.
@@ -40,7 +132,8 @@
 
 func (r *Rejection) Error() string { return "token: " + r.Text }
 
-func reject(why Why, text string) error { return &Rejection{why, text} }
+// Reject makes a rejection.
+func Reject(why Why, text string) error { return &Rejection{why, text} }
 
 // WhyOf gives the kind of an error of this package.
 func WhyOf(err error) Why {
@@ -51,53 +144,54 @@
 	return Malformed
 }
 
-// Request is what a token is checked against.
+// Request is what a token is checked against, as the client sent it.
 type Request struct {
 	Scheme, Host, Path, RawQuery string
-	Cookie                       string // a package that came in a cookie
+	Method                       string
+	Addr                         netip.Addr               // of the client
+	Header, Cookie               func(name string) string // "": there is none; nil: there are none at all
+
+	Query Query // RawQuery parsed; the ring sees to it
 }
 
-// Verify checks the token of a request, whichever kind it carries. A request with two is malformed.
-// The rest of the query comes back for the front.
-func (r *Ring) Verify(q Request, now, leeway float64) (g Grant, rest Query, err error) {
-	if !Canonical(q.Path) {
-		return g, nil, reject(Malformed, "the path is not in canonical form")
+// CookieOf gives a cookie's value.
+func (q *Request) CookieOf(name string) string {
+	if q.Cookie == nil {
+		return ""
 	}
-	all, err := ParseQuery(q.RawQuery)
-	if err != nil {
-		return g, nil, err
-	}
-	pack, signed := all.Get(ParamPackage), all.Get(ParamSignature) != ""
-	switch {
-	case pack != "" && signed:
-		return g, nil, reject(Malformed, "two tokens")
-	case signed:
-		rest = all.Without(ParamExpires, ParamKey, ParamNonce, ParamSignature)
-		g, err = r.VerifyURL(q.Path, all, now, leeway)
-		return g, rest, err
-	case pack == "" && q.Cookie == "":
-		return g, nil, reject(Missing, "no token")
+	return q.Cookie(name)
+}
+
+// HeaderOf gives a header's value.
+func (q *Request) HeaderOf(name string) string {
+	if q.Header == nil {
+		return ""
 	}
+	return q.Header(name)
+}
+
+// URI is the whole URI without some parameters, all else as it was sent.
+func (q *Request) URI(without ...string) string {
 	uri := q.Scheme + "://" + strings.ToLower(q.Host) + q.Path
-	// The container speaks of the URI without the package, with all else as it was sent.
-	if raw := rawWithout(q.RawQuery, ParamPackage); raw != "" {
+	if raw := rawWithout(q.RawQuery, without); raw != "" {
 		uri += "?" + raw
 	}
-	rest = all.Without(ParamPackage)
-	if pack == "" {
-		pack = q.Cookie
-	}
-	g, err = r.VerifyPackage(pack, uri, now, leeway)
-	return g, rest, err
+	return uri
 }
 
-func rawWithout(raw, name string) string {
+func rawWithout(raw string, names []string) string {
 	var keep []string
+next:
 	for item := range strings.SplitSeq(raw, "&") {
 		n, _, _ := strings.Cut(item, "=")
-		if got, err := url.QueryUnescape(n); err == nil && got == name || item == "" {
+		if item == "" {
 			continue
 		}
+		for _, name := range names {
+			if n == name {
+				continue next
+			}
+		}
 		keep = append(keep, item)
 	}
 	return strings.Join(keep, "&")
--- /dev/null
+++ b/token/hmacurl/hmacurl.go
@@ -0,0 +1,102 @@
+// Package hmacurl is turnfork's own dialect: URLs signed with HMAC-SHA256 over path, expiry, key, nonce and all other
+// parameters.
+package hmacurl
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+
+	"turnfork.dev/turnfork/token"
+)
+
+// Names of the query's parameters.
+const (
+	ParamExpires   = "expires"
+	ParamKey       = "keyid"
+	ParamNonce     = "nonce"
+	ParamSignature = "signature"
+)
+
+var params = []string{ParamExpires, ParamKey, ParamNonce, ParamSignature}
+
+// Dialect implements token.Dialect.
+type Dialect struct{}
+
+// Kind is "hmac".
+func (Dialect) Kind() token.Kind { return token.HMAC }
+
+// Ready takes a secret in base64, 32 bytes at least.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	if k.Alg != "" && k.Alg != "HS256" {
+		return token.Material{}, fmt.Errorf("alg: %q does not go with kind hmac", k.Alg)
+	}
+	secret, err := k.Base64()
+	return token.Material{Shared: secret, Signs: true}, err
+}
+
+// Find gives the signature, which each signed URL has.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	return token.Carried{Text: q.Query.Get(ParamSignature), Params: params}, q.Query.Get(ParamSignature) != ""
+}
+
+// toSign is what a URL's signature covers: path, expiry, key and nonce, then all other parameters sorted by name.
+func toSign(path, expires, key, nonce string, rest token.Query) []byte {
+	rest = append(token.Query(nil), rest...)
+	sort.Slice(rest, func(i, j int) bool { return rest[i].Name < rest[j].Name })
+	return []byte("turnfork-url-v1\n" + path + "\n" + expires + "\n" + key + "\n" + nonce + "\n" + rest.String())
+}
+
+func mac(secret, text []byte) string {
+	m := hmac.New(sha256.New, secret)
+	m.Write(text)
+	return base64.RawURLEncoding.EncodeToString(m.Sum(nil))
+}
+
+// Open authenticates a signed URL.
+func (Dialect) Open(q *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	if q.RawQuery != q.Query.String() { // the signature covers what the query says, so it may be spelled in one way alone
+		return g, token.Reject(token.Malformed, "the query is not in canonical form")
+	}
+	expires, nonce := q.Query.Get(ParamExpires), q.Query.Get(ParamNonce)
+	at, err := strconv.ParseUint(expires, 10, 40)
+	if err != nil || strconv.FormatUint(at, 10) != expires || nonce == "" || len(nonce) > token.IDMost {
+		return g, token.Reject(token.Malformed, "the signed URL lacks a field or can't be read")
+	}
+	key, err := keys.Find(q.Query.Get(ParamKey))
+	if err != nil {
+		return g, err
+	}
+	if !token.Same(c.Text, mac(key.Shared, toSign(q.Path, expires, key.ID, nonce, q.Query.Without(params...)))) {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	return token.Grant{
+		Key: key.ID, ID: nonce, Until: float64(at), Query: true, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, Path: true}},
+	}, nil
+}
+
+// Issue signs a path and its parameters; the URL comes without scheme and host where the terms have none.
+func (Dialect) Issue(key *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	if err != nil {
+		return out, fmt.Errorf("uri: can't be read")
+	}
+	rest, err := token.ParseQuery(u.RawQuery)
+	switch {
+	case err != nil:
+		return out, fmt.Errorf("uri: %w", err)
+	case t.ID == "" || len(t.ID) > token.IDMost:
+		return out, fmt.Errorf("nonce: 1 to %d characters", token.IDMost)
+	case !(t.Until > 0 && t.Until < 1<<40):
+		return out, fmt.Errorf("expires: out of range")
+	}
+	when := strconv.FormatUint(uint64(t.Until), 10)
+	sum := mac(key.Shared, toSign(u.Path, when, key.ID, t.ID, rest))
+	u.RawQuery = append(rest, token.Pair{Name: ParamExpires, Value: when}, token.Pair{Name: ParamKey, Value: key.ID},
+		token.Pair{Name: ParamNonce, Value: t.ID}, token.Pair{Name: ParamSignature, Value: sum}).String()
+	return token.Issued{ID: t.ID, URL: u.String()}, nil
+}
--- /dev/null
+++ b/token/jws/jws.go
@@ -0,0 +1,295 @@
+// Package jws is the dialect of URI Signing packages (RFC 9246): a JWS in compact form.
+package jws
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/go-jose/go-jose/v4"
+	"turnfork.dev/turnfork/token"
+)
+
+// Param names the query's parameter and the cookie that carry a package.
+const Param = "URISigningPackage"
+
+// Claims are the claims of a URI Signing package that are understood here (RFC 9246, 2.1).
+type Claims struct {
+	Issuer    string   `json:"iss,omitempty"`
+	Subject   string   `json:"sub,omitempty"`
+	Audience  audience `json:"aud,omitempty"`
+	Expires   *float64 `json:"exp,omitempty"`
+	NotBefore *float64 `json:"nbf,omitempty"`
+	IssuedAt  *float64 `json:"iat,omitempty"`
+	ID        string   `json:"jti,omitempty"`
+	Version   *int     `json:"cdniv,omitempty"`
+	Critical  []string `json:"cdnicrit,omitempty"`
+	ClientIP  string   `json:"cdniip,omitempty"`
+	Container string   `json:"cdniuc,omitempty"`
+	Renew     int      `json:"cdniets,omitempty"` // seconds that a renewed package lasts
+	Transport int      `json:"cdnistt,omitempty"` // 0 none, 1 cookie, 2 query
+	Depth     int      `json:"cdnistd,omitempty"` // leading path segments that a renewal keeps
+}
+
+// audience is one name or a list of names.
+type audience []string
+
+func (a *audience) UnmarshalJSON(b []byte) error {
+	var one string
+	if json.Unmarshal(b, &one) == nil {
+		*a = audience{one}
+		return nil
+	}
+	return json.Unmarshal(b, (*[]string)(a))
+}
+
+func (a audience) MarshalJSON() ([]byte, error) {
+	if len(a) == 1 {
+		return json.Marshal(a[0])
+	}
+	return json.Marshal([]string(a))
+}
+
+// Bounds of a package.
+const (
+	packageMost = 8 << 10
+)
+
+// understood are the claims that a package may name as critical. cdniip is none of them: it is sealed
+// for a downstream network, and a package that insists on it is refused.
+var understood = map[string]bool{
+	"iss": true, "sub": true, "aud": true, "exp": true, "nbf": true, "iat": true, "jti": true, "cdniv": true,
+	"cdnicrit": true, "cdniuc": true, "cdniets": true, "cdnistt": true, "cdnistd": true,
+}
+
+// algs lists what a package's header may say, before the key is known.
+var algs = []jose.SignatureAlgorithm{jose.HS256, jose.ES256, jose.EdDSA, jose.RS256}
+
+var families = map[string]token.Family{"ES256": token.P256, "EdDSA": token.Ed25519, "RS256": token.RSA}
+
+// Dialect implements token.Dialect and token.Renewer.
+type Dialect struct{}
+
+// Kind is "jws".
+func (Dialect) Kind() token.Kind { return token.JWS }
+
+// Ready takes a secret of 32 bytes for HS256, a key pair for ES256, EdDSA and RS256.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	if k.Alg == "HS256" {
+		secret, err := k.Base64()
+		return token.Material{Shared: secret, Signs: true}, err
+	}
+	family, ok := families[k.Alg]
+	if !ok {
+		return token.Material{}, fmt.Errorf("alg: %q does not go with kind jws", k.Alg)
+	}
+	return k.Pair(family)
+}
+
+// Find gives the package of the query, else that of the cookie.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	c := token.Carried{Text: q.Query.Get(Param), Params: []string{Param}}
+	if c.Text == "" {
+		c.Text, c.From = q.CookieOf(Param), token.InCookie
+	}
+	return c, c.Text != ""
+}
+
+// Open authenticates a package.
+func (Dialect) Open(_ *token.Request, from token.Carried, keys token.Keys) (g token.Grant, err error) {
+	if len(from.Text) > packageMost {
+		return g, token.Reject(token.Malformed, "the package is too long")
+	}
+	sig, err := jose.ParseSignedCompact(from.Text, algs)
+	if err != nil {
+		return g, token.Reject(token.Malformed, "no JWS in compact form")
+	}
+	for part := range strings.SplitSeq(from.Text, ".") { // one spelling: no spare bits that a reader passes over
+		if _, err := base64.RawURLEncoding.Strict().DecodeString(part); err != nil {
+			return g, token.Reject(token.Malformed, "no JWS in compact form")
+		}
+	}
+	head := sig.Signatures[0].Protected
+	key, err := keys.Find(head.KeyID)
+	if err != nil {
+		return g, err
+	}
+	if head.Algorithm != key.Alg { // the key's algorithm, never the token's choice
+		return g, token.Reject(token.BadSignature, "the algorithm is not the key's")
+	}
+	var with any = key.Verifier
+	if key.Shared != nil {
+		with = key.Shared
+	}
+	payload, err := sig.Verify(with)
+	if err != nil {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	var c Claims
+	if err := json.Unmarshal(payload, &c); err != nil {
+		return g, token.Reject(token.Malformed, "the claims can't be read")
+	}
+	if err := c.check(key); err != nil {
+		return g, err
+	}
+	return c.grant(key.ID)
+}
+
+// check judges what is the package's own. Dates and the URI are the grant's.
+func (c *Claims) check(key *token.Ready) error {
+	for _, name := range c.Critical {
+		if !understood[name] {
+			return token.Reject(token.BadClaim, "a critical claim is not understood")
+		}
+	}
+	switch {
+	case c.Version != nil && *c.Version != 1:
+		return token.Reject(token.BadClaim, "cdniv: unknown version")
+	case c.ClientIP != "":
+		return token.Reject(token.BadClaim, "cdniip: not supported")
+	case key.Issuer != "" && c.Issuer != key.Issuer:
+		return token.Reject(token.BadClaim, "iss: not the key's issuer")
+	case len(c.Audience) > 0 && (key.Audience == "" || !slices.Contains(c.Audience, key.Audience)),
+		key.Audience != "" && len(c.Audience) == 0:
+		return token.Reject(token.BadClaim, "aud: not for this gateway")
+	case len(c.ID) > token.IDMost:
+		return token.Reject(token.Malformed, "jti: too long")
+	case c.Expires == nil || *c.Expires == 0:
+		return token.Reject(token.BadClaim, "exp: missing")
+	case c.Transport < 0 || c.Transport > 2:
+		return token.Reject(token.BadClaim, "cdnistt: unknown transport")
+	case c.Transport > 0 && c.Renew <= 0:
+		return token.Reject(token.BadClaim, "cdniets: missing beside cdnistt")
+	}
+	return nil
+}
+
+// grant words the claims as a grant.
+func (c *Claims) grant(key string) (g token.Grant, err error) {
+	uris, err := container(c.Container)
+	if err != nil {
+		return g, err
+	}
+	g = token.Grant{Key: key, ID: c.ID, Subject: c.Subject, Until: *c.Expires, URIs: uris, Query: true, Native: *c}
+	if c.NotBefore != nil {
+		g.From = *c.NotBefore
+	}
+	if c.IssuedAt != nil {
+		g.Issued = *c.IssuedAt
+	}
+	if c.Renew > 0 && c.Transport > 0 {
+		g.Renewal = token.Renewal{Seconds: c.Renew, Cookie: c.Transport == 1, Depth: c.Depth}
+	}
+	return g, nil
+}
+
+// container reads cdniuc. It speaks of the URI without the package, with all else as it was sent.
+func container(text string) ([]token.Pattern, error) {
+	p := token.Pattern{Less: []string{Param}}
+	if hash, ok := strings.CutPrefix(text, "hash:"); ok {
+		p.Form, p.Text = token.Digest, hash
+	} else if expr, ok := strings.CutPrefix(text, "regex:"); ok {
+		p.Form, p.Text = token.Posix, expr
+	} else {
+		return nil, token.Reject(token.BadClaim, "cdniuc: neither hash nor regex")
+	}
+	return token.Compile(p)
+}
+
+// HashContainer names exactly one URI.
+func HashContainer(uri string) string { return "hash:" + token.DigestOf(uri) }
+
+// Issue signs a package for one URI, or for those that a POSIX regular expression covers.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	if err != nil || u.Scheme == "" || u.Host == "" {
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	if t.Address != "" {
+		return out, fmt.Errorf("address: not with kind jws")
+	}
+	u.Host = strings.ToLower(u.Host)
+	c := Claims{Expires: &t.Until, Container: HashContainer(u.String())}
+	if t.Now > 0 {
+		issued := float64(int64(t.Now))
+		c.IssuedAt = &issued
+	}
+	if t.From > 0 {
+		c.NotBefore = &t.From
+	}
+	if t.Cover != "" {
+		c.Container = "regex:" + t.Cover
+	}
+	if t.Single {
+		c.ID = t.ID
+	}
+	if t.Renew > 0 {
+		c.Renew, c.Transport = t.Renew, 1
+	}
+	if out.Token, err = Sign(k, c); err != nil {
+		return out, err
+	}
+	out.ID = c.ID
+	sep := "?"
+	if u.RawQuery != "" {
+		sep = "&"
+	}
+	out.URL = u.String() + sep + Param + "=" + out.Token
+	return out, nil
+}
+
+// Sign signs claims. iss and aud come from the key where left out.
+func Sign(key *token.Ready, c Claims) (string, error) {
+	if c.Issuer == "" {
+		c.Issuer = key.Issuer
+	}
+	if len(c.Audience) == 0 && key.Audience != "" {
+		c.Audience = audience{key.Audience}
+	}
+	if c.Version == nil {
+		one := 1
+		c.Version = &one
+	}
+	if c.Expires == nil {
+		return "", fmt.Errorf("exp: missing")
+	}
+	if _, err := container(c.Container); err != nil {
+		return "", fmt.Errorf("cdniuc: %.60q is no container", c.Container)
+	}
+	var with any = key.Signer
+	if key.Shared != nil {
+		with = key.Shared
+	}
+	opts := (&jose.SignerOptions{}).WithHeader("kid", key.ID).WithType("JWT")
+	signer, err := jose.NewSigner(jose.SigningKey{Algorithm: jose.SignatureAlgorithm(key.Alg), Key: with}, opts)
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	payload, err := json.Marshal(c)
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	sig, err := signer.Sign(payload)
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	return sig.CompactSerialize()
+}
+
+// Renew gives the package that follows one with signed token renewal: the same claims, from now on.
+func (Dialect) Renew(k *token.Ready, g *token.Grant, now float64) (cookie, text string, err error) {
+	c, ok := g.Native.(Claims)
+	if !ok {
+		return "", "", fmt.Errorf("token: no package")
+	}
+	exp := now + float64(c.Renew)
+	c.Expires, c.IssuedAt = &exp, &now
+	if c.NotBefore != nil && *c.NotBefore > now {
+		c.NotBefore = nil
+	}
+	text, err = Sign(k, c)
+	return Param, text, err
+}
--- a/token/key.go
+++ b/token/key.go
@@ -1,6 +1,3 @@
-// Package token verifies and issues signed URLs and tokens as content networks use them: URI Signing
-// packages (RFC 9246) and URLs signed with HMAC-SHA256. Its functions depend on the key, the time and
-// the request alone.
 package token
 
 import (
@@ -12,165 +9,162 @@
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/pem"
-	"errors"
 	"fmt"
-
-	"github.com/go-jose/go-jose/v4"
 )
 
-// Kind is how a key signs.
+// Kind names a dialect, as the operator's file and the API do.
 type Kind string
 
 // The kinds.
 const (
-	JWS  Kind = "jws"  // URI Signing packages
-	HMAC Kind = "hmac" // signed URLs
+	JWS        Kind = "jws"        // URI Signing packages (RFC 9246)
+	HMAC       Kind = "hmac"       // turnfork's own signed URLs
+	EdgeAuth   Kind = "edgeauth"   // Akamai EdgeAuth Token 2.0
+	CloudFront Kind = "cloudfront" // CloudFront signed URLs and cookies
+	CloudCDN   Kind = "cloudcdn"   // Cloud CDN signed URLs and cookies
+	Presign    Kind = "presign"    // AWS Signature Version 4 in the query
 )
 
-// Key is one signing key as the operator writes it. Its algorithm is fixed: what a token says of
-// its algorithm must agree and chooses nothing.
+// Key is one signing key as the operator writes it. Its dialect and its algorithm are fixed: what a token says of them
+// must agree and chooses nothing.
 type Key struct {
 	ID        string  `json:"id" toml:"id"`
 	Kind      Kind    `json:"kind" toml:"kind"`
-	Alg       string  `json:"alg,omitempty" toml:"alg"`           // JWS: HS256, ES256, EdDSA or RS256
-	Secret    string  `json:"secret,omitempty" toml:"secret"`     // base64, of HS256 and HMAC keys; 32 bytes at least
+	Alg       string  `json:"alg,omitempty" toml:"alg"`           // where the dialect leaves a choice
+	Secret    string  `json:"secret,omitempty" toml:"secret"`     // of shared secrets, as the dialect writes them
 	Public    string  `json:"public,omitempty" toml:"public"`     // PEM, of the others
 	Private   string  `json:"private,omitempty" toml:"private"`   // PEM; only where tokens are issued
-	Issuer    string  `json:"issuer,omitempty" toml:"issuer"`     // iss that its tokens must carry
-	Audience  string  `json:"audience,omitempty" toml:"audience"` // aud that its tokens must carry, if any
+	Issuer    string  `json:"issuer,omitempty" toml:"issuer"`     // jws: iss that its tokens must carry
+	Audience  string  `json:"audience,omitempty" toml:"audience"` // jws: aud that its tokens must carry, if any
+	Param     string  `json:"param,omitempty" toml:"param"`       // edgeauth: the parameter, cookie or header; "": __token__
+	Salt      string  `json:"salt,omitempty" toml:"salt"`         // edgeauth: signed, and not in the token
+	Region    string  `json:"region,omitempty" toml:"region"`     // presign
+	Service   string  `json:"service,omitempty" toml:"service"`   // presign
 	NotBefore float64 `json:"not_before,omitempty" toml:"not_before"`
 	NotAfter  float64 `json:"not_after,omitempty" toml:"not_after"` // Unix seconds; 0: no end
 }
 
+// leastSecret bounds shared secrets, in bytes, where a dialect's specification has no other size.
 const leastSecret = 32
 
-// Ring is a set of keys ready for use.
-type Ring struct {
-	keys  map[string]*ready
-	order []string
-}
-
-type ready struct {
-	Key
-	secret         []byte
-	verify, signer any
-}
+// IDMost bounds a token's id, in characters.
+const IDMost = 128
 
-// errNoSigner tells that a key can only verify.
-var errNoSigner = errors.New("token: the key can't sign")
-
-// NewRing checks keys and makes them ready. Errors name the key and the field.
-func NewRing(keys []Key) (*Ring, error) {
-	r := &Ring{keys: map[string]*ready{}}
-	for i, k := range keys {
-		where := fmt.Sprintf("key[%d]", i)
-		if k.ID == "" || len(k.ID) > 64 {
-			return nil, fmt.Errorf("%s.id: 1 to 64 characters", where)
-		}
-		if r.keys[k.ID] != nil {
-			return nil, fmt.Errorf("%s.id: %q is there twice", where, k.ID)
-		}
-		got, err := k.ready()
-		if err != nil {
-			return nil, fmt.Errorf("%s.%w", where, err)
-		}
-		r.keys[k.ID] = got
-		r.order = append(r.order, k.ID)
+// Base64 reads the secret of a key as standard base64.
+func (k Key) Base64() ([]byte, error) {
+	secret, err := base64.StdEncoding.DecodeString(k.Secret)
+	if err != nil {
+		return nil, fmt.Errorf("secret: no base64")
+	}
+	if len(secret) < leastSecret {
+		return nil, fmt.Errorf("secret: %d bytes, %d at least", len(secret), leastSecret)
 	}
-	return r, nil
+	return secret, nil
 }
 
-func (k Key) ready() (*ready, error) {
-	out := &ready{Key: k}
-	switch {
-	case k.Kind == HMAC && (k.Alg == "" || k.Alg == "HS256"), k.Kind == JWS && k.Alg == "HS256":
-		secret, err := base64.StdEncoding.DecodeString(k.Secret)
-		if err != nil {
-			return nil, fmt.Errorf("secret: no base64")
-		}
-		if len(secret) < leastSecret {
-			return nil, fmt.Errorf("secret: %d bytes, %d at least", len(secret), leastSecret)
-		}
-		out.secret, out.verify, out.signer = secret, secret, secret
-		return out, nil
-	case k.Kind == JWS && (k.Alg == "ES256" || k.Alg == "EdDSA" || k.Alg == "RS256"):
-	case k.Kind != JWS && k.Kind != HMAC:
-		return nil, fmt.Errorf("kind: %q is neither jws nor hmac", k.Kind)
-	default:
-		return nil, fmt.Errorf("alg: %q does not go with kind %s", k.Alg, k.Kind)
-	}
+// Pair reads the private or public key of a key; family tells which the algorithm takes.
+func (k Key) Pair(family Family) (Material, error) {
+	var m Material
 	if k.Private != "" {
 		block, _ := pem.Decode([]byte(k.Private))
 		if block == nil {
-			return nil, fmt.Errorf("private: no PEM")
+			return m, fmt.Errorf("private: no PEM")
 		}
 		key, err := x509.ParsePKCS8PrivateKey(block.Bytes)
 		if err != nil {
-			return nil, fmt.Errorf("private: no PKCS #8 key")
+			return m, fmt.Errorf("private: no PKCS #8 key")
 		}
 		s, ok := key.(crypto.Signer)
-		if !ok || !fits(k.Alg, s.Public()) {
-			return nil, fmt.Errorf("private: no key for %s", k.Alg)
+		if !ok || !family.has(s.Public()) {
+			return m, fmt.Errorf("private: no key for %s", k.Alg)
 		}
-		out.signer, out.verify = key, s.Public()
+		m.Signer, m.Verifier, m.Signs = s, s.Public(), true
 	}
 	if k.Public != "" {
 		block, _ := pem.Decode([]byte(k.Public))
 		if block == nil {
-			return nil, fmt.Errorf("public: no PEM")
+			return m, fmt.Errorf("public: no PEM")
 		}
 		key, err := x509.ParsePKIXPublicKey(block.Bytes)
-		if err != nil || !fits(k.Alg, key) {
-			return nil, fmt.Errorf("public: no key for %s", k.Alg)
+		if err != nil || !family.has(key) {
+			return m, fmt.Errorf("public: no key for %s", k.Alg)
 		}
-		out.verify = key
+		m.Verifier = key
 	}
-	if out.verify == nil {
-		return nil, fmt.Errorf("public: missing")
+	if m.Verifier == nil {
+		return m, fmt.Errorf("public: missing")
 	}
-	return out, nil
+	return m, nil
 }
 
-func fits(alg string, key any) bool {
+// Family is a kind of key pair.
+type Family uint8
+
+// The families. RSA keys have 2048 bits at least.
+const (
+	RSA Family = iota
+	P256
+	Ed25519
+)
+
+func (f Family) has(key any) bool {
 	switch key := key.(type) {
 	case *ecdsa.PublicKey:
-		return alg == "ES256" && key.Curve == elliptic.P256()
+		return f == P256 && key.Curve == elliptic.P256()
 	case ed25519.PublicKey:
-		return alg == "EdDSA"
+		return f == Ed25519
 	case *rsa.PublicKey:
-		return alg == "RS256" && key.N.BitLen() >= 2048
+		return f == RSA && key.N.BitLen() >= 2048
 	}
 	return false
 }
 
-// find gives a key of a kind that is in force at now, in Unix seconds.
-func (r *Ring) find(id string, kind Kind, now, leeway float64) (*ready, error) {
-	k := r.keys[id]
-	if k == nil || k.Kind != kind {
-		return nil, reject(BadKey, "unknown key")
-	}
-	if now < k.NotBefore-leeway || k.NotAfter > 0 && now > k.NotAfter+leeway {
-		return nil, reject(BadKey, "the key is not in force")
-	}
-	return k, nil
+// Material is what a key's text stands for.
+type Material struct {
+	Shared   []byte // a secret
+	Verifier crypto.PublicKey
+	Signer   crypto.Signer // nil: it only verifies
+	Signs    bool          // it can issue
+}
+
+// Ready is a key ready for use.
+type Ready struct {
+	Key
+	Material
+}
+
+// inForce tells whether a key may verify at now.
+func (k *Ready) inForce(now, leeway float64) bool {
+	return now >= k.NotBefore-leeway && (k.NotAfter == 0 || now <= k.NotAfter+leeway)
+}
+
+// Keys are a dialect's keys at a time.
+type Keys struct {
+	All    []*Ready
+	Now    float64 // Unix seconds
+	Leeway float64
 }
 
-// Signer gives the id of the newest key of a kind that signs at now, in Unix seconds: during a
-// rotation the old key goes on verifying until its own end.
-func (r *Ring) Signer(kind Kind, now float64) (id string, err error) {
-	var best *ready
-	for _, name := range r.order {
-		k := r.keys[name]
-		if k.Kind == kind && k.signer != nil && now >= k.NotBefore && (k.NotAfter == 0 || now <= k.NotAfter) &&
-			(best == nil || k.NotBefore >= best.NotBefore) {
-			best = k
+// Find gives a key that is in force.
+func (k Keys) Find(id string) (*Ready, error) {
+	for _, r := range k.All {
+		if r.ID != id {
+			continue
 		}
+		if !r.inForce(k.Now, k.Leeway) {
+			return nil, Reject(BadKey, "the key is not in force")
+		}
+		return r, nil
 	}
-	if best == nil {
-		return "", errNoSigner
-	}
-	return best.ID, nil
+	return nil, Reject(BadKey, "unknown key")
 }
 
-// algs lists what a package's header may say, before the key is known.
-var algs = []jose.SignatureAlgorithm{jose.HS256, jose.ES256, jose.EdDSA, jose.RS256}
+// InForce gives the keys that are in force.
+func (k Keys) InForce() (out []*Ready) {
+	for _, r := range k.All {
+		if r.inForce(k.Now, k.Leeway) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/token/ring/ring.go
@@ -0,0 +1,158 @@
+// Package ring is all dialects over one set of keys.
+package ring
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/edgeauth"
+	"turnfork.dev/turnfork/token/hmacurl"
+	"turnfork.dev/turnfork/token/jws"
+)
+
+// dialects in the order in which they are looked for.
+var dialects = []token.Dialect{jws.Dialect{}, hmacurl.Dialect{}, edgeauth.Dialect{}}
+
+// Kinds names the dialects.
+func Kinds() (out []token.Kind) {
+	for _, d := range dialects {
+		out = append(out, d.Kind())
+	}
+	return out
+}
+
+func dialectOf(k token.Kind) token.Dialect {
+	for _, d := range dialects {
+		if d.Kind() == k {
+			return d
+		}
+	}
+	return nil
+}
+
+// Ring is a set of keys ready for use.
+type Ring struct {
+	keys map[token.Kind][]*token.Ready
+	byID map[string]*token.Ready
+}
+
+// errNoSigner tells that a key can only verify.
+var errNoSigner = errors.New("token: the key can't sign")
+
+// New checks keys and makes them ready. Errors name the key and the field.
+func New(keys []token.Key) (*Ring, error) {
+	r := &Ring{keys: map[token.Kind][]*token.Ready{}, byID: map[string]*token.Ready{}}
+	for i, k := range keys {
+		where := fmt.Sprintf("key[%d].", i)
+		d := dialectOf(k.Kind)
+		switch {
+		case k.ID == "" || len(k.ID) > 64:
+			return nil, fmt.Errorf("%sid: 1 to 64 characters", where)
+		case r.byID[k.ID] != nil:
+			return nil, fmt.Errorf("%sid: %q is there twice", where, k.ID)
+		case d == nil:
+			return nil, fmt.Errorf("%skind: %q is none of %v", where, k.Kind, Kinds())
+		}
+		m, err := d.Ready(k)
+		if err != nil {
+			return nil, fmt.Errorf("%s%w", where, err)
+		}
+		ready := &token.Ready{Key: k, Material: m}
+		r.byID[k.ID] = ready
+		r.keys[k.Kind] = append(r.keys[k.Kind], ready)
+	}
+	return r, nil
+}
+
+// Verify checks the token of a request at now, in Unix seconds, with a leeway for clocks that differ. A request with
+// tokens of two dialects is malformed, whichever dialects have keys. The rest of the query comes back for the front.
+func (r *Ring) Verify(q token.Request, now, leeway float64) (g token.Grant, rest token.Query, err error) {
+	if !token.Canonical(q.Path) {
+		return g, nil, token.Reject(token.Malformed, "the path is not in canonical form")
+	}
+	if q.Query, err = token.ParseQuery(q.RawQuery); err != nil {
+		return g, nil, err
+	}
+	var (
+		with token.Dialect
+		got  token.Carried
+	)
+	for _, d := range dialects {
+		c, ok := d.Find(&q, r.keys[d.Kind()])
+		if !ok {
+			continue
+		}
+		if with != nil {
+			return g, nil, token.Reject(token.Malformed, "two tokens")
+		}
+		with, got = d, c
+	}
+	if with == nil {
+		return g, nil, token.Reject(token.Missing, "no token")
+	}
+	if g, err = with.Open(&q, got, token.Keys{All: r.keys[with.Kind()], Now: now, Leeway: leeway}); err != nil {
+		return g, nil, err
+	}
+	g.Kind = with.Kind()
+	if err = g.Check(&q, now, leeway); err == nil && g.Query {
+		rest = q.Query.Without(got.Params...)
+	}
+	return g, rest, err
+}
+
+// Signer gives the id of the newest key of a kind that signs at now, in Unix seconds: during a rotation the old key goes
+// on verifying until its own end.
+func (r *Ring) Signer(kind token.Kind, now float64) (string, error) {
+	var best *token.Ready
+	for _, k := range r.keys[kind] {
+		if k.Signs && now >= k.NotBefore && (k.NotAfter == 0 || now <= k.NotAfter) && (best == nil || k.NotBefore >= best.NotBefore) {
+			best = k
+		}
+	}
+	if best == nil {
+		return "", errNoSigner
+	}
+	return best.ID, nil
+}
+
+// Issue signs terms with a key.
+func (r *Ring) Issue(id string, t token.Terms) (token.Issued, error) {
+	k := r.byID[id]
+	if k == nil || !k.Signs {
+		return token.Issued{}, errNoSigner
+	}
+	u, err := url.Parse(t.URI)
+	if t.URI == "" && t.Cover != "" { // a token for more than one URI, by itself
+		u = &url.URL{Path: "/v1"}
+	}
+	if err != nil || !token.Canonical(u.Path) || u.RawPath != "" || u.Fragment != "" {
+		return token.Issued{}, fmt.Errorf("uri: not in canonical form")
+	}
+	if t.Address != "" {
+		if _, err := token.Net(t.Address); err != nil {
+			return token.Issued{}, fmt.Errorf("address: %w", err)
+		}
+	}
+	return dialectOf(k.Kind).Issue(k, t)
+}
+
+// Package signs the claims of a URI Signing package as they are, with a key of kind jws.
+func (r *Ring) Package(id string, c jws.Claims) (string, error) {
+	k := r.byID[id]
+	if k == nil || k.Kind != token.JWS || !k.Signs {
+		return "", errNoSigner
+	}
+	return jws.Sign(k, c)
+}
+
+// Renewed gives the token that follows a grant's, and the name of the cookie that carries it.
+func (r *Ring) Renewed(g *token.Grant, now float64) (cookie, text string, err error) {
+	k := r.byID[g.Key]
+	d, ok := dialectOf(g.Kind).(token.Renewer)
+	if k == nil || k.Kind != g.Kind || !k.Signs || !ok {
+		return "", "", errNoSigner
+	}
+	return d.Renew(k, g, now)
+}
--- /dev/null
+++ b/token/ring/ring_test.go
@@ -0,0 +1,151 @@
+package ring
+
+import (
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/rsa"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/pem"
+	"strings"
+	"testing"
+
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/jws"
+)
+
+var secret = base64.StdEncoding.EncodeToString([]byte(strings.Repeat("s", 32)))
+
+func private(t testing.TB, key any) string {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))
+}
+
+func public(t testing.TB, key any) string {
+	der, err := x509.MarshalPKIXPublicKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(pem.EncodeToMemory(&pem.Block{Type: "PUBLIC KEY", Bytes: der}))
+}
+
+const uri = "https://cdn.example/v1/firmware/7f3a9c21e0b4d655/3"
+
+func request(pack string) token.Request {
+	return token.Request{Scheme: "https", Host: "CDN.example", Path: "/v1/firmware/7f3a9c21e0b4d655/3", RawQuery: jws.Param + "=" + pack}
+}
+
+// Every algorithm signs and verifies, and no key takes a token of another algorithm: above all not one
+// that uses a public key as a shared secret.
+func TestAlgorithms(t *testing.T) {
+	ec, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	edPub, ed, _ := ed25519.GenerateKey(rand.Reader)
+	rs, err := rsa.GenerateKey(rand.Reader, 2048)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys := []token.Key{
+		{ID: "a", Kind: token.JWS, Alg: "HS256", Secret: secret}, {ID: "b", Kind: token.JWS, Alg: "ES256", Private: private(t, ec)},
+		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Private: private(t, ed)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Private: private(t, rs)},
+	}
+	signers, err := New(keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	verifiers, err := New([]token.Key{
+		keys[0], {ID: "b", Kind: token.JWS, Alg: "ES256", Public: public(t, &ec.PublicKey)},
+		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Public: public(t, edPub)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Public: public(t, &rs.PublicKey)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	exp := 1000.0
+	for _, k := range keys {
+		p, err := signers.Package(k.ID, jws.Claims{Expires: &exp, Container: jws.HashContainer(uri), ID: "j"})
+		if err != nil {
+			t.Fatal(k.ID, err)
+		}
+		if g, _, err := verifiers.Verify(request(p), 999, 0); err != nil || g.Use() != k.ID+"/j" {
+			t.Errorf("%s: %+v %v", k.Alg, g, err)
+		}
+	}
+	confused, _ := New([]token.Key{{ID: "d", Kind: token.JWS, Alg: "HS256", Secret: base64.StdEncoding.EncodeToString([]byte(public(t, &rs.PublicKey)))}})
+	p, _ := confused.Package("d", jws.Claims{Expires: &exp, Container: jws.HashContainer(uri)})
+	if _, _, err := verifiers.Verify(request(p), 999, 0); token.WhyOf(err) != token.BadSignature {
+		t.Errorf("an HS256 token under an RS256 key: %v", err)
+	}
+}
+
+func TestRotation(t *testing.T) {
+	r, err := New([]token.Key{
+		{ID: "old", Kind: token.HMAC, Secret: secret, NotAfter: 1000}, {ID: "new", Kind: token.HMAC, Secret: secret, NotBefore: 500},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for now, want := range map[float64]string{400: "old", 600: "new", 2000: "new"} {
+		if id, _ := r.Signer(token.HMAC, now); id != want {
+			t.Errorf("at %v %q signs", now, id)
+		}
+	}
+	u, _ := r.Issue("old", token.Terms{URI: "/v1/a/b/0?kb=4.5&group=7", Until: 5000, ID: "n"})
+	path, q, _ := strings.Cut(u.URL, "?")
+	if _, rest, err := r.Verify(token.Request{Path: path, RawQuery: q}, 1009, 10); err != nil || rest.Get("group") != "7" {
+		t.Error("within the leeway:", err)
+	}
+	if _, _, err := r.Verify(token.Request{Path: path, RawQuery: q}, 1011, 10); token.WhyOf(err) != token.BadKey {
+		t.Error("after the key's end:", err)
+	}
+	for _, forged := range []string{
+		strings.Replace(q, "kb=4.5", "kb=9", 1), q + "&more=1", strings.Replace(q, "group=7&", "", 1),
+		strings.Replace(q, "nonce=n", "nonce=m", 1), strings.Replace(q, "expires=5000", "expires=6000", 1),
+		strings.Replace(q, "keyid=old", "keyid=new", 1),
+	} {
+		if _, _, err := r.Verify(token.Request{Path: path, RawQuery: forged}, 900, 10); token.WhyOf(err) != token.BadSignature {
+			t.Errorf("%s: %v", forged, err)
+		}
+	}
+}
+
+// Renewal keeps the claims and moves the times on.
+func TestRenewal(t *testing.T) {
+	r, _ := New([]token.Key{{ID: "k", Kind: token.JWS, Alg: "HS256", Secret: secret}})
+	exp := 100.0
+	p, err := r.Package("k", jws.Claims{Expires: &exp, Container: "regex:https://cdn\\.example/.*", Transport: 1, Renew: 60, ID: "j"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, _, err := r.Verify(request(p), 90, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, next, err := r.Renewed(&g, 90)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q := request("")
+	q.RawQuery, q.Cookie = "", func(name string) string { return map[string]string{jws.Param: next}[name] }
+	if g, _, err := r.Verify(q, 149, 0); err != nil || g.Until != 150 || g.ID != "j" {
+		t.Errorf("%+v %v", g, err)
+	}
+}
+
+func FuzzVerify(f *testing.F) {
+	r, _ := New([]token.Key{{ID: "k", Kind: token.HMAC, Secret: secret}, {ID: "p", Kind: token.JWS, Alg: "HS256", Secret: secret}})
+	u, _ := r.Issue("k", token.Terms{URI: "/v1/a/b/0", Until: 100, ID: "n"})
+	_, good, _ := strings.Cut(u.URL, "?")
+	f.Add("/v1/a/b/0", good)
+	f.Add("/v1/a/b/0", jws.Param+"=a.b.c")
+	f.Add("/v1/%61/b/0", "expires=1&expires=2")
+	f.Fuzz(func(t *testing.T, path, query string) {
+		g, _, err := r.Verify(token.Request{Scheme: "http", Host: "h", Path: path, RawQuery: query}, 50, 1)
+		if err == nil && (path != "/v1/a/b/0" || g.ID != "n") {
+			t.Errorf("a forged token passed: %q %q", path, query)
+		}
+	})
+}
