Take CloudFront, Cloud CDN and AWS presigned links on the signed front

Need: links signed for these networks reach the gateway and were 401 there.

SigV4's common parts moved from upstream/web to internal/sigv4, which both use; its parameters are now sorted by name, not by name and value joined, which differs where one name begins with another.

Measured: the published presigned URL verifies, and CloudFront's canned policy byte for byte; every character of every dialect's query changed in up to five ways is refused; over sockets each is served, refused forged, expired and beside another token, and ride-end runs once of two tries.

--- a/signed_test.go
+++ b/signed_test.go
@@ -3,8 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
+	"crypto/rsa"
+	"crypto/x509"
 	"encoding/base64"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net"
@@ -43,6 +47,26 @@
 
 const start = 1.8e12 // Unix ms
 
+// rsaKey is one key for all tests of the package.
+var rsaKey = func() func(*testing.T) string {
+	var once sync.Once
+	var text string
+	return func(t *testing.T) string {
+		once.Do(func() {
+			key, err := rsa.GenerateKey(rand.Reader, 2048)
+			if err != nil {
+				t.Fatal(err)
+			}
+			der, err := x509.MarshalPKCS8PrivateKey(key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text = string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))
+		})
+		return text
+	}
+}()
+
 // hold lets a test keep a GET unanswered; a nil handler answers at once.
 func newSite(t *testing.T, handle func(standin.Call) (string, string, []byte, bool)) *site {
 	t.Helper()
@@ -85,6 +109,20 @@
 kind = "hmac"
 secret = %q
 [[key]]
+id = "KEYPAIR"
+kind = "cloudfront"
+private = """%s"""
+[[key]]
+id = "cdn"
+kind = "cloudcdn"
+secret = "c2l4dGVlbiBieXRlcy4uLg=="
+[[key]]
+id = "AKID"
+kind = "presign"
+secret = "a secret key as it is written"
+region = "kz-1"
+service = "s3"
+[[key]]
 id = "edge"
 kind = "edgeauth"
 secret = "000102030405060708090a0b0c0d0e0f"
@@ -95,7 +133,7 @@
 issuer = "dala"
 audience = "gateways"
 secret = %q
-`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, secret), t.TempDir())
+`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, rsaKey(t), secret), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -623,9 +661,15 @@
 // Links signed for other networks go the same way as the gateway's own, over sockets: served, refused, and used once.
 func TestOtherDialects(t *testing.T) {
 	s := newSite(t, nil)
-	for _, key := range []string{"edge"} {
+	for _, key := range []string{"edge", "KEYPAIR", "cdn", "AKID"} {
 		sign := func(path string) string {
-			got, err := s.ring.Issue(key, token.Terms{URI: "http://" + s.addr + path, Until: s.clock.Unix()/1000 + 60, ID: key + path, Single: true})
+			method, now := "GET", s.clock.Unix()/1000
+			if path == rideEnd {
+				method = "POST"
+			}
+			got, err := s.ring.Issue(key, token.Terms{
+				URI: "http://" + s.addr + path, Until: now + 60, Now: now, ID: key + path, Single: true, Method: method,
+			})
 			if err != nil {
 				t.Fatal(err)
 			}
--- /dev/null
+++ b/token/cloudcdn/cloudcdn.go
@@ -0,0 +1,186 @@
+// Package cloudcdn is the dialect of Cloud CDN's signed URLs, signed URL prefixes and signed cookies.
+package cloudcdn
+
+import (
+	"crypto/hmac"
+	"crypto/sha1" //nolint:gosec // the specification's
+	"encoding/base64"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"turnfork.dev/turnfork/token"
+)
+
+// Names of the query's parameters, and of the cookie.
+const (
+	ParamPrefix    = "URLPrefix"
+	ParamExpires   = "Expires"
+	ParamKey       = "KeyName"
+	ParamSignature = "Signature"
+	Cookie         = "Cloud-CDN-Cookie"
+)
+
+var params = []string{ParamPrefix, ParamExpires, ParamKey, ParamSignature}
+
+const (
+	secretSize = 16
+	cookieMost = 4 << 10
+)
+
+// Dialect implements token.Dialect.
+type Dialect struct{}
+
+// Kind is "cloudcdn".
+func (Dialect) Kind() token.Kind { return token.CloudCDN }
+
+// Ready takes a secret of 16 bytes in base64url; the key's id is the KeyName.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	secret, err := base64.URLEncoding.DecodeString(k.Secret)
+	switch {
+	case err != nil:
+		return token.Material{}, fmt.Errorf("secret: no base64url")
+	case len(secret) != secretSize:
+		return token.Material{}, fmt.Errorf("secret: %d bytes, not %d", len(secret), secretSize)
+	case k.Alg != "":
+		return token.Material{}, fmt.Errorf("alg: %q does not go with kind cloudcdn", k.Alg)
+	case !token.Canonical("/" + k.ID):
+		return token.Material{}, fmt.Errorf("id: %q can't be a KeyName", k.ID)
+	}
+	return token.Material{Shared: secret, Signs: true}, nil
+}
+
+// Find gives the key's name of a signed URL, else the cookie.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	if q.Query.Get(ParamKey) != "" {
+		return token.Carried{Params: params}, true
+	}
+	text := q.CookieOf(Cookie)
+	return token.Carried{Text: text, From: token.InCookie}, text != ""
+}
+
+func mac(secret []byte, text string) string {
+	m := hmac.New(sha1.New, secret)
+	m.Write([]byte(text))
+	return base64.URLEncoding.EncodeToString(m.Sum(nil))
+}
+
+// fields are what is signed, as it was sent: the text up to the signature, and its parts.
+type fields struct {
+	signed, prefix, expires, key, sum string
+}
+
+// read takes NAME=VALUE fields joined by sep, in the order of the specification; a prefix may be left out.
+func read(text, sep string) (f fields, err error) {
+	bad := token.Reject(token.Malformed, "fields are missing or out of order")
+	f.signed, f.sum, _ = strings.Cut(text, sep+ParamSignature+"=")
+	parts := strings.Split(f.signed, sep)
+	if prefix, ok := strings.CutPrefix(parts[0], ParamPrefix+"="); ok {
+		f.prefix, parts = prefix, parts[1:]
+	}
+	if len(parts) != 2 || f.sum == "" {
+		return f, bad
+	}
+	var ok1, ok2 bool
+	f.expires, ok1 = strings.CutPrefix(parts[0], ParamExpires+"=")
+	f.key, ok2 = strings.CutPrefix(parts[1], ParamKey+"=")
+	if !ok1 || !ok2 || strings.Contains(f.sum, sep) {
+		return f, bad
+	}
+	return f, nil
+}
+
+// Open authenticates a signed URL, a signed prefix or a signed cookie.
+func (Dialect) Open(q *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	var f fields
+	whole := "" // what of the URI stands before the fields, where that is signed too
+	if c.From == token.InCookie {
+		if len(c.Text) > cookieMost {
+			return g, token.Reject(token.Malformed, "the cookie is too long")
+		}
+		f, err = read(c.Text, ":")
+	} else {
+		// The fields end the query: what comes behind them is not signed.
+		rest, at := q.RawQuery, len(q.RawQuery)
+		for _, name := range []string{ParamExpires, ParamPrefix} {
+			if i := strings.Index("&"+rest, "&"+name+"="); i >= 0 {
+				at = min(at, i)
+			}
+		}
+		f, err = read(rest[at:], "&")
+		whole = q.Scheme + "://" + strings.ToLower(q.Host) + q.Path + "?" + rest[:at]
+	}
+	if err != nil {
+		return g, err
+	}
+	if f.prefix == "" && c.From == token.InCookie {
+		return g, token.Reject(token.Malformed, "URLPrefix: missing")
+	}
+	at, err := strconv.ParseUint(f.expires, 10, 40)
+	if err != nil || strconv.FormatUint(at, 10) != f.expires {
+		return g, token.Reject(token.Malformed, "Expires: no date")
+	}
+	key, err := keys.Find(f.key)
+	if err != nil {
+		return g, err
+	}
+	signed := f.signed
+	if f.prefix == "" {
+		signed = whole + signed
+	}
+	if !token.Same(f.sum, mac(key.Shared, signed)) {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	g = token.Grant{Key: key.ID, ID: token.IDOf(signed), Until: float64(at)}
+	if f.prefix == "" { // the signature covers the URI with its query
+		g.Query = true
+		g.URIs, err = token.Compile(token.Pattern{Form: token.Exact, Text: q.URI(params...), Less: params})
+		return g, err
+	}
+	prefix, err := base64.URLEncoding.Strict().DecodeString(f.prefix)
+	if err != nil || !usable(string(prefix)) {
+		return g, token.Reject(token.Malformed, "URLPrefix: no prefix with scheme and host")
+	}
+	g.URIs, err = token.Compile(token.Pattern{Form: token.Prefix, Text: string(prefix)})
+	return g, err
+}
+
+// usable tells whether a prefix can be signed: a scheme and a whole host, no query and no fragment.
+func usable(prefix string) bool {
+	u, err := url.Parse(prefix)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" && strings.HasPrefix(u.Path, "/") &&
+		!strings.ContainsAny(prefix, "?#")
+}
+
+// Issue signs one URI, or a prefix of URIs: with a URI as its parameters, without one as the cookie's value.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	if t.Address != "" || t.From > 0 {
+		return out, fmt.Errorf("address and after: not with kind cloudcdn")
+	}
+	u, err := url.Parse(t.URI)
+	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	u.Host = strings.ToLower(u.Host)
+	sep, uri := "?", u.String()
+	if u.RawQuery != "" {
+		sep = "&"
+	}
+	ends := ParamExpires + "=" + strconv.FormatInt(int64(t.Until), 10)
+	name := ParamKey + "=" + k.ID
+	if t.Cover == "" {
+		signed := uri + sep + ends + "&" + name
+		return token.Issued{ID: token.IDOf(signed), URL: signed + "&" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
+	}
+	if !usable(t.Cover) {
+		return out, fmt.Errorf("cover: a prefix with scheme and host, without query")
+	}
+	prefix := ParamPrefix + "=" + base64.URLEncoding.EncodeToString([]byte(t.Cover))
+	if t.URI == "" {
+		signed := prefix + ":" + ends + ":" + name
+		return token.Issued{ID: token.IDOf(signed), Token: signed + ":" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
+	}
+	signed := prefix + "&" + ends + "&" + name
+	return token.Issued{ID: token.IDOf(signed), URL: uri + sep + signed + "&" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
+}
--- /dev/null
+++ b/token/cloudfront/cloudfront.go
@@ -0,0 +1,253 @@
+// Package cloudfront is the dialect of CloudFront's signed URLs and signed cookies, with canned and custom policies.
+package cloudfront
+
+import (
+	"bytes"
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/rand"
+	"crypto/rsa"
+	"crypto/sha1" //nolint:gosec // the specification's
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"turnfork.dev/turnfork/token"
+)
+
+// Names of the query's parameters; a cookie's is CookiePrefix and the name.
+const (
+	ParamExpires   = "Expires"
+	ParamPolicy    = "Policy"
+	ParamSignature = "Signature"
+	ParamKey       = "Key-Pair-Id"
+	CookiePrefix   = "CloudFront-"
+)
+
+var params = []string{ParamExpires, ParamPolicy, ParamSignature, ParamKey}
+
+const policyMost = 4 << 10
+
+// Algorithms, as a key's alg names them. The published one is RSA with SHA-1.
+const (
+	RS1   = "RS1"
+	RS256 = "RS256"
+	ES256 = "ES256"
+)
+
+// Dialect implements token.Dialect.
+type Dialect struct{}
+
+// Kind is "cloudfront".
+func (Dialect) Kind() token.Kind { return token.CloudFront }
+
+// Ready takes a key pair; the key's id is the Key-Pair-Id.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	switch k.Alg {
+	case "", RS1, RS256:
+		return k.Pair(token.RSA)
+	case ES256:
+		return k.Pair(token.P256)
+	}
+	return token.Material{}, fmt.Errorf("alg: %q does not go with kind cloudfront", k.Alg)
+}
+
+// Find gives the parameters of a signed URL, else the cookies.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	if id := q.Query.Get(ParamKey); id != "" {
+		return token.Carried{Text: id, Params: params}, true
+	}
+	id := q.CookieOf(CookiePrefix + ParamKey)
+	return token.Carried{Text: id, From: token.InCookie}, id != ""
+}
+
+// policy is the document that is signed.
+type policy struct {
+	Statement []statement
+}
+
+type statement struct {
+	Resource  string `json:",omitempty"`
+	Condition condition
+}
+
+type condition struct {
+	DateLessThan    *epoch  `json:",omitempty"`
+	DateGreaterThan *epoch  `json:",omitempty"`
+	IPAddress       *source `json:"IpAddress,omitempty"`
+}
+
+type epoch struct {
+	Time int64 `json:"AWS:EpochTime"`
+}
+
+type source struct {
+	IP string `json:"AWS:SourceIp"`
+}
+
+// encoding is base64 with the three characters replaced that a URL can't carry; one text has one spelling.
+var encoding = base64.NewEncoding("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-~").WithPadding('_').Strict()
+
+// canned is the policy that a URL without one stands for: byte for byte as published.
+func canned(resource, expires string) string {
+	return `{"Statement":[{"Resource":"` + resource + `","Condition":{"DateLessThan":{"AWS:EpochTime":` + expires + `}}}]}`
+}
+
+// Open authenticates a signed URL or signed cookies.
+func (Dialect) Open(q *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	get := q.Query.Get
+	if c.From == token.InCookie {
+		get = func(name string) string { return q.CookieOf(CookiePrefix + name) }
+	}
+	expires, text := get(ParamExpires), get(ParamPolicy)
+	if (expires == "") == (text == "") || len(text) > policyMost {
+		return g, token.Reject(token.Malformed, "either Expires or Policy, and not too long")
+	}
+	signed := []byte(nil)
+	uri := q.URI(c.Params...)
+	if text != "" {
+		if signed, err = encoding.DecodeString(text); err != nil {
+			return g, token.Reject(token.Malformed, "Policy: can't be read")
+		}
+	} else {
+		at, err := strconv.ParseUint(expires, 10, 40)
+		if err != nil || strconv.FormatUint(at, 10) != expires || strings.ContainsAny(uri, `"\`) {
+			return g, token.Reject(token.Malformed, "Expires: no date")
+		}
+		signed = []byte(canned(uri, expires))
+	}
+	key, err := keys.Find(c.Text)
+	if err != nil {
+		return g, err
+	}
+	sig, err := encoding.DecodeString(get(ParamSignature))
+	if err != nil {
+		return g, token.Reject(token.Malformed, "Signature: can't be read")
+	}
+	if !verify(key, signed, sig) {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	return grant(key.ID, signed, c.Params, text == "")
+}
+
+func digest(alg string, text []byte) (crypto.Hash, []byte) {
+	if alg == "" || alg == RS1 {
+		sum := sha1.Sum(text)
+		return crypto.SHA1, sum[:]
+	}
+	sum := sha256.Sum256(text)
+	return crypto.SHA256, sum[:]
+}
+
+func verify(k *token.Ready, text, sig []byte) bool {
+	hash, sum := digest(k.Alg, text)
+	switch pub := k.Verifier.(type) {
+	case *rsa.PublicKey:
+		return rsa.VerifyPKCS1v15(pub, hash, sum, sig) == nil
+	case *ecdsa.PublicKey:
+		return ecdsa.VerifyASN1(pub, sum, sig)
+	}
+	return false
+}
+
+// grant words an authentic policy. What of it is unknown is refused, as it might limit the grant.
+func grant(key string, text []byte, params []string, one bool) (g token.Grant, err error) {
+	var p policy
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil || len(p.Statement) != 1 {
+		return g, token.Reject(token.Malformed, "the policy can't be read, or has not one statement")
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return g, token.Reject(token.Malformed, "the policy goes on")
+	}
+	s := p.Statement[0]
+	if s.Condition.DateLessThan == nil {
+		return g, token.Reject(token.BadClaim, "DateLessThan: missing")
+	}
+	g = token.Grant{Key: key, ID: token.IDOf(string(text)), Until: float64(s.Condition.DateLessThan.Time)}
+	if s.Condition.DateGreaterThan != nil {
+		g.From = float64(s.Condition.DateGreaterThan.Time)
+	}
+	if from := s.Condition.IPAddress; from != nil && from.IP != "0.0.0.0/0" {
+		net, err := token.Net(from.IP)
+		if err != nil {
+			return g, err
+		}
+		g.Nets = []netip.Prefix{net}
+	}
+	resource := token.Pattern{Form: token.Glob, Text: s.Resource, Less: params}
+	if s.Resource == "" { // every URI
+		resource.Text = "*"
+	}
+	if one { // a URL without a policy names one URI, also where that holds a star
+		resource.Form = token.Exact
+	}
+	g.Query = one || !strings.ContainsAny(resource.Text, "*?")
+	g.URIs, err = token.Compile(resource)
+	return g, err
+}
+
+// Issue signs a URL with the canned policy, or with a custom one where the terms need it. The token, apart from a URL,
+// is the cookies, joined as in a Cookie header.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	u.Host = strings.ToLower(u.Host)
+	uri, expires := u.String(), strconv.FormatInt(int64(t.Until), 10)
+	if strings.ContainsAny(uri, `"\`) {
+		return out, fmt.Errorf("uri: can't stand in a policy")
+	}
+	signed, first := canned(uri, expires), token.Pair{Name: ParamExpires, Value: expires}
+	if t.Cover != "" || t.From > 0 || t.Address != "" {
+		s := statement{Resource: t.Cover, Condition: condition{DateLessThan: &epoch{int64(t.Until)}}}
+		if s.Resource == "" {
+			s.Resource = uri
+		}
+		if t.From > 0 {
+			s.Condition.DateGreaterThan = &epoch{int64(t.From)}
+		}
+		if t.Address != "" {
+			s.Condition.IPAddress = &source{t.Address}
+		}
+		var b bytes.Buffer
+		e := json.NewEncoder(&b)
+		e.SetEscapeHTML(false)
+		if err := e.Encode(policy{[]statement{s}}); err != nil {
+			return out, fmt.Errorf("cover: %w", err)
+		}
+		signed = strings.TrimSuffix(b.String(), "\n")
+		first = token.Pair{Name: ParamPolicy, Value: encoding.EncodeToString([]byte(signed))}
+	}
+	hash, sum := digest(k.Alg, []byte(signed))
+	sig, err := k.Signer.Sign(rand.Reader, sum, hash)
+	if err != nil {
+		return out, fmt.Errorf("token: %w", err)
+	}
+	parts := token.Query{first, {Name: ParamSignature, Value: encoding.EncodeToString(sig)}, {Name: ParamKey, Value: k.ID}}
+	out.ID = token.IDOf(signed)
+	for i, p := range parts {
+		if i > 0 {
+			out.Token += "; "
+		}
+		out.Token += CookiePrefix + p.Name + "=" + p.Value
+	}
+	if t.URI == "" {
+		return out, nil
+	}
+	sep := "?"
+	if u.RawQuery != "" {
+		sep = "&"
+	}
+	out.URL = uri + sep + parts.String()
+	return out, nil
+}
--- /dev/null
+++ b/token/presign/presign.go
@@ -0,0 +1,203 @@
+// Package presign is the dialect of URLs signed in the query with AWS Signature Version 4.
+package presign
+
+import (
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"turnfork.dev/turnfork/internal/sigv4"
+	"turnfork.dev/turnfork/token"
+)
+
+// Names of the query's parameters.
+const (
+	ParamAlgorithm  = "X-Amz-Algorithm"
+	ParamCredential = "X-Amz-Credential"
+	ParamDate       = "X-Amz-Date"
+	ParamExpires    = "X-Amz-Expires"
+	ParamHeaders    = "X-Amz-SignedHeaders"
+	ParamPayload    = "X-Amz-Content-Sha256"
+	ParamSignature  = "X-Amz-Signature"
+)
+
+var params = []string{ParamAlgorithm, ParamCredential, ParamDate, ParamExpires, ParamHeaders, ParamPayload, ParamSignature}
+
+const (
+	longest     = 7 * 24 * 3600 // s
+	headersMost = 16
+)
+
+// Dialect implements token.Dialect.
+type Dialect struct{}
+
+// Kind is "presign".
+func (Dialect) Kind() token.Kind { return token.Presign }
+
+// Ready takes the secret key as it is written; the key's id is the access key.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	switch {
+	case len(k.Secret) < 16:
+		return token.Material{}, fmt.Errorf("secret: %d characters, 16 at least", len(k.Secret))
+	case !token.Canonical("/" + k.Region):
+		return token.Material{}, fmt.Errorf("region: %q is none", k.Region)
+	case !token.Canonical("/" + k.Service):
+		return token.Material{}, fmt.Errorf("service: %q is none", k.Service)
+	case k.Alg != "":
+		return token.Material{}, fmt.Errorf("alg: %q does not go with kind presign", k.Alg)
+	case strings.Contains(k.ID, "/"):
+		return token.Material{}, fmt.Errorf("id: no slash in an access key")
+	}
+	return token.Material{Shared: []byte(k.Secret), Signs: true}, nil
+}
+
+// Find gives the signature of a presigned URL.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	text := q.Query.Get(ParamSignature)
+	return token.Carried{Text: text, Params: params}, text != ""
+}
+
+// Open authenticates a presigned URL.
+func (Dialect) Open(q *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	date, lasts, err := terms(q)
+	if err != nil {
+		return g, err
+	}
+	id, scope, _ := strings.Cut(q.Query.Get(ParamCredential), "/")
+	key, err := keys.Find(id)
+	if err != nil {
+		return g, err
+	}
+	stamp := q.Query.Get(ParamDate)
+	if scope != sigv4.Scope(stamp, key.Region, key.Service) {
+		return g, token.Reject(token.BadClaim, "X-Amz-Credential: another date, region or service")
+	}
+	headers, err := headersOf(q)
+	if err != nil {
+		return g, err
+	}
+	canonical := sigv4.Canonical(q.Method, q.Path, query(q.Query.Without(ParamSignature)), headers, q.Query.Get(ParamHeaders),
+		sigv4.UnsignedPayload)
+	if !token.Same(c.Text, sigv4.Sign(string(key.Shared), stamp, key.Region, key.Service, canonical)) {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	at := float64(date.Unix())
+	return token.Grant{
+		Key: key.ID, ID: token.IDOf(stamp + "\n" + canonical), Issued: at, Until: at + float64(lasts), Query: true,
+		Methods: []string{q.Method}, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, Path: true}},
+	}, nil
+}
+
+// terms reads what a presigned URL says of itself, in the one spelling.
+func terms(q *token.Request) (date time.Time, lasts uint64, err error) {
+	malformed := func(text string) error { return token.Reject(token.Malformed, text) }
+	for item := range strings.SplitSeq(q.RawQuery, "&") {
+		name, value, ok := strings.Cut(item, "=")
+		plain, err := url.PathUnescape(value)
+		if !ok || err != nil || item != sigv4.Escape(name, false)+"="+sigv4.Escape(plain, false) {
+			return date, 0, malformed("the query is not in canonical form")
+		}
+	}
+	for _, p := range q.Query { // one that is not known might limit the grant
+		if strings.HasPrefix(p.Name, "X-Amz-") && !known(p.Name) {
+			return date, 0, token.Reject(token.BadClaim, "a parameter of the signature is not understood")
+		}
+	}
+	if q.Query.Get(ParamAlgorithm) != sigv4.Algorithm {
+		return date, 0, malformed("X-Amz-Algorithm: another one")
+	}
+	if p := q.Query.Get(ParamPayload); p != "" && p != sigv4.UnsignedPayload {
+		return date, 0, token.Reject(token.BadClaim, "X-Amz-Content-Sha256: only UNSIGNED-PAYLOAD")
+	}
+	if date, err = time.Parse(sigv4.Time, q.Query.Get(ParamDate)); err != nil {
+		return date, 0, malformed("X-Amz-Date: no date")
+	}
+	expires := q.Query.Get(ParamExpires)
+	lasts, err = strconv.ParseUint(expires, 10, 32)
+	if err != nil || lasts == 0 || lasts > longest || strconv.FormatUint(lasts, 10) != expires {
+		return date, 0, malformed("X-Amz-Expires: 1 second to 7 days")
+	}
+	return date, lasts, nil
+}
+
+func known(name string) bool {
+	for _, p := range params {
+		if p == name {
+			return true
+		}
+	}
+	return false
+}
+
+// headersOf gives the canonical lines of the signed headers; host must be one of them.
+func headersOf(q *token.Request) (string, error) {
+	names := strings.Split(q.Query.Get(ParamHeaders), ";")
+	if len(names) > headersMost || !sort.StringsAreSorted(names) {
+		return "", token.Reject(token.Malformed, "X-Amz-SignedHeaders: too many, or not sorted")
+	}
+	var b strings.Builder
+	host := false
+	for i, n := range names {
+		value := strings.ToLower(q.Host)
+		if n != "host" {
+			value = strings.Join(strings.Fields(q.HeaderOf(n)), " ")
+		}
+		if n == "" || n != strings.ToLower(n) || i > 0 && names[i-1] == n {
+			return "", token.Reject(token.Malformed, "X-Amz-SignedHeaders: can't be read")
+		}
+		host = host || n == "host"
+		b.WriteString(n + ":" + value + "\n")
+	}
+	if !host {
+		return "", token.Reject(token.BadClaim, "X-Amz-SignedHeaders: host is missing")
+	}
+	return b.String(), nil
+}
+
+func query(q token.Query) string {
+	var pairs [][2]string
+	for _, p := range q {
+		pairs = append(pairs, [2]string{p.Name, p.Value})
+	}
+	return sigv4.Query(pairs)
+}
+
+// Issue signs one URI for one method, with host as the only signed header.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	switch {
+	case err != nil || u.Scheme == "" || u.Host == "":
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	case t.Cover != "" || t.Address != "":
+		return out, fmt.Errorf("cover and address: not with kind presign")
+	case t.From > 0:
+		return out, fmt.Errorf("after: not with kind presign")
+	}
+	rest, err := token.ParseQuery(u.RawQuery)
+	if err != nil {
+		return out, fmt.Errorf("uri: %w", err)
+	}
+	at := time.Unix(int64(t.Now), 0).UTC()
+	lasts := int64(t.Until) - at.Unix()
+	if lasts < 1 || lasts > longest {
+		return out, fmt.Errorf("seconds: 7 days at most with kind presign")
+	}
+	method, stamp := t.Method, at.Format(sigv4.Time)
+	if method == "" {
+		method = "GET"
+	}
+	u.Host = strings.ToLower(u.Host)
+	q := append(rest,
+		token.Pair{Name: ParamAlgorithm, Value: sigv4.Algorithm},
+		token.Pair{Name: ParamCredential, Value: k.ID + "/" + sigv4.Scope(stamp, k.Region, k.Service)},
+		token.Pair{Name: ParamDate, Value: stamp},
+		token.Pair{Name: ParamExpires, Value: strconv.FormatInt(lasts, 10)},
+		token.Pair{Name: ParamHeaders, Value: "host"})
+	canonical := sigv4.Canonical(method, u.Path, query(q), "host:"+u.Host+"\n", "host", sigv4.UnsignedPayload)
+	sum := sigv4.Sign(string(k.Shared), stamp, k.Region, k.Service, canonical)
+	u.RawQuery = query(q) + "&" + ParamSignature + "=" + sum
+	return token.Issued{ID: token.IDOf(stamp + "\n" + canonical), URL: u.String()}, nil
+}
--- a/token/ring/ring.go
+++ b/token/ring/ring.go
@@ -7,13 +7,16 @@
 	"net/url"
 
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/cloudcdn"
+	"turnfork.dev/turnfork/token/cloudfront"
 	"turnfork.dev/turnfork/token/edgeauth"
 	"turnfork.dev/turnfork/token/hmacurl"
 	"turnfork.dev/turnfork/token/jws"
+	"turnfork.dev/turnfork/token/presign"
 )
 
 // dialects in the order in which they are looked for.
-var dialects = []token.Dialect{jws.Dialect{}, hmacurl.Dialect{}, edgeauth.Dialect{}}
+var dialects = []token.Dialect{jws.Dialect{}, hmacurl.Dialect{}, edgeauth.Dialect{}, cloudfront.Dialect{}, cloudcdn.Dialect{}, presign.Dialect{}}
 
 // Kinds names the dialects.
 func Kinds() (out []token.Kind) {
--- a/upstream/web/sigv4.go
+++ b/upstream/web/sigv4.go
@@ -1,14 +1,12 @@
 package web
 
 import (
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
-	"net/url"
 	"sort"
 	"strings"
 	"time"
+
+	"turnfork.dev/turnfork/internal/sigv4"
 )
 
 // Signer signs requests to a store with AWS Signature Version 4.
@@ -19,16 +17,11 @@
 	Service   string `toml:"service"`
 }
 
-const (
-	sigAlgorithm = "AWS4-HMAC-SHA256"
-	sigTime      = "20060102T150405Z"
-)
-
 // Sign adds the date and the Authorization header to a request whose body has the given bytes. All
 // headers that the request has by then are signed. S3 wants the body's digest as a header too.
 func (s Signer) Sign(r *http.Request, body []byte, now time.Time) {
-	stamp := now.UTC().Format(sigTime)
-	digest := hexSum(body)
+	stamp := now.UTC().Format(sigv4.Time)
+	digest := sigv4.HexSum(body)
 	r.Header.Set("X-Amz-Date", stamp)
 	if s.Service == "s3" {
 		r.Header.Set("X-Amz-Content-Sha256", digest)
@@ -58,55 +51,15 @@
 		path = "/"
 	}
 	if s.Service != "s3" { // all services but S3 encode the path a second time
-		path = awsEscape(path, true)
-	}
-	canonical := strings.Join([]string{
-		r.Method, path, canonicalQuery(r.URL.Query()), headers.String(), signed, digest,
-	}, "\n")
-	scope := strings.Join([]string{stamp[:8], s.Region, s.Service, "aws4_request"}, "/")
-	text := strings.Join([]string{sigAlgorithm, stamp, scope, hexSum([]byte(canonical))}, "\n")
-	key := []byte("AWS4" + s.SecretKey)
-	for _, part := range []string{stamp[:8], s.Region, s.Service, "aws4_request"} {
-		key = hmacSum(key, part)
+		path = sigv4.Escape(path, true)
 	}
-	r.Header.Set("Authorization", sigAlgorithm+" Credential="+s.AccessKey+"/"+scope+", SignedHeaders="+signed+
-		", Signature="+hex.EncodeToString(hmacSum(key, text)))
-}
-
-func canonicalQuery(q url.Values) string {
-	var pairs []string
-	for name, list := range q {
+	var query [][2]string
+	for name, list := range r.URL.Query() {
 		for _, v := range list {
-			pairs = append(pairs, awsEscape(name, false)+"="+awsEscape(v, false))
-		}
-	}
-	sort.Strings(pairs)
-	return strings.Join(pairs, "&")
-}
-
-func awsEscape(s string, slashes bool) string {
-	const digits = "0123456789ABCDEF"
-	var b strings.Builder
-	for _, c := range []byte(s) {
-		if c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("-._~", c) >= 0 ||
-			slashes && c == '/' {
-			b.WriteByte(c)
-		} else {
-			b.WriteByte('%')
-			b.WriteByte(digits[c>>4])
-			b.WriteByte(digits[c&15])
+			query = append(query, [2]string{name, v})
 		}
 	}
-	return b.String()
-}
-
-func hexSum(b []byte) string {
-	sum := sha256.Sum256(b)
-	return hex.EncodeToString(sum[:])
-}
-
-func hmacSum(key []byte, text string) []byte {
-	m := hmac.New(sha256.New, key)
-	m.Write([]byte(text))
-	return m.Sum(nil)
+	canonical := sigv4.Canonical(r.Method, path, sigv4.Query(query), headers.String(), signed, digest)
+	r.Header.Set("Authorization", sigv4.Algorithm+" Credential="+s.AccessKey+"/"+sigv4.Scope(stamp, s.Region, s.Service)+
+		", SignedHeaders="+signed+", Signature="+sigv4.Sign(s.SecretKey, stamp, s.Region, s.Service, canonical))
 }
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -14,6 +14,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/sigv4"
 )
 
 // The examples that are published with the specification: get-vanilla of its test suite, and S3's GET
@@ -43,7 +44,7 @@
 		if x.rng != "" {
 			r.Header.Set("Range", x.rng)
 		}
-		at, err := time.Parse(sigTime, x.when)
+		at, err := time.Parse(sigv4.Time, x.when)
 		if err != nil {
 			t.Fatal(err)
 		}
