Take Common Access Tokens, and the rest of RFC 9246's claims

Change: dialect cat (CWT in COSE_Mac0 or Sign1; CBOR by fxamacker/cbor, indefinite lengths, doubled keys and deep nesting refused; catu, catm, catnip, cath, catreplay, catr). Grants gained parts of a URI that must all match, headers, one use for reads too, and renewal by header. jws opens cdniip under a key of its own, holds cdnicrit to its rules and refuses a transport that is not registered (2, taken before).

Not done: redirects that carry a package on; the gateway answers with none.

--- a/config/operator.go
+++ b/config/operator.go
@@ -100,6 +100,7 @@
 type KeyEntry struct {
 	token.Key
 	SecretFile  string `toml:"secret_file"`
+	IPFile      string `toml:"ip_secret_file"`
 	PublicFile  string `toml:"public_file"`
 	PrivateFile string `toml:"private_file"`
 }
@@ -251,7 +252,7 @@
 		for _, f := range []struct {
 			name, path string
 			into       *string
-		}{{"secret", k.SecretFile, &k.Secret}, {"public", k.PublicFile, &k.Public}, {"private", k.PrivateFile, &k.Private}} {
+		}{{"secret", k.SecretFile, &k.Secret}, {"ip_secret", k.IPFile, &k.IPSecret}, {"public", k.PublicFile, &k.Public}, {"private", k.PrivateFile, &k.Private}} {
 			if err := o.file(where+f.name, f.into, f.path); err != nil {
 				return err
 			}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -428,7 +428,7 @@
 	}
 	// Validity was judged above, once; this only keeps new attempts from starting too late.
 	ask.NotAfter = grant.Until*1000 + f.policy.Load().LeewayMs
-	if class.Write && !c.claim(s, ask.Left) {
+	if (class.Write || grant.Uses == 1) && !c.claim(s, ask.Left) {
 		return
 	}
 	c.mu.Lock()
@@ -513,9 +513,11 @@
 	}
 	// Guards against a package that outlives its revocation, which counts as long as a token may last.
 	next := s.grant.Renewal
-	lasts := float64(next.Seconds) <= f.policy.Load().TokenSeconds
-	if next.Cookie && next.Seconds > 0 && lasts && (a.Verdict == core.Served || a.Verdict == core.Same) {
-		if name, text, err := f.ring.Load().Renewed(&s.grant, f.opt.Clock.Unix()/1000); err == nil {
+	lasts, now := float64(next.Seconds) <= f.policy.Load().TokenSeconds, f.opt.Clock.Unix()/1000
+	if lasts && s.grant.Renews(now) && (a.Verdict == core.Served || a.Verdict == core.Same) {
+		if name, text, err := f.ring.Load().Renewed(&s.grant, now); err == nil && next.Header {
+			head += name + ": " + text + "\r\n"
+		} else if err == nil {
 			head += "Set-Cookie: " + name + "=" + text + "; Path=" + cookiePath(s.msg.Path, next.Depth) +
 				"; Max-Age=" + strconv.Itoa(next.Seconds) + "; HttpOnly\r\n"
 		}
--- a/pcapio/write.go
+++ b/pcapio/write.go
@@ -176,6 +176,11 @@
 
 // secrets are what comes before a value that is not written, with the bytes that end the value.
 var secrets = []struct{ lead, ends string }{
+	{"?cat=", " &;\r\n\""},
+	{"&cat=", " &;\r\n\""},
+	{"access-token:", "\r\n"},
+	{`"ip_secret":`, ",}"},
+	{`"salt":`, ",}"},
 	{"hmac=", "& \r\n;\""},
 	{"hmac%3d", "& \r\n;\""},
 	{"urisigningpackage=", " &;\r\n\""},
--- /dev/null
+++ b/token/cat/cat.go
@@ -0,0 +1,640 @@
+// Package cat is the dialect of the Common Access Token (CTA-5007): a CWT (RFC 8392) in a COSE_Mac0 or COSE_Sign1
+// (RFC 9052), in the query, a header or a cookie.
+package cat
+
+import (
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/asn1"
+	"encoding/base64"
+	"fmt"
+	"math/big"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"turnfork.dev/turnfork/token"
+)
+
+// Where a token stands.
+const (
+	Param  = "CAT" // in the query, and the cookie's name
+	Header = "CTA-Common-Access-Token"
+)
+
+// COSE's tags, headers and algorithms, and the tags of CWT and of addresses (RFC 9164).
+const (
+	tagMac0  = 17
+	tagSign1 = 18
+	tagCWT   = 61
+	tagIPv4  = 52
+	tagIPv6  = 54
+	headAlg  = 1
+	headKey  = 4
+	algHS256 = 5
+	algES256 = -7
+	algEdDSA = -8
+)
+
+// Claims, by the number that IANA's registry of CWT claims gives them.
+const (
+	claimIss    = 1
+	claimSub    = 2
+	claimAud    = 3
+	claimExp    = 4
+	claimNbf    = 5
+	claimIat    = 6
+	claimCti    = 7
+	claimReplay = 308
+	claimV      = 310
+	claimNip    = 311
+	claimU      = 312
+	claimM      = 313
+	claimH      = 315
+	claimR      = 323
+	claimsFrom  = 308 // those of CTA-5007: one that is not known here may limit the token
+	claimsTo    = 323
+)
+
+const (
+	textMost = 8 << 10
+	listMost = 32
+)
+
+var algs = map[string]int64{"HS256": algHS256, "ES256": algES256, "EdDSA": algEdDSA}
+
+var (
+	decoding = must(cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 64, MaxMapPairs: 64,
+		IndefLength: cbor.IndefLengthForbidden, IntDec: cbor.IntDecConvertSigned,
+	}.DecMode())
+	encoding = must(cbor.CoreDetEncOptions().EncMode())
+	text64   = base64.RawURLEncoding.Strict()
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Dialect implements token.Dialect and token.Renewer.
+type Dialect struct{}
+
+// Kind is "cat".
+func (Dialect) Kind() token.Kind { return token.CAT }
+
+// Ready takes a secret of 32 bytes for HS256, a key pair for ES256 and EdDSA.
+func (Dialect) Ready(k token.Key) (token.Material, error) {
+	switch k.Alg {
+	case "HS256":
+		secret, err := k.Base64()
+		return token.Material{Shared: secret, Signs: true}, err
+	case "ES256":
+		return k.Pair(token.P256)
+	case "EdDSA":
+		return k.Pair(token.Ed25519)
+	}
+	return token.Material{}, fmt.Errorf("alg: %q does not go with kind cat", k.Alg)
+}
+
+// Find gives the token of the query, else of the header, else of the cookie.
+func (Dialect) Find(q *token.Request, _ []*token.Ready) (token.Carried, bool) {
+	if t := q.Query.Get(Param); t != "" {
+		return token.Carried{Text: t, Params: []string{Param}}, true
+	}
+	if t := q.HeaderOf(Header); t != "" {
+		return token.Carried{Text: t, From: token.InHeader}, true
+	}
+	t := q.CookieOf(Param)
+	return token.Carried{Text: t, From: token.InCookie}, t != ""
+}
+
+// message is a COSE_Mac0 or COSE_Sign1.
+type message struct {
+	_           struct{} `cbor:",toarray"`
+	Protected   []byte
+	Unprotected map[int64]any
+	Payload     []byte
+	Sum         []byte
+}
+
+// open takes a token apart: with the tag of CWT or without.
+func open(text string) (tag uint64, m message, err error) {
+	raw, err := text64.DecodeString(text)
+	if err != nil {
+		return 0, m, err
+	}
+	var outer cbor.RawTag
+	if err := decoding.Unmarshal(raw, &outer); err != nil {
+		return 0, m, err
+	}
+	if outer.Number == tagCWT {
+		inner := outer.Content
+		outer = cbor.RawTag{}
+		if err := decoding.Unmarshal(inner, &outer); err != nil {
+			return 0, m, err
+		}
+	}
+	return outer.Number, m, decoding.Unmarshal(outer.Content, &m)
+}
+
+// Open authenticates a token.
+func (Dialect) Open(_ *token.Request, c token.Carried, keys token.Keys) (g token.Grant, err error) {
+	if len(c.Text) > textMost {
+		return g, token.Reject(token.Malformed, "the token is too long")
+	}
+	tag, m, err := open(c.Text)
+	if err != nil {
+		return g, token.Reject(token.Malformed, "no CWT")
+	}
+	var protected map[int64]any
+	if err := decoding.Unmarshal(m.Protected, &protected); err != nil {
+		return g, token.Reject(token.Malformed, "no protected header")
+	}
+	for name := range protected {
+		if name != headKey && name != headAlg {
+			return g, token.Reject(token.BadClaim, "a header that is not understood")
+		}
+	}
+	for name := range m.Unprotected { // nobody vouches for these
+		if name != headKey {
+			return g, token.Reject(token.BadClaim, "a header that is not understood")
+		}
+	}
+	id, ok := protected[headKey].([]byte)
+	if !ok {
+		id, _ = m.Unprotected[headKey].([]byte)
+	}
+	key, err := keys.Find(string(id))
+	if err != nil {
+		return g, err
+	}
+	want := uint64(tagSign1)
+	if key.Alg == "HS256" {
+		want = tagMac0
+	}
+	if alg, _ := protected[headAlg].(int64); alg != algs[key.Alg] || tag != want {
+		return g, token.Reject(token.BadSignature, "the algorithm is not the key's")
+	}
+	if !verify(key, &m) {
+		return g, token.Reject(token.BadSignature, "the signature is wrong")
+	}
+	var claims map[int64]any
+	if err := decoding.Unmarshal(m.Payload, &claims); err != nil {
+		return g, token.Reject(token.Malformed, "the claims can't be read")
+	}
+	r := reader{claims: claims}
+	g = r.grant(key, c.Params)
+	g.Native = claims
+	if g.ID == "" {
+		g.ID = token.IDOf(string(m.Payload))
+	}
+	return g, r.err
+}
+
+// toSign is the MAC_structure or Sig_structure (RFC 9052, 4.4 and 6.3).
+func toSign(context string, m *message) []byte {
+	return must(encoding.Marshal([]any{context, m.Protected, []byte{}, m.Payload}))
+}
+
+func verify(k *token.Ready, m *message) bool {
+	switch pub := k.Verifier.(type) {
+	case *ecdsa.PublicKey:
+		if len(m.Sum) != 64 {
+			return false
+		}
+		sum := sha256.Sum256(toSign("Signature1", m))
+		return ecdsa.Verify(pub, sum[:], new(big.Int).SetBytes(m.Sum[:32]), new(big.Int).SetBytes(m.Sum[32:]))
+	case ed25519.PublicKey:
+		return ed25519.Verify(pub, toSign("Signature1", m), m.Sum)
+	}
+	return hmac.Equal(m.Sum, mac(k.Shared, m))
+}
+
+func mac(secret []byte, m *message) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write(toSign("MAC0", m))
+	return h.Sum(nil)
+}
+
+// sign signs claims with a key.
+func sign(k *token.Ready, claims map[int64]any) (string, error) {
+	payload, err := encoding.Marshal(claims)
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	protected := must(encoding.Marshal(map[int64]any{headAlg: algs[k.Alg]}))
+	m := message{Protected: protected, Unprotected: map[int64]any{headKey: []byte(k.ID)}, Payload: payload}
+	tag := uint64(tagSign1)
+	switch k.Alg {
+	case "HS256":
+		tag, m.Sum = tagMac0, mac(k.Shared, &m)
+	case "ES256":
+		sum := sha256.Sum256(toSign("Signature1", &m))
+		der, err := k.Signer.Sign(rand.Reader, sum[:], crypto.SHA256)
+		if err != nil {
+			return "", fmt.Errorf("token: %w", err)
+		}
+		var rs struct{ R, S *big.Int }
+		if _, err := asn1.Unmarshal(der, &rs); err != nil {
+			return "", fmt.Errorf("token: %w", err)
+		}
+		m.Sum = make([]byte, 64)
+		rs.R.FillBytes(m.Sum[:32])
+		rs.S.FillBytes(m.Sum[32:])
+	default:
+		if m.Sum, err = k.Signer.Sign(rand.Reader, toSign("Signature1", &m), crypto.Hash(0)); err != nil {
+			return "", fmt.Errorf("token: %w", err)
+		}
+	}
+	raw, err := encoding.Marshal(cbor.Tag{Number: tagCWT, Content: cbor.Tag{Number: tag, Content: m}})
+	if err != nil {
+		return "", fmt.Errorf("token: %w", err)
+	}
+	return text64.EncodeToString(raw), nil
+}
+
+// Issue signs a token for one URI, or for the URIs whose path begins with what the terms cover.
+func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
+	u, err := url.Parse(t.URI)
+	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
+		return out, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	u.Host = strings.ToLower(u.Host)
+	c := map[int64]any{claimExp: int64(t.Until), claimV: int64(1)}
+	if t.Cover != "" {
+		c[claimU] = map[int64]any{partPath: map[int64]any{matchPrefix: t.Cover}}
+	} else {
+		c[claimU] = map[int64]any{
+			partScheme: map[int64]any{matchExact: u.Scheme}, partHost: map[int64]any{matchExact: u.Hostname()},
+			partPath: map[int64]any{matchExact: u.Path}, partQuery: map[int64]any{matchExact: u.RawQuery},
+		}
+	}
+	if k.Issuer != "" {
+		c[claimIss] = k.Issuer
+	}
+	if k.Audience != "" {
+		c[claimAud] = k.Audience
+	}
+	if t.Now > 0 {
+		c[claimIat] = int64(t.Now)
+	}
+	if t.From > 0 {
+		c[claimNbf] = int64(t.From)
+	}
+	if t.Method != "" {
+		c[claimM] = []any{t.Method}
+	}
+	if t.Single {
+		c[claimCti] = []byte(t.ID)
+		c[claimReplay] = int64(1)
+		out.ID = t.ID
+	}
+	if t.Address != "" {
+		net, err := token.Net(t.Address)
+		if err != nil {
+			return out, fmt.Errorf("address: %w", err)
+		}
+		c[claimNip] = []any{addressTag(net)}
+	}
+	if t.Renew > 0 {
+		c[claimR] = map[int64]any{renewType: int64(1), renewAdd: int64(t.Renew), renewCookie: Param}
+	}
+	if out.Token, err = sign(k, c); err != nil {
+		return out, err
+	}
+	if out.ID == "" {
+		payload, err := encoding.Marshal(c)
+		if err != nil {
+			return out, fmt.Errorf("token: %w", err)
+		}
+		out.ID = token.IDOf(string(payload))
+	}
+	if t.URI == "" {
+		return out, nil
+	}
+	sep := "?"
+	if u.RawQuery != "" {
+		sep = "&"
+	}
+	out.URL = u.String() + sep + Param + "=" + out.Token
+	return out, nil
+}
+
+// Renew gives the token that follows one with catr: the same claims, from now on.
+func (Dialect) Renew(k *token.Ready, g *token.Grant, now float64) (name, text string, err error) {
+	old, ok := g.Native.(map[int64]any)
+	if !ok {
+		return "", "", fmt.Errorf("token: no claims")
+	}
+	c := map[int64]any{}
+	for n, v := range old {
+		c[n] = v
+	}
+	c[claimExp], c[claimIat] = int64(now)+int64(g.Renewal.Seconds), int64(now)
+	delete(c, claimNbf)
+	name = Param
+	if g.Renewal.Header {
+		name = Header
+	}
+	text, err = sign(k, c)
+	return name, text, err
+}
+
+// Parts of a URI, forms of a match, and what catr says, by number.
+const (
+	partScheme = 0
+	partHost   = 1
+	partPath   = 3
+	partQuery  = 4
+
+	matchExact  = 0
+	matchPrefix = 1
+	matchRegex  = 4
+
+	renewType   = 0
+	renewAdd    = 1
+	renewBefore = 2
+	renewCookie = 3
+	renewHeader = 4
+)
+
+var parts = []token.Part{
+	token.OnScheme, token.OnHost, token.OnPort, token.OnPath, token.OnQuery, token.OnParent, token.OnFile, token.OnStem, token.OnExtension,
+}
+
+var forms = map[int64]token.Form{
+	matchExact: token.Exact, matchPrefix: token.Prefix, 2: token.Suffix, 3: token.Contains, matchRegex: token.Posix,
+	-1: token.Sum256, -2: token.Sum512,
+}
+
+// reader words claims as a grant; it keeps the first error.
+type reader struct {
+	claims map[int64]any
+	err    error
+}
+
+func (r *reader) fail(why token.Why, text string) {
+	if r.err == nil {
+		r.err = token.Reject(why, text)
+	}
+}
+
+func (r *reader) grant(key *token.Ready, params []string) token.Grant {
+	known := []int64{claimReplay, claimV, claimNip, claimU, claimM, claimH, claimR}
+	for n := range r.claims {
+		if n >= claimsFrom && n <= claimsTo && !slices.Contains(known, n) {
+			r.fail(token.BadClaim, "a claim that is not understood")
+		}
+	}
+	if v, there := r.claims[claimV]; there && v != int64(1) {
+		r.fail(token.BadClaim, "catv: unknown version")
+	}
+	g := token.Grant{Key: key.ID, URIs: []token.Pattern{{Form: token.Glob, Text: "*"}}}
+	g.Subject, _ = r.claims[claimSub].(string)
+	if iss, _ := r.claims[claimIss].(string); key.Issuer != "" && iss != key.Issuer {
+		r.fail(token.BadClaim, "iss: not the key's issuer")
+	}
+	if aud := r.texts(claimAud); (len(aud) > 0 || key.Audience != "") && (key.Audience == "" || !slices.Contains(aud, key.Audience)) {
+		r.fail(token.BadClaim, "aud: not for this gateway")
+	}
+	if id, there := r.claims[claimCti]; there {
+		b, ok := id.([]byte)
+		if g.ID = string(b); !ok || len(b) == 0 || len(b) > token.IDMost {
+			r.fail(token.Malformed, "cti: no id")
+		}
+	}
+	g.Until, g.From, g.Issued = r.date(claimExp), r.date(claimNbf), r.date(claimIat)
+	switch replay, there := r.claims[claimReplay]; {
+	case !there, replay == int64(0), replay == int64(2): // 2 asks to look out for reuse, not to refuse it
+	case replay == int64(1):
+		g.Uses = 1
+	default:
+		r.fail(token.BadClaim, "catreplay: unknown")
+	}
+	g.Methods = r.texts(claimM)
+	if _, there := r.claims[claimM]; there && len(g.Methods) == 0 {
+		r.fail(token.BadClaim, "catm: no method")
+	}
+	r.nets(&g)
+	r.uris(&g, params)
+	r.headers(&g)
+	r.renewal(&g)
+	return g
+}
+
+// date reads a NumericDate; 0 where there is none.
+func (r *reader) date(claim int64) float64 {
+	switch v := r.claims[claim].(type) {
+	case nil:
+		return 0
+	case int64:
+		return float64(v)
+	case float64:
+		return v
+	}
+	r.fail(token.Malformed, "a date that is none")
+	return 0
+}
+
+// texts reads a text or a list of texts.
+func (r *reader) texts(claim int64) (out []string) {
+	switch v := r.claims[claim].(type) {
+	case nil:
+	case string:
+		out = []string{v}
+	case []any:
+		for _, x := range v {
+			s, ok := x.(string)
+			if !ok {
+				r.fail(token.Malformed, "a list with something else than texts")
+			}
+			out = append(out, s)
+		}
+	default:
+		r.fail(token.Malformed, "no text and no list")
+	}
+	return out
+}
+
+// nets reads catnip: addresses and prefixes (RFC 9164). A number of an autonomous system can't be judged here.
+func (r *reader) nets(g *token.Grant) {
+	v, there := r.claims[claimNip]
+	if !there {
+		return
+	}
+	list, ok := v.([]any)
+	if !ok || len(list) == 0 || len(list) > listMost {
+		r.fail(token.Malformed, "catnip: no list")
+		return
+	}
+	for _, x := range list {
+		tag, ok := x.(cbor.Tag)
+		net, good := address(tag)
+		if !ok || !good {
+			r.fail(token.BadClaim, "catnip: no address")
+			return
+		}
+		g.Nets = append(g.Nets, net)
+	}
+}
+
+// address reads an address, or a prefix as [length, bytes] with the zeros at its end left out.
+func address(t cbor.Tag) (p netip.Prefix, ok bool) {
+	size := map[uint64]int{tagIPv4: 4, tagIPv6: 16}[t.Number]
+	switch v := t.Content.(type) {
+	case []byte:
+		a, ok := netip.AddrFromSlice(v)
+		return netip.PrefixFrom(a, size*8), ok && len(v) == size
+	case []any:
+		if len(v) != 2 {
+			return p, false
+		}
+		bits, ok1 := v[0].(int64)
+		head, ok2 := v[1].([]byte)
+		if !ok1 || !ok2 || size == 0 || len(head) > size || bits < 0 || bits > int64(size)*8 {
+			return p, false
+		}
+		a, _ := netip.AddrFromSlice(append(slices.Clone(head), make([]byte, size-len(head))...))
+		p = netip.PrefixFrom(a, int(bits))
+		return p, p == p.Masked()
+	}
+	return p, false
+}
+
+func addressTag(p netip.Prefix) cbor.Tag {
+	tag := uint64(tagIPv4)
+	if p.Addr().Is6() {
+		tag = tagIPv6
+	}
+	raw := p.Addr().AsSlice()
+	if p.IsSingleIP() {
+		return cbor.Tag{Number: tag, Content: raw}
+	}
+	for len(raw) > 0 && raw[len(raw)-1] == 0 {
+		raw = raw[:len(raw)-1]
+	}
+	return cbor.Tag{Number: tag, Content: []any{int64(p.Bits()), raw}}
+}
+
+// uris reads catu: all that it says of a URI's parts must hold.
+func (r *reader) uris(g *token.Grant, params []string) {
+	v, there := r.claims[claimU]
+	if !there {
+		return
+	}
+	whole, ok := v.(map[any]any)
+	if !ok || len(whole) == 0 {
+		r.fail(token.Malformed, "catu: no map")
+		return
+	}
+	for n, m := range whole {
+		at, ok := n.(int64)
+		if !ok || at < 0 || int(at) >= len(parts) {
+			r.fail(token.BadClaim, "catu: a part that is not understood")
+			return
+		}
+		for _, p := range r.matches(m) {
+			p.On, p.Less = parts[at], params
+			g.Query = g.Query || p.On == token.OnQuery && p.Form == token.Exact
+			g.Also = append(g.Also, p)
+		}
+	}
+}
+
+func (r *reader) headers(g *token.Grant) {
+	v, there := r.claims[claimH]
+	if !there {
+		return
+	}
+	all, ok := v.(map[any]any)
+	if !ok || len(all) > listMost {
+		r.fail(token.Malformed, "cath: no map")
+		return
+	}
+	for n, m := range all {
+		name, ok := n.(string)
+		if !ok {
+			r.fail(token.Malformed, "cath: no name")
+			return
+		}
+		for _, p := range r.matches(m) {
+			g.Headers = append(g.Headers, token.HeaderTerm{Name: name, Pattern: p})
+		}
+	}
+}
+
+// matches reads what a text must be like.
+func (r *reader) matches(v any) (out []token.Pattern) {
+	m, ok := v.(map[any]any)
+	if !ok || len(m) == 0 {
+		r.fail(token.Malformed, "a match that is no map")
+		return nil
+	}
+	for n, want := range m {
+		kind, _ := n.(int64)
+		form, known := forms[kind]
+		if _, ok := n.(int64); !ok || !known {
+			r.fail(token.BadClaim, "a match that is not understood")
+			return nil
+		}
+		p := token.Pattern{Form: form}
+		switch w := want.(type) {
+		case string:
+			p.Text = w
+		case []byte:
+			p.Text = string(w)
+		case []any: // a regular expression, and what its groups must be, which is not judged here
+			ok := false
+			if len(w) == 1 && form == token.Posix {
+				p.Text, ok = w[0].(string)
+			}
+			if !ok {
+				r.fail(token.BadClaim, "a match that is not understood")
+			}
+		default:
+			r.fail(token.Malformed, "a match that can't be read")
+		}
+		if err := p.Compile(); err != nil && r.err == nil {
+			r.err = err
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// renewal reads catr. The next token goes by cookie or header under the usual names; one that must go otherwise is not
+// renewed.
+func (r *reader) renewal(g *token.Grant) {
+	v, there := r.claims[claimR]
+	if !there {
+		return
+	}
+	m, ok := v.(map[any]any)
+	if !ok {
+		r.fail(token.Malformed, "catr: no map")
+		return
+	}
+	number := func(n int64) int64 { i, _ := m[n].(int64); return i }
+	kind, lasts := number(renewType), number(renewAdd)
+	if lasts <= 0 || lasts > 1<<31 {
+		r.fail(token.BadClaim, "catr: expadd missing")
+		return
+	}
+	g.Renewal = token.Renewal{Seconds: int(lasts), Before: float64(max(0, number(renewBefore)))}
+	other := func(n int64, usual string) bool { s, ok := m[n].(string); return ok && !strings.EqualFold(s, usual) }
+	switch {
+	case kind <= 1 && !other(renewCookie, Param):
+		g.Renewal.Cookie = true
+	case kind == 2 && !other(renewHeader, Header):
+		g.Renewal.Header = true
+	}
+}
--- a/token/edgeauth/edgeauth.go
+++ b/token/edgeauth/edgeauth.go
@@ -159,7 +159,7 @@
 		g.Nets = []netip.Prefix{netip.PrefixFrom(addr, addr.BitLen())}
 	}
 	if path != "" {
-		g.URIs = []token.Pattern{{Form: token.Exact, Text: path, Path: true}}
+		g.URIs = []token.Pattern{{Form: token.Exact, Text: path, On: token.OnPath}}
 		return g, nil
 	}
 	acls := strings.Split(f.acl, "!")
@@ -167,7 +167,7 @@
 		return g, token.Reject(token.Malformed, "acl: too many")
 	}
 	for _, a := range acls {
-		g.URIs = append(g.URIs, token.Pattern{Form: token.Glob, Text: a, Path: true})
+		g.URIs = append(g.URIs, token.Pattern{Form: token.Glob, Text: a, On: token.OnPath})
 	}
 	g.URIs, err = token.Compile(g.URIs...)
 	return g, err
--- a/token/grant.go
+++ b/token/grant.go
@@ -15,15 +15,18 @@
 type Grant struct {
 	Key     string
 	Kind    Kind
-	ID      string // names the token: what it carries as its id, else a digest of all that is signed; "": it has none
-	Subject string // whom it was issued to, where it says
-	URIs    []Pattern
+	ID      string         // names the token: what it carries as its id, else a digest of all that is signed; "": it has none
+	Subject string         // whom it was issued to, where it says
+	URIs    []Pattern      // one of them must match
+	Also    []Pattern      // all of them must
+	Headers []HeaderTerm   // all of them must be there
 	Query   bool           // it covers the query too; what it does not cover is passed over
 	Methods []string       // "": any
 	Nets    []netip.Prefix // client addresses; none: any
 	From    float64        // Unix seconds; 0: from ever
 	Issued  float64        // Unix seconds; 0: not told
 	Until   float64        // Unix seconds; 0: it has no end, and is refused
+	Uses    int            // 1: it serves once, also for reads; 0: no bound
 	Renewal Renewal
 	Native  any // what the dialect needs to issue it anew
 }
@@ -32,7 +35,15 @@
 type Renewal struct {
 	Seconds int // that the next one lasts; 0: none follows
 	Cookie  bool
-	Depth   int // leading path segments that a cookie is kept for
+	Header  bool
+	Depth   int     // leading path segments that a cookie is kept for
+	Before  float64 // s before the end from which on one follows; 0: always
+}
+
+// HeaderTerm is what a header of the request must be.
+type HeaderTerm struct {
+	Name    string
+	Pattern Pattern
 }
 
 // Use names a grant's one use across keys.
@@ -61,6 +72,8 @@
 		return Reject(WrongURI, "the URI is another")
 	case !g.takes(q.Method):
 		return Reject(WrongMethod, "not for this method")
+	case !g.heads(q):
+		return Reject(WrongURI, "a header is another")
 	case !g.holds(q.Addr):
 		return Reject(WrongAddress, "not for this address")
 	}
@@ -70,12 +83,36 @@
 func (g *Grant) covers(q *Request) bool {
 	for i := range g.URIs {
 		if g.URIs[i].match(q) {
-			return true
+			return g.all(q)
 		}
 	}
 	return false
 }
 
+func (g *Grant) all(q *Request) bool {
+	for i := range g.Also {
+		if !g.Also[i].match(q) {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Grant) heads(q *Request) bool {
+	for i := range g.Headers {
+		if h := &g.Headers[i]; !h.Pattern.fits(q.HeaderOf(h.Name)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Renews tells whether a token follows this one at now, in Unix seconds.
+func (g *Grant) Renews(now float64) bool {
+	r := &g.Renewal
+	return r.Seconds > 0 && (r.Cookie || r.Header) && (r.Before == 0 || now >= g.Until-r.Before)
+}
+
 // takes tells whether a method is allowed; who may GET may HEAD.
 func (g *Grant) takes(method string) bool {
 	for _, m := range g.Methods {
--- a/token/hmacurl/hmacurl.go
+++ b/token/hmacurl/hmacurl.go
@@ -75,7 +75,7 @@
 		return g, token.Reject(token.BadSignature, "the signature is wrong")
 	}
 	return token.Grant{
-		Key: key.ID, ID: nonce, Until: float64(at), Query: true, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, Path: true}},
+		Key: key.ID, ID: nonce, Until: float64(at), Query: true, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, On: token.OnPath}},
 	}, nil
 }
 
--- a/token/key.go
+++ b/token/key.go
@@ -23,6 +23,7 @@
 	CloudFront Kind = "cloudfront" // CloudFront signed URLs and cookies
 	CloudCDN   Kind = "cloudcdn"   // Cloud CDN signed URLs and cookies
 	Presign    Kind = "presign"    // AWS Signature Version 4 in the query
+	CAT        Kind = "cat"        // Common Access Token (CTA-5007)
 )
 
 // Key is one signing key as the operator writes it. Its dialect and its algorithm are fixed: what a token says of them
@@ -30,16 +31,17 @@
 type Key struct {
 	ID        string  `json:"id" toml:"id"`
 	Kind      Kind    `json:"kind" toml:"kind"`
-	Alg       string  `json:"alg,omitempty" toml:"alg"`           // where the dialect leaves a choice
-	Secret    string  `json:"secret,omitempty" toml:"secret"`     // of shared secrets, as the dialect writes them
-	Public    string  `json:"public,omitempty" toml:"public"`     // PEM, of the others
-	Private   string  `json:"private,omitempty" toml:"private"`   // PEM; only where tokens are issued
-	Issuer    string  `json:"issuer,omitempty" toml:"issuer"`     // jws: iss that its tokens must carry
-	Audience  string  `json:"audience,omitempty" toml:"audience"` // jws: aud that its tokens must carry, if any
-	Param     string  `json:"param,omitempty" toml:"param"`       // edgeauth: the parameter, cookie or header; "": __token__
-	Salt      string  `json:"salt,omitempty" toml:"salt"`         // edgeauth: signed, and not in the token
-	Region    string  `json:"region,omitempty" toml:"region"`     // presign
-	Service   string  `json:"service,omitempty" toml:"service"`   // presign
+	Alg       string  `json:"alg,omitempty" toml:"alg"`             // where the dialect leaves a choice
+	Secret    string  `json:"secret,omitempty" toml:"secret"`       // of shared secrets, as the dialect writes them
+	Public    string  `json:"public,omitempty" toml:"public"`       // PEM, of the others
+	Private   string  `json:"private,omitempty" toml:"private"`     // PEM; only where tokens are issued
+	Issuer    string  `json:"issuer,omitempty" toml:"issuer"`       // jws: iss that its tokens must carry
+	Audience  string  `json:"audience,omitempty" toml:"audience"`   // jws: aud that its tokens must carry, if any
+	IPSecret  string  `json:"ip_secret,omitempty" toml:"ip_secret"` // jws: base64 of 16 or 32 bytes, which seals client addresses
+	Param     string  `json:"param,omitempty" toml:"param"`         // edgeauth: the parameter, cookie or header; "": __token__
+	Salt      string  `json:"salt,omitempty" toml:"salt"`           // edgeauth: signed, and not in the token
+	Region    string  `json:"region,omitempty" toml:"region"`       // presign
+	Service   string  `json:"service,omitempty" toml:"service"`     // presign
 	NotBefore float64 `json:"not_before,omitempty" toml:"not_before"`
 	NotAfter  float64 `json:"not_after,omitempty" toml:"not_after"` // Unix seconds; 0: no end
 }
@@ -125,6 +127,7 @@
 	Verifier crypto.PublicKey
 	Signer   crypto.Signer // nil: it only verifies
 	Signs    bool          // it can issue
+	Sealing  []byte        // jws: seals client addresses; none: tokens with one are refused
 }
 
 // Ready is a key ready for use.
--- a/token/pattern.go
+++ b/token/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/sha512"
 	"encoding/base64"
 	"regexp"
 	"strings"
@@ -12,19 +13,41 @@
 
 // The forms.
 const (
-	Exact  Form = iota
-	Prefix      // of characters
-	Glob        // * any characters, ? one
-	Posix       // a POSIX extended regular expression that must cover all
-	Digest      // RFC 6920's segment form of SHA-256
+	Exact    Form = iota
+	Prefix        // of characters
+	Glob          // * any characters, ? one
+	Posix         // a POSIX extended regular expression that must cover all
+	Digest        // RFC 6920's segment form of SHA-256
+	Suffix        // of characters
+	Contains      // somewhere
+	Sum256        // SHA-256, as bytes
+	Sum512        // SHA-512/256, as bytes
+)
+
+// Part is what of a URI a pattern speaks of.
+type Part uint8
+
+// The parts. A file's name is the last segment of the path; its stem ends before the last dot, and the extension begins
+// with it.
+const (
+	OnURI Part = iota
+	OnScheme
+	OnHost
+	OnPort
+	OnPath
+	OnQuery
+	OnParent
+	OnFile
+	OnStem
+	OnExtension
 )
 
 // Pattern names URIs that a grant is for.
 type Pattern struct {
 	Form Form
 	Text string
-	Path bool     // it speaks of the path alone, not of the whole URI
-	Less []string // parameters of the token's own, which the URI is read without
+	On   Part
+	Less []string // parameters of the token's own, which URI and query are read without
 	expr *regexp.Regexp
 }
 
@@ -62,12 +85,56 @@
 	return ps, nil
 }
 
-func (p *Pattern) match(q *Request) bool {
-	text := q.Path
-	if !p.Path {
-		text = q.URI(p.Less...)
+func (p *Pattern) match(q *Request) bool { return p.fits(q.part(p.On, p.Less)) }
+
+// part gives a part of a request's URI.
+func (q *Request) part(on Part, less []string) string {
+	host, port, _ := strings.Cut(strings.ToLower(q.Host), ":")
+	at := strings.LastIndexByte(q.Path, '/') + 1
+	file := q.Path[at:]
+	stem := file
+	if dot := strings.LastIndexByte(file, '.'); dot >= 0 {
+		stem = file[:dot]
 	}
+	switch on {
+	case OnScheme:
+		return q.Scheme
+	case OnHost:
+		return host
+	case OnPort:
+		if port == "" {
+			port = map[string]string{"http": "80", "https": "443"}[q.Scheme]
+		}
+		return port
+	case OnPath:
+		return q.Path
+	case OnQuery:
+		return rawWithout(q.RawQuery, less)
+	case OnParent:
+		return q.Path[:at]
+	case OnFile:
+		return file
+	case OnStem:
+		return stem
+	case OnExtension:
+		return file[len(stem):]
+	}
+	return q.URI(less...)
+}
+
+// fits tells whether a text is as the pattern says.
+func (p *Pattern) fits(text string) bool {
 	switch p.Form {
+	case Suffix:
+		return strings.HasSuffix(text, p.Text)
+	case Contains:
+		return strings.Contains(text, p.Text)
+	case Sum256:
+		sum := sha256.Sum256([]byte(text))
+		return Same(p.Text, string(sum[:]))
+	case Sum512:
+		sum := sha512.Sum512_256([]byte(text))
+		return Same(p.Text, string(sum[:]))
 	case Exact:
 		return text == p.Text
 	case Prefix:
--- a/token/presign/presign.go
+++ b/token/presign/presign.go
@@ -87,7 +87,7 @@
 	at := float64(date.Unix())
 	return token.Grant{
 		Key: key.ID, ID: token.IDOf(stamp + "\n" + canonical), Issued: at, Until: at + float64(lasts), Query: true,
-		Methods: []string{q.Method}, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, Path: true}},
+		Methods: []string{q.Method}, URIs: []token.Pattern{{Form: token.Exact, Text: q.Path, On: token.OnPath}},
 	}, nil
 }
 
--- a/token/ring/dialects_test.go
+++ b/token/ring/dialects_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto"
 	"crypto/ecdsa"
+	"crypto/ed25519"
 	"crypto/elliptic"
 	"crypto/rand"
 	"crypto/rsa"
@@ -37,6 +38,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	_, ed, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
 	cdn := base64.URLEncoding.EncodeToString([]byte("sixteen bytes..."))
 	return []sample{
 		{token.Key{ID: "K1", Kind: token.CloudFront, Private: private(t, rs)}, "http*://cdn.example/v1/firm?are/*"},
@@ -44,6 +49,9 @@
 		{token.Key{ID: "K3", Kind: token.CloudFront, Alg: "ES256", Private: private(t, ec)}, "https://cdn.example/v1/firmware/*"},
 		{token.Key{ID: "c", Kind: token.CloudCDN, Secret: cdn}, "https://cdn.example/v1/firmware/"},
 		{token.Key{ID: "AKID", Kind: token.Presign, Secret: strings.Repeat("p", 20), Region: "kz-1", Service: "s3"}, ""},
+		{token.Key{ID: "m", Kind: token.CAT, Alg: "HS256", Secret: secret}, "/v1/firmware/"},
+		{token.Key{ID: "s", Kind: token.CAT, Alg: "ES256", Private: private(t, ec)}, "/v1/firmware/"},
+		{token.Key{ID: "d", Kind: token.CAT, Alg: "EdDSA", Private: private(t, ed)}, "/v1/firmware/"},
 		{token.Key{ID: "j", Kind: token.JWS, Alg: "HS256", Secret: secret}, `https://cdn\.example/v1/firmware/.*`},
 		{token.Key{ID: "h", Kind: token.HMAC, Secret: secret}, ""},
 		{token.Key{ID: "e", Kind: token.EdgeAuth, Secret: strings.Repeat("0a", 16), Salt: "salt"}, "/v1/tiles/*!/v1/firmware/*"},
--- a/token/ring/ring.go
+++ b/token/ring/ring.go
@@ -7,6 +7,7 @@
 	"net/url"
 
 	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/cat"
 	"turnfork.dev/turnfork/token/cloudcdn"
 	"turnfork.dev/turnfork/token/cloudfront"
 	"turnfork.dev/turnfork/token/edgeauth"
@@ -16,7 +17,7 @@
 )
 
 // dialects in the order in which they are looked for.
-var dialects = []token.Dialect{jws.Dialect{}, hmacurl.Dialect{}, edgeauth.Dialect{}, cloudfront.Dialect{}, cloudcdn.Dialect{}, presign.Dialect{}}
+var dialects = []token.Dialect{jws.Dialect{}, hmacurl.Dialect{}, edgeauth.Dialect{}, cloudfront.Dialect{}, cloudcdn.Dialect{}, presign.Dialect{}, cat.Dialect{}}
 
 // Kinds names the dialects.
 func Kinds() (out []token.Kind) {
--- a/token/ring/ring_test.go
+++ b/token/ring/ring_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/pem"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -149,3 +150,74 @@
 		}
 	})
 }
+
+// Packages for one client, sealed; claims that a package insists on; and renewal after renewal.
+func TestPackageClaims(t *testing.T) {
+	sealing := base64.StdEncoding.EncodeToString([]byte("sixteen bytes..."))
+	r, err := New([]token.Key{
+		{ID: "k", Kind: token.JWS, Alg: "HS256", Secret: secret, IPSecret: sealing}, {ID: "blind", Kind: token.JWS, Alg: "HS256", Secret: secret},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		bound, from string
+		want        token.Why
+	}{
+		{"192.0.2.7", "192.0.2.7", ""}, {"192.0.2.7", "192.0.2.8", token.WrongAddress}, {"192.0.2.0/24", "192.0.2.8", ""},
+		{"2001:db8::/32", "2001:db8::9", ""}, {"2001:db8::/32", "2001:db9::9", token.WrongAddress},
+	} {
+		got, err := r.Issue("k", token.Terms{URI: uri, Until: 1000, Address: x.bound})
+		if err != nil {
+			t.Fatal(err)
+		}
+		q := request(got.Token)
+		q.Addr = netip.MustParseAddr(x.from)
+		if _, _, err := r.Verify(q, 999, 0); x.want == "" && err != nil || x.want != "" && token.WhyOf(err) != x.want {
+			t.Errorf("%s from %s: %v", x.bound, x.from, err)
+		}
+		if _, err := r.Issue("blind", token.Terms{URI: uri, Until: 1000, Address: x.bound}); err == nil {
+			t.Error("sealed without a key")
+		}
+	}
+	exp, one := 1000.0, 1
+	for name, x := range map[string]struct {
+		key    string
+		claims jws.Claims
+		want   token.Why
+	}{
+		"sealed for another":    {"blind", jws.Claims{ClientIP: "x.y"}, token.BadClaim},
+		"sealed wrong":          {"k", jws.Claims{ClientIP: "x.y"}, token.Malformed},
+		"critical":              {"k", jws.Claims{Critical: []string{"exp", "cdniuc"}}, ""},
+		"critical, not there":   {"k", jws.Claims{Critical: []string{"cdniip"}}, token.Malformed},
+		"critical, twice":       {"k", jws.Claims{Critical: []string{"exp", "exp"}}, token.Malformed},
+		"critical, critical":    {"k", jws.Claims{Critical: []string{"cdnicrit", "cdnicritical"}}, token.BadClaim},
+		"transport by query":    {"k", jws.Claims{Transport: 2, Renew: 5}, token.BadClaim},
+		"transport, no renewal": {"k", jws.Claims{Transport: 1}, token.BadClaim},
+		"negative depth":        {"k", jws.Claims{Transport: 1, Renew: 5, Depth: -1}, token.Malformed},
+		"version":               {"k", jws.Claims{Version: &one}, ""},
+	} {
+		x.claims.Expires, x.claims.Container = &exp, jws.HashContainer(uri)
+		p, err := r.Package(x.key, x.claims)
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		if _, _, err := r.Verify(request(p), 999, 0); x.want == "" && err != nil || x.want != "" && token.WhyOf(err) != x.want {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	next, err := r.Package("k", jws.Claims{Expires: &exp, Container: jws.HashContainer(uri), Transport: 1, Renew: 60, Depth: 2, ID: "j", Critical: []string{"exp"}})
+	for now := 990.0; now < 1200; now += 50 { // each one within the one before
+		if err != nil {
+			t.Fatal(err)
+		}
+		g, _, bad := r.Verify(request(next), now, 0)
+		if bad != nil || g.ID != "j" || g.Renewal.Depth != 2 {
+			t.Fatalf("at %v: %+v %v", now, g, bad)
+		}
+		if _, _, bad = r.Verify(request(next), g.Until+1, 0); token.WhyOf(bad) != token.Expired {
+			t.Errorf("after %v: %v", g.Until, bad)
+		}
+		_, next, err = r.Renewed(&g, now)
+	}
+}
