Answer ranges, conditions, caching fields and CORS as HTTP's clients use them

Need: a Range was answered 200 with everything, a list in If-None-Match was passed over, OPTIONS was 405, and no answer said its age, how long it may be kept, or what refused it.

Change: internal/represent decides conditions and ranges without I/O; front/signed/answer.go words Age, Cache-Control (never longer than the grant lasts), Vary, Cache-Status and Proxy-Status (structured fields by dunglas/httpsfv), and CORS as [cors] in the operator's file says. Date stands on every answer.

--- a/config/operator.go
+++ b/config/operator.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"fmt"
 	"math"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,6 +32,7 @@
 	TokenS         float64       `toml:"token_s"` // the longest that an issued token may last
 	OperatorSecret string        `toml:"operator_secret"`
 	OperatorFile   string        `toml:"operator_secret_file"`
+	Cors           Cors          `toml:"cors"`
 	Limits         Limits        `toml:"limits"`
 	Module         Module        `toml:"module"`
 	Classes        []Class       `toml:"class"`
@@ -42,6 +44,39 @@
 	dir string
 }
 
+// Cors is what pages of other origins may ask of the signed front.
+type Cors struct {
+	Origins []string `toml:"origins"` // such as https://app.example; * alone: any
+	Headers []string `toml:"headers"`
+	MaxAgeS int      `toml:"max_age_s"`
+}
+
+const corsMost = 64
+
+func (c Cors) check() error {
+	if len(c.Origins) > corsMost || len(c.Headers) > corsMost {
+		return fmt.Errorf("cors.origins: %d and as many headers at most", corsMost)
+	}
+	if c.MaxAgeS < 0 || c.MaxAgeS > 86400 {
+		return fmt.Errorf("cors.max_age_s: %d is not within 0 to 86400", c.MaxAgeS)
+	}
+	for i, o := range c.Origins {
+		u, err := url.Parse(o)
+		if o == "*" && len(c.Origins) == 1 {
+			continue
+		}
+		if err != nil || u.Scheme == "" || u.Host == "" || u.Scheme+"://"+u.Host != o || strings.ToLower(o) != o {
+			return fmt.Errorf("cors.origins[%d]: %q is no origin", i, o)
+		}
+	}
+	for i, h := range c.Headers {
+		if !token.Canonical("/" + h) {
+			return fmt.Errorf("cors.headers[%d]: %q is no header", i, h)
+		}
+	}
+	return nil
+}
+
 // Limits is the size of the machine.
 type Limits struct {
 	Cores    float64 `toml:"cores"`
@@ -194,6 +229,9 @@
 	if o.OperatorSecret != "" && len(o.OperatorSecret) < 16 {
 		return fmt.Errorf("operator_secret: 16 characters at least")
 	}
+	if err := o.Cors.check(); err != nil {
+		return err
+	}
 	if len(o.Classes) == 0 {
 		return fmt.Errorf("class: none given")
 	}
--- a/core/book.go
+++ b/core/book.go
@@ -23,7 +23,7 @@
 		heap.Push(&c.timers, timer{at: r.doubt.until, of: t, free: true})
 	}
 	if e.Result == control.OK && !r.answered {
-		a := Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Minted: e.Minted}
+		a := Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Minted: e.Minted, Note: e.Note}
 		if e.Same {
 			a.Verdict, a.Body = Same, nil
 		}
--- a/core/types.go
+++ b/core/types.go
@@ -43,7 +43,8 @@
 	Verdict    Verdict
 	Reason     Reason
 	Body       []byte
-	Tag        string  // of the copy
+	Tag        string // of the copy
+	Note       control.Note
 	Minted     float64 // Unix ms at which the origin gave out this copy; 0: not told
 	RetryAfter float64 // ms that the client should stay away; 0: no advice
 	Ran        bool    // it was sent on, and may have run
--- /dev/null
+++ b/front/signed/answer.go
@@ -0,0 +1,206 @@
+package signed
+
+import (
+	"crypto/rand"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dunglas/httpsfv"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/http1"
+	"turnfork.dev/turnfork/internal/represent"
+)
+
+const octets = "application/octet-stream"
+
+// fail answers a request with an error, and says in Proxy-Status (RFC 9209) what stood in its way.
+func (c *conn) fail(s *slot, status int, code, text, head string) {
+	c.reply(s, c.front.errorAnswer(s, status, code, text, head))
+}
+
+func (f *Front) errorAnswer(s *slot, status int, code, text, head string) []byte {
+	return http1.ErrorAnswer(status, code, text, head+proxyStatus(code)+f.opt.CORS.answer(&s.msg), s.msg.Close)
+}
+
+// causes are the proxy error types of RFC 9209, 2.3, by this front's codes; http_request_denied where none is given.
+var causes = map[string]string{
+	"malformed": "http_request_error", "method": "http_request_error", "not_found": "destination_not_found",
+	"unknown_class": "destination_not_found", "crowded": "connection_limit_reached", "draining": "destination_unavailable",
+	"refused": "connection_limit_reached", "deadline": "http_response_timeout", "upstream_failed": "destination_unavailable",
+	"no_quorum": "proxy_internal_error",
+}
+
+func proxyStatus(code string) string {
+	cause := causes[code]
+	if cause == "" {
+		cause = "http_request_denied"
+	}
+	item := httpsfv.NewItem(httpsfv.Token("turnfork"))
+	item.Params.Add("error", httpsfv.Token(cause))
+	item.Params.Add("details", code)
+	return structured("Proxy-Status", item)
+}
+
+func structured(name string, item httpsfv.Item) string {
+	text, err := httpsfv.Marshal(httpsfv.List{item})
+	if err != nil { // all of it is written above
+		return ""
+	}
+	return name + ": " + text + "\r\n"
+}
+
+// served words a representation under the request's conditions.
+func (f *Front) served(s *slot, a core.Answer, head string) []byte {
+	m := &s.msg
+	head += f.caching(s, a) + f.opt.CORS.answer(m)
+	if s.class.Write {
+		return http1.Answer(200, octets, head, len(a.Body), a.Body, m.Close)
+	}
+	plan := represent.Decide(represent.Request{
+		Method: m.Method, IfNoneMatch: m.Header["if-none-match"], IfMatch: m.Header["if-match"], IfRange: m.Header["if-range"],
+		Range: m.Header["range"],
+	}, len(a.Body), a.Tag)
+	size := strconv.Itoa(len(a.Body))
+	switch plan.Status {
+	case 304:
+		return http1.Answer(304, "", head, 0, nil, m.Close)
+	case 412:
+		return http1.Answer(412, "", head, 0, nil, m.Close)
+	case 416:
+		return http1.Answer(416, "", head+"Content-Range: bytes */"+size+"\r\n", 0, nil, m.Close)
+	case 206:
+		if len(plan.Spans) > 1 {
+			kind, body := multipart(a.Body, plan.Spans)
+			return http1.Answer(206, kind, head, len(body), body, m.Close)
+		}
+		p := plan.Spans[0]
+		return http1.Answer(206, octets, head+contentRange(p, size), p.To-p.From, a.Body[p.From:p.To], m.Close)
+	}
+	head += "Accept-Ranges: bytes\r\n"
+	if m.Method == "HEAD" {
+		return http1.Answer(200, octets, head, len(a.Body), nil, m.Close)
+	}
+	return http1.Answer(200, octets, head, len(a.Body), a.Body, m.Close)
+}
+
+func contentRange(p represent.Span, size string) string {
+	return "Content-Range: bytes " + strconv.Itoa(p.From) + "-" + strconv.Itoa(p.To-1) + "/" + size + "\r\n"
+}
+
+// multipart words several ranges as multipart/byteranges (RFC 9110, 14.6).
+func multipart(body []byte, spans []represent.Span) (kind string, out []byte) {
+	boundary, size := rand.Text(), strconv.Itoa(len(body))
+	for _, p := range spans {
+		out = append(out, "\r\n--"+boundary+"\r\nContent-Type: "+octets+"\r\n"+contentRange(p, size)+"\r\n"...)
+		out = append(out, body[p.From:p.To]...)
+	}
+	return "multipart/byteranges; boundary=" + boundary, append(out, "\r\n--"+boundary+"--\r\n"...)
+}
+
+// caching says how old a copy is and how long it may be kept: as its class permits, and no longer than the grant lasts.
+// It is the client's own, as the URL or the cookie is.
+func (f *Front) caching(s *slot, a core.Answer) string {
+	if s.class.Write {
+		return "Cache-Control: no-store\r\n"
+	}
+	now, head := f.opt.Clock.Unix(), ""
+	age := 0.0
+	if a.Minted > 0 {
+		age = math.Max(0, math.Floor((now-a.Minted)/1000))
+		head = "Age: " + strconv.Itoa(int(math.Min(age, math.MaxInt32))) + "\r\n"
+	}
+	if most := math.Floor(math.Min(s.class.Fresh/1000, age+s.grant.Until-now/1000)); most > age {
+		head += "Cache-Control: private, max-age=" + strconv.Itoa(int(most)) + "\r\n"
+	} else { // good until it is purged, or stale already: to be asked for again each time, which 304 makes cheap
+		head += "Cache-Control: private, no-cache\r\n"
+	}
+	if s.grant.Vary != "" {
+		head += "Vary: " + s.grant.Vary + "\r\n"
+	}
+	return head + f.cacheStatus(s, a, age)
+}
+
+// cacheStatus says in Cache-Status (RFC 9211) whether a store had the copy.
+func (f *Front) cacheStatus(s *slot, a core.Answer, age float64) string {
+	item := httpsfv.NewItem(httpsfv.Token("turnfork"))
+	switch a.Note {
+	case control.Hit, control.StaleCopy:
+		item.Params.Add("hit", true)
+	case control.Filled, control.FilledByOrigin:
+		item.Params.Add("fwd", httpsfv.Token("miss"))
+	case control.Joined:
+		item.Params.Add("fwd", httpsfv.Token("miss"))
+		item.Params.Add("collapsed", true)
+	default:
+		item.Params.Add("fwd", httpsfv.Token("bypass"))
+	}
+	if s.class.Fresh > 0 && a.Minted > 0 {
+		item.Params.Add("ttl", int64(s.class.Fresh/1000-age))
+	}
+	return structured("Cache-Status", item)
+}
+
+// date is the Date of an answer.
+func (f *Front) date() string {
+	return "Date: " + time.UnixMilli(int64(f.opt.Clock.Unix())).UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT") + "\r\n"
+}
+
+// CORS is what pages of other origins may do (the Fetch standard's protocol). The zero value allows nothing.
+type CORS struct {
+	Origins []string // as browsers send them; * alone: any
+	Headers []string // that requests may carry, beside the safe ones
+	MaxAge  int      // s that a browser may remember an answer
+}
+
+// allows gives what an origin is told, "" where it is not let in.
+func (o *CORS) allows(m *http1.Message) string {
+	origin := m.Header["origin"]
+	for _, x := range o.Origins {
+		if origin != "" && x == "*" {
+			return "*"
+		}
+		if origin != "" && x == origin {
+			return origin
+		}
+	}
+	return ""
+}
+
+// answer gives the headers of an ordinary answer.
+func (o *CORS) answer(m *http1.Message) string {
+	origin := o.allows(m)
+	if origin == "" {
+		return o.vary()
+	}
+	return "Access-Control-Allow-Origin: " + origin +
+		"\r\nAccess-Control-Expose-Headers: Age, Cache-Status, Content-Range, ETag, Proxy-Status, Retry-After, X-Throttle-Ms\r\n" + o.vary()
+}
+
+func (o *CORS) vary() string {
+	if len(o.Origins) == 0 || o.Origins[0] == "*" {
+		return ""
+	}
+	return "Vary: Origin\r\n"
+}
+
+// options answers OPTIONS, which needs no token: a browser's preflight has none to show.
+func (f *Front) options(s *slot, class Class) []byte {
+	m, allow := &s.msg, "GET, HEAD, OPTIONS"
+	if class.Write {
+		allow = "POST, OPTIONS"
+	}
+	head := "Allow: " + allow + "\r\n"
+	if origin := f.opt.CORS.allows(m); origin != "" && m.Header["access-control-request-method"] != "" {
+		head += "Access-Control-Allow-Origin: " + origin + "\r\nAccess-Control-Allow-Methods: " + allow + "\r\n"
+		if len(f.opt.CORS.Headers) > 0 {
+			head += "Access-Control-Allow-Headers: " + strings.Join(f.opt.CORS.Headers, ", ") + "\r\n"
+		}
+		if f.opt.CORS.MaxAge > 0 {
+			head += "Access-Control-Max-Age: " + strconv.Itoa(f.opt.CORS.MaxAge) + "\r\n"
+		}
+	}
+	return http1.Answer(204, "", head+f.opt.CORS.vary(), 0, nil, m.Close)
+}
--- a/front/signed/object.go
+++ b/front/signed/object.go
@@ -9,6 +9,7 @@
 
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/http1"
+	"turnfork.dev/turnfork/internal/represent"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -59,24 +60,25 @@
 			return a, fmt.Errorf("X-Ttl-Ms: no time")
 		}
 	}
-	a.Known = known(m.Header["if-none-match"])
+	if m.Header["if-match"] == "" { // that is judged by the answer, which must then be whole
+		a.Known = known(m.Header["if-none-match"])
+	}
 	var txn [8]byte
 	rand.Read(txn[:])
 	a.Txn = hex.EncodeToString(txn[:])
 	return a, nil
 }
 
-// known gives the one tag of a client's copy; a list or a star is passed over, which costs bytes only.
+// known gives the one tag of a client's copy, which goes to the store. A list or a star is compared with the answer.
 func known(v string) string {
-	v = strings.TrimPrefix(v, "W/")
-	if len(v) < 2 || v[0] != '"' || v[len(v)-1] != '"' {
+	tags, ok := represent.Tags(v)
+	if !ok || len(tags) != 1 {
 		return ""
 	}
-	v = v[1 : len(v)-1]
-	for _, c := range []byte(v) {
+	for _, c := range []byte(tags[0].Text) {
 		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-') {
 			return ""
 		}
 	}
-	return v
+	return tags[0].Text
 }
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -43,6 +44,7 @@
 type Class struct {
 	Name     string
 	Deadline float64 // ms
+	Fresh    float64 // ms that a copy is fresh for; 0: until it is purged
 	Write    bool    // takes POST, and a token of a single use
 }
 
@@ -59,6 +61,7 @@
 	Operator   string  // the secret of the issuing endpoint; "": there is none
 	TokenMost  float64 // s that an issued token may last; 0: one day
 	MaxConns   int     // 0: 200
+	CORS       CORS
 	RetryAfter float64 // ms that clients should stay away which a drain refuses; 0: no advice
 	MaxBytes   int64   // answers that wait to be written; 0: 24 MB
 	ClaimMost  float64 // ms that a claim may take; 0: 1000
@@ -221,7 +224,7 @@
 				Msg("request can't be read")
 			s.msg.Close = true
 			c.front.open.Add(1)
-			s.finish(http1.ErrorAnswer(b.Status, "malformed", b.Text, "", true))
+			s.finish(c.front.errorAnswer(s, b.Status, "malformed", b.Text, ""))
 			c.push(s)
 			c.drain(r)
 			return
@@ -352,7 +355,7 @@
 			return
 		}
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
-		_, err := c.net.Write(s.answer)
+		err := c.send(s.answer)
 		c.front.budget.Give(held)
 		c.front.open.Add(-1)
 		c.unwritten.Add(-1)
@@ -363,6 +366,17 @@
 	}
 }
 
+// send writes an answer with its date behind the first line.
+func (c *conn) send(b []byte) error {
+	at := bytes.IndexByte(b, '\n') + 1
+	if at == 0 { // withdrawn
+		return nil
+	}
+	parts := net.Buffers{b[:at], []byte(c.front.date()), b[at:]}
+	_, err := parts.WriteTo(c.net)
+	return err
+}
+
 // take judges a request and hands it to the core, or answers it here.
 func (c *conn) take(s *slot) {
 	f, m := c.front, &s.msg
@@ -374,9 +388,17 @@
 	object, ok := objectPath(m.Path)
 	if !ok {
 		if !token.Canonical(m.Path) {
-			c.reply(s, http1.ErrorAnswer(400, "malformed", "the path is not in canonical form", "", m.Close))
+			c.fail(s, 400, "malformed", "the path is not in canonical form", "")
 		} else {
-			c.reply(s, http1.ErrorAnswer(404, "not_found", "no such path", "", m.Close))
+			c.fail(s, 404, "not_found", "no such path", "")
+		}
+		return
+	}
+	if m.Method == "OPTIONS" {
+		if class, ok := f.classes[object.class]; ok {
+			c.reply(s, f.options(s, class))
+		} else {
+			c.fail(s, 404, "unknown_class", "no such class", "")
 		}
 		return
 	}
@@ -386,38 +408,39 @@
 		Cookie: m.Cookie, Header: func(name string) string { return m.Header[strings.ToLower(name)] },
 	}, now/1000, f.policy.Load().LeewayMs/1000)
 	if err != nil {
-		c.reply(s, rejected(err, m.Close))
+		status, code, text, head := rejected(err)
+		c.fail(s, status, code, text, head)
 		f.opt.Log.Info().Err(err).Str("path", m.Path).Msg("token not accepted")
 		return
 	}
 	if grant.ID != "" && f.opt.Claims.Revoked(grant.Use()) {
-		c.reply(s, http1.ErrorAnswer(403, "revoked", "the token was revoked", "", m.Close))
+		c.fail(s, 403, "revoked", "the token was revoked", "")
 		return
 	}
 	class, ok := f.classes[object.class]
 	if !ok {
-		c.reply(s, http1.ErrorAnswer(404, "unknown_class", "no such class", "", m.Close))
+		c.fail(s, 404, "unknown_class", "no such class", "")
 		return
 	}
-	method := "GET"
+	method, allow := "GET", "GET, HEAD, OPTIONS"
 	if class.Write {
-		method = "POST"
+		method, allow = "POST", "POST, OPTIONS"
 	}
 	if m.Method != method && !(m.Method == "HEAD" && !class.Write) {
-		c.reply(s, http1.ErrorAnswer(405, "method", "this class takes "+method, "Allow: "+method+"\r\n", m.Close))
+		c.fail(s, 405, "method", "this class takes "+method, "Allow: "+allow+"\r\n")
 		return
 	}
 	ask, err := object.ask(rest, m)
 	if err != nil {
-		c.reply(s, http1.ErrorAnswer(400, "malformed", err.Error(), "", m.Close))
+		c.fail(s, 400, "malformed", err.Error(), "")
 		return
 	}
 	if _, refuse := f.server.Draining(); refuse {
-		c.reply(s, http1.ErrorAnswer(503, "draining", "this gateway is being emptied", throttle(f.opt.RetryAfter), m.Close))
+		c.fail(s, 503, "draining", "this gateway is being emptied", throttle(f.opt.RetryAfter))
 		return
 	}
 	if !f.intake.Take(len(m.Body)) {
-		c.reply(s, http1.ErrorAnswer(503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n", m.Close))
+		c.fail(s, 503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n")
 		return
 	}
 	s.held = len(m.Body)
@@ -451,9 +474,9 @@
 // claim makes a write's token used before anything is sent. Without an answer from the store nothing
 // is sent either: the token may be taken, so the client has to come with it again.
 func (c *conn) claim(s *slot, left float64) bool {
-	f, m := c.front, &s.msg
+	f := c.front
 	if s.grant.ID == "" {
-		c.reply(s, http1.ErrorAnswer(403, "bad_claim", "this class needs a token of a single use, with a jti", "", m.Close))
+		c.fail(s, 403, "bad_claim", "this class needs a token of a single use, with a jti", "")
 		return false
 	}
 	s.claim, s.owner = s.grant.Use(), rand.Text()
@@ -464,9 +487,9 @@
 	switch {
 	case err != nil:
 		f.opt.Log.Warn().Err(err).Msg("claim not made")
-		c.reply(s, http1.ErrorAnswer(503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n", m.Close))
+		c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
 	case !ok:
-		c.reply(s, http1.ErrorAnswer(403, "replayed", "the token has been used", "", m.Close))
+		c.fail(s, 403, "replayed", "the token has been used", "")
 	}
 	return err == nil && ok
 }
@@ -522,32 +545,27 @@
 				"; Max-Age=" + strconv.Itoa(next.Seconds) + "; HttpOnly\r\n"
 		}
 	}
-	closes := s.msg.Close
 	switch a.Verdict {
 	case core.Served:
-		body := a.Body
-		if s.msg.Method == "HEAD" {
-			return http1.Answer(200, "application/octet-stream", head, len(body), nil, closes)
-		}
-		return http1.Answer(200, "application/octet-stream", head, len(body), body, closes)
+		return f.served(s, a, head)
 	case core.Same:
-		return http1.Answer(304, "", head, 0, nil, closes)
+		return http1.Answer(304, "", head+f.caching(s, a)+f.opt.CORS.answer(&s.msg), 0, nil, s.msg.Close)
 	case core.Refused:
 		head := throttle(a.RetryAfter)
 		if a.Reason == core.Deadline {
-			return http1.ErrorAnswer(504, "deadline", "no answer in time; trying again is harmless", head, closes)
+			return f.errorAnswer(s, 504, "deadline", "no answer in time; trying again is harmless", head)
 		}
-		return http1.ErrorAnswer(503, "refused", "not now; trying again is harmless", head, closes)
+		return f.errorAnswer(s, 503, "refused", "not now; trying again is harmless", head)
 	}
 	switch a.Reason {
 	case core.UnknownClass:
-		return http1.ErrorAnswer(404, "unknown_class", "no such class", "", closes)
+		return f.errorAnswer(s, 404, "unknown_class", "no such class", "")
 	case core.Deadline:
-		return http1.ErrorAnswer(504, "deadline", "no answer in time", "", closes)
+		return f.errorAnswer(s, 504, "deadline", "no answer in time", "")
 	case core.Expired:
-		return http1.ErrorAnswer(403, "expired", "the token expired before the request could be sent on", "", closes)
+		return f.errorAnswer(s, 403, "expired", "the token expired before the request could be sent on", "")
 	}
-	return http1.ErrorAnswer(502, "upstream_failed", "the store failed", "", closes)
+	return f.errorAnswer(s, 502, "upstream_failed", "the store failed", "")
 }
 
 // throttle words how long a client should stay away, in whole seconds and in ms.
@@ -575,15 +593,15 @@
 	return path[:at]
 }
 
-// rejected maps a token's rejection to a response.
-func rejected(err error, closes bool) []byte {
+// rejected words a token's rejection.
+func rejected(err error) (status int, code, text, head string) {
 	why := token.WhyOf(err)
-	text := strings.TrimPrefix(err.Error(), "token: ")
+	code, text = string(why), strings.TrimPrefix(err.Error(), "token: ")
 	switch why {
 	case token.Missing:
-		return http1.ErrorAnswer(401, string(why), text, "WWW-Authenticate: URISigning realm=\"turnfork\"\r\n", closes)
+		return 401, code, text, "WWW-Authenticate: URISigning realm=\"turnfork\"\r\n"
 	case token.Malformed:
-		return http1.ErrorAnswer(400, string(why), text, "", closes)
+		return 400, code, text, ""
 	}
-	return http1.ErrorAnswer(403, string(why), text, "", closes)
+	return 403, code, text, ""
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -157,7 +157,7 @@
 		name, value = strings.ToLower(name), strings.Trim(value, " \t")
 		if old, twice := m.Header[name]; twice {
 			switch name {
-			case "host", "content-length", "transfer-encoding", "authorization", "if-none-match", "x-ttl-ms":
+			case "host", "content-length", "transfer-encoding", "authorization", "if-none-match", "if-match", "if-range", "range", "x-ttl-ms":
 				return bad(400, "a header that stands alone comes twice")
 			case "cookie":
 				value = old + "; " + value
@@ -274,8 +274,9 @@
 }
 
 var statuses = map[int]string{
-	200: "OK", 201: "Created", 204: "No Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
-	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large", 414: "URI Too Long",
+	200: "OK", 201: "Created", 204: "No Content", 206: "Partial Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
+	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 412: "Precondition Failed", 413: "Content Too Large",
+	414: "URI Too Long", 416: "Range Not Satisfiable",
 	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }
--- /dev/null
+++ b/internal/represent/represent_test.go
@@ -0,0 +1,44 @@
+package represent
+
+import (
+	"strings"
+	"testing"
+)
+
+// Whatever a Range says, the spans are within the size, in order of the request, and don't overlap; and a plan without
+// spans is none of 206.
+func FuzzDecide(f *testing.F) {
+	f.Add("bytes=0-1,5-", `"a", W/"b"`, 7)
+	f.Add("bytes=-99999999999999999999", "*", 7)
+	f.Add("bytes=1-1,,3-3", `"`, 0)
+	f.Fuzz(func(t *testing.T, rng, tags string, size int) {
+		if size < 0 || size > 1<<20 {
+			t.Skip()
+		}
+		p := Decide(Request{Method: "GET", Range: rng}, size, "a")
+		if (p.Status == 206) != (len(p.Spans) > 0) || len(p.Spans) > RangesMost {
+			t.Errorf("%+v", p)
+		}
+		taken := make([]bool, size)
+		for _, s := range p.Spans {
+			for i := s.From; i < s.To; i++ {
+				if taken[i] {
+					t.Fatalf("byte %d is there twice: %+v", i, p)
+				}
+				taken[i] = true
+			}
+			if s.From >= s.To {
+				t.Errorf("an empty span: %+v", p)
+			}
+		}
+		list, ok := Tags(tags)
+		if ok && (len(list) == 0 || len(list) > TagsMost) {
+			t.Errorf("%+v", list)
+		}
+		for _, x := range list {
+			if strings.Contains(x.Text, `"`) || !Match(tags, x.Text, false) && x.Text != "" {
+				t.Errorf("%q does not match its own %q", tags, x.Text)
+			}
+		}
+	})
+}
--- a/signed_test.go
+++ b/signed_test.go
@@ -88,6 +88,14 @@
 	o, err := config.ParseOperator(fmt.Sprintf(`
 listen = "127.0.0.1:0"
 operator_secret = %q
+[cors]
+origins = ["https://app.example", "https://help.example"]
+headers = ["range", "if-range"]
+max_age_s = 600
+[[class]]
+name = "app-assets"
+deadline_ms = 2500
+fresh_s = 12
 [[class]]
 name = "firmware"
 aim_ms = 600
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -111,7 +111,7 @@
 		return token.Carried{Text: t, Params: []string{Param}}, true
 	}
 	if t := q.HeaderOf(Header); t != "" {
-		return token.Carried{Text: t, From: token.InHeader}, true
+		return token.Carried{Text: t, From: token.InHeader, Name: Header}, true
 	}
 	t := q.CookieOf(Param)
 	return token.Carried{Text: t, From: token.InCookie}, t != ""
--- a/token/dialect.go
+++ b/token/dialect.go
@@ -25,6 +25,7 @@
 	Text   string
 	Params []string // names in the query that belong to the token
 	From   Place
+	Name   string // of the header
 }
 
 // Place is where a token stands.
--- a/token/edgeauth/edgeauth.go
+++ b/token/edgeauth/edgeauth.go
@@ -66,7 +66,7 @@
 	for at, get := range []func(string) string{q.Query.Get, q.HeaderOf, q.CookieOf} {
 		for _, name := range names {
 			if text := get(name); text != "" {
-				return token.Carried{Text: text, Params: []string{name}, From: token.Place(at)}, true
+				return token.Carried{Text: text, Params: []string{name}, From: token.Place(at), Name: name}, true
 			}
 		}
 	}
--- a/token/grant.go
+++ b/token/grant.go
@@ -28,7 +28,8 @@
 	Until   float64        // Unix seconds; 0: it has no end, and is refused
 	Uses    int            // 1: it serves once, also for reads; 0: no bound
 	Renewal Renewal
-	Native  any // what the dialect needs to issue it anew
+	Vary    string // the header that carried it; "": the URL did
+	Native  any    // what the dialect needs to issue it anew
 }
 
 // Renewal is how a token is followed by the next one.
--- a/token/ring/ring.go
+++ b/token/ring/ring.go
@@ -100,6 +100,7 @@
 		return g, nil, err
 	}
 	g.Kind = with.Kind()
+	g.Vary = map[token.Place]string{token.InHeader: got.Name, token.InCookie: "Cookie"}[got.From]
 	if err = g.Check(&q, now, leeway); err == nil && g.Query {
 		rest = q.Query.Without(got.Params...)
 	}
--- a/turnfork.go
+++ b/turnfork.go
@@ -229,7 +229,7 @@
 		f := signed.New(signed.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
 			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
-			MaxConns: room.front, Tap: tap("signed"), RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
+			MaxConns: room.front, Tap: tap("signed"), CORS: signed.CORS{Origins: o.Cors.Origins, Headers: o.Cors.Headers, MaxAge: o.Cors.MaxAgeS}, RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
 		})
 		changed.Store(f)
 		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
@@ -391,7 +391,7 @@
 
 func classes(n config.Node) (out []signed.Class) {
 	for i, c := range n.Settings.Classes {
-		out = append(out, signed.Class{Name: n.Classes[i], Deadline: clock.Ms(c.Deadline), Write: c.Write})
+		out = append(out, signed.Class{Name: n.Classes[i], Deadline: clock.Ms(c.Deadline), Fresh: clock.Ms(c.Fresh), Write: c.Write})
 	}
 	return out
 }
