Bring the signed front's rate back: fewer allocations, lines worded once

Change: structured fields are worded once for each kind, the date once a second, one write instead of three; a slot keeps what it needs of a grant instead of all of it; the query's names are compared instead of kept in a map.

Tests as before.

--- a/front/signed/answer.go
+++ b/front/signed/answer.go
@@ -1,10 +1,13 @@
 package signed
 
 import (
+	"bytes"
 	"crypto/rand"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/dunglas/httpsfv"
@@ -22,7 +25,7 @@
 }
 
 func (f *Front) errorAnswer(s *slot, status int, code, text, head string) []byte {
-	return http1.ErrorAnswer(status, code, text, head+proxyStatus(code)+f.opt.CORS.answer(&s.msg), s.msg.Close)
+	return http1.ErrorAnswer(status, code, text, f.date()+head+proxyStatus(code)+f.opt.CORS.answer(&s.msg), s.msg.Close)
 }
 
 // causes are the proxy error types of RFC 9209, 2.3, by this front's codes; http_request_denied where none is given.
@@ -33,7 +36,13 @@
 	"no_quorum": "proxy_internal_error",
 }
 
+// statuses keeps the lines that were worded; the codes are few, and the program's own.
+var statuses sync.Map
+
 func proxyStatus(code string) string {
+	if text, ok := statuses.Load(code); ok {
+		return text.(string)
+	}
 	cause := causes[code]
 	if cause == "" {
 		cause = "http_request_denied"
@@ -41,7 +50,9 @@
 	item := httpsfv.NewItem(httpsfv.Token("turnfork"))
 	item.Params.Add("error", httpsfv.Token(cause))
 	item.Params.Add("details", code)
-	return structured("Proxy-Status", item)
+	text := structured("Proxy-Status", item)
+	statuses.Store(code, text)
+	return text
 }
 
 func structured(name string, item httpsfv.Item) string {
@@ -55,7 +66,7 @@
 // served words a representation under the request's conditions.
 func (f *Front) served(s *slot, a core.Answer, head string) []byte {
 	m := &s.msg
-	head += f.caching(s, a) + f.opt.CORS.answer(m)
+	head += f.common(s, a)
 	if s.class.Write {
 		return http1.Answer(200, octets, head, len(a.Body), a.Body, m.Close)
 	}
@@ -100,6 +111,11 @@
 	return "multipart/byteranges; boundary=" + boundary, append(out, "\r\n--"+boundary+"--\r\n"...)
 }
 
+// common words what every answer with a representation says.
+func (f *Front) common(s *slot, a core.Answer) string {
+	return f.date() + f.caching(s, a) + f.opt.CORS.answer(&s.msg)
+}
+
 // caching says how old a copy is and how long it may be kept: as its class permits, and no longer than the grant lasts.
 // It is the client's own, as the URL or the cookie is.
 func (f *Front) caching(s *slot, a core.Answer) string {
@@ -112,40 +128,65 @@
 		age = math.Max(0, math.Floor((now-a.Minted)/1000))
 		head = "Age: " + strconv.Itoa(int(math.Min(age, math.MaxInt32))) + "\r\n"
 	}
-	if most := math.Floor(math.Min(s.class.Fresh/1000, age+s.grant.Until-now/1000)); most > age {
+	if most := math.Floor(math.Min(s.class.Fresh/1000, age+s.until-now/1000)); most > age {
 		head += "Cache-Control: private, max-age=" + strconv.Itoa(int(most)) + "\r\n"
 	} else { // good until it is purged, or stale already: to be asked for again each time, which 304 makes cheap
 		head += "Cache-Control: private, no-cache\r\n"
 	}
-	if s.grant.Vary != "" {
-		head += "Vary: " + s.grant.Vary + "\r\n"
+	if s.vary != "" {
+		head += "Vary: " + s.vary + "\r\n"
 	}
 	return head + f.cacheStatus(s, a, age)
 }
 
-// cacheStatus says in Cache-Status (RFC 9211) whether a store had the copy.
+// cacheStatuses are the lines of Cache-Status (RFC 9211) by what a store's answer notes, without their end.
+var cacheStatuses = func() map[control.Note]string {
+	line := func(params ...any) string {
+		item := httpsfv.NewItem(httpsfv.Token("turnfork"))
+		for i := 0; i < len(params); i += 2 {
+			item.Params.Add(params[i].(string), params[i+1])
+		}
+		return strings.TrimSuffix(structured("Cache-Status", item), "\r\n")
+	}
+	hit, miss := line("hit", true), line("fwd", httpsfv.Token("miss"))
+	return map[control.Note]string{
+		control.Hit: hit, control.StaleCopy: hit, control.Filled: miss, control.FilledByOrigin: miss,
+		control.Joined: line("fwd", httpsfv.Token("miss"), "collapsed", true), control.NoNote: line("fwd", httpsfv.Token("bypass")),
+	}
+}()
+
+// cacheStatus says whether a store had the copy, and for how long that is fresh yet.
 func (f *Front) cacheStatus(s *slot, a core.Answer, age float64) string {
-	item := httpsfv.NewItem(httpsfv.Token("turnfork"))
-	switch a.Note {
-	case control.Hit, control.StaleCopy:
-		item.Params.Add("hit", true)
-	case control.Filled, control.FilledByOrigin:
-		item.Params.Add("fwd", httpsfv.Token("miss"))
-	case control.Joined:
-		item.Params.Add("fwd", httpsfv.Token("miss"))
-		item.Params.Add("collapsed", true)
-	default:
-		item.Params.Add("fwd", httpsfv.Token("bypass"))
+	text, ok := cacheStatuses[a.Note]
+	if !ok {
+		text = cacheStatuses[control.NoNote]
 	}
 	if s.class.Fresh > 0 && a.Minted > 0 {
-		item.Params.Add("ttl", int64(s.class.Fresh/1000-age))
+		text += ";ttl=" + strconv.Itoa(int(s.class.Fresh/1000-age))
 	}
-	return structured("Cache-Status", item)
+	return text + "\r\n"
+}
+
+// dateText is the Date of a second.
+type dateText struct {
+	second int64
+	text   string
 }
 
 // date is the Date of an answer.
 func (f *Front) date() string {
-	return "Date: " + time.UnixMilli(int64(f.opt.Clock.Unix())).UTC().Format("Mon, 02 Jan 2006 15:04:05 GMT") + "\r\n"
+	second := int64(f.opt.Clock.Unix() / 1000)
+	if d := f.dates.Load(); d != nil && d.second == second {
+		return d.text
+	}
+	d := &dateText{second, "Date: " + time.Unix(second, 0).UTC().Format(http.TimeFormat) + "\r\n"}
+	f.dates.Store(d)
+	return d.text
+}
+
+// dated puts a date into a small answer, behind its first line.
+func (f *Front) dated(b []byte) []byte {
+	return bytes.Replace(b, []byte("\r\n"), []byte("\r\n"+f.date()), 1)
 }
 
 // CORS is what pages of other origins may do (the Fetch standard's protocol). The zero value allows nothing.
@@ -202,5 +243,5 @@
 			head += "Access-Control-Max-Age: " + strconv.Itoa(f.opt.CORS.MaxAge) + "\r\n"
 		}
 	}
-	return http1.Answer(204, "", head+f.opt.CORS.vary(), 0, nil, m.Close)
+	return http1.Answer(204, "", f.date()+head+f.opt.CORS.vary(), 0, nil, m.Close)
 }
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
@@ -93,6 +92,7 @@
 	policy  atomic.Pointer[Policy]
 	open    atomic.Int64
 	release chan struct{}
+	dates   atomic.Pointer[dateText]
 }
 
 // New returns a front.
@@ -164,8 +164,11 @@
 	tag    uint64
 	msg    http1.Message
 	class  Class
-	grant  token.Grant
-	claim  string // the name of its claim, if it has one
+	until  float64      // when its grant ends, in Unix seconds
+	use    string       // that its grant has, if any
+	vary   string       // the header that carried its token
+	renews *token.Grant // of a token that another may follow
+	claim  string       // the name of its claim, if it has one
 	owner  string
 	held   int // bytes of its body booked with the front's intake
 	asked  bool
@@ -355,7 +358,7 @@
 			return
 		}
 		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
-		err := c.send(s.answer)
+		_, err := c.net.Write(s.answer)
 		c.front.budget.Give(held)
 		c.front.open.Add(-1)
 		c.unwritten.Add(-1)
@@ -366,23 +369,12 @@
 	}
 }
 
-// send writes an answer with its date behind the first line.
-func (c *conn) send(b []byte) error {
-	at := bytes.IndexByte(b, '\n') + 1
-	if at == 0 { // withdrawn
-		return nil
-	}
-	parts := net.Buffers{b[:at], []byte(c.front.date()), b[at:]}
-	_, err := parts.WriteTo(c.net)
-	return err
-}
-
 // take judges a request and hands it to the core, or answers it here.
 func (c *conn) take(s *slot) {
 	f, m := c.front, &s.msg
 	at := f.opt.Clock.Now()
 	if strings.HasPrefix(m.Path, "/-/") || m.Path == "/healthz" {
-		c.reply(s, f.manage(m))
+		c.reply(s, f.dated(f.manage(m)))
 		return
 	}
 	object, ok := objectPath(m.Path)
@@ -444,7 +436,14 @@
 		return
 	}
 	s.held = len(m.Body)
-	s.class, s.grant = class, grant
+	s.class, s.until, s.vary = class, grant.Until, grant.Vary
+	if grant.ID != "" {
+		s.use = grant.Use()
+	}
+	if grant.Renewal.Seconds > 0 {
+		kept := grant
+		s.renews = &kept
+	}
 	ask.From, ask.At, ask.Body = c, at, m.Body
 	if ask.Left == 0 || ask.Left > class.Deadline {
 		ask.Left = class.Deadline
@@ -475,14 +474,14 @@
 // is sent either: the token may be taken, so the client has to come with it again.
 func (c *conn) claim(s *slot, left float64) bool {
 	f := c.front
-	if s.grant.ID == "" {
+	if s.use == "" {
 		c.fail(s, 403, "bad_claim", "this class needs a token of a single use, with a jti", "")
 		return false
 	}
-	s.claim, s.owner = s.grant.Use(), rand.Text()
+	s.claim, s.owner = s.use, rand.Text()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
 	defer cancel()
-	until := s.grant.Until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
+	until := s.until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
 	ok, err := f.opt.Claims.Claim(ctx, s.claim, s.owner, until)
 	switch {
 	case err != nil:
@@ -534,22 +533,14 @@
 	if a.Tag != "" {
 		head = "ETag: \"" + a.Tag + "\"\r\n"
 	}
-	// Guards against a package that outlives its revocation, which counts as long as a token may last.
-	next := s.grant.Renewal
-	lasts, now := float64(next.Seconds) <= f.policy.Load().TokenSeconds, f.opt.Clock.Unix()/1000
-	if lasts && s.grant.Renews(now) && (a.Verdict == core.Served || a.Verdict == core.Same) {
-		if name, text, err := f.ring.Load().Renewed(&s.grant, now); err == nil && next.Header {
-			head += name + ": " + text + "\r\n"
-		} else if err == nil {
-			head += "Set-Cookie: " + name + "=" + text + "; Path=" + cookiePath(s.msg.Path, next.Depth) +
-				"; Max-Age=" + strconv.Itoa(next.Seconds) + "; HttpOnly\r\n"
-		}
+	if s.renews != nil && (a.Verdict == core.Served || a.Verdict == core.Same) {
+		head += f.renewed(s)
 	}
 	switch a.Verdict {
 	case core.Served:
 		return f.served(s, a, head)
 	case core.Same:
-		return http1.Answer(304, "", head+f.caching(s, a)+f.opt.CORS.answer(&s.msg), 0, nil, s.msg.Close)
+		return http1.Answer(304, "", head+f.common(s, a), 0, nil, s.msg.Close)
 	case core.Refused:
 		head := throttle(a.RetryAfter)
 		if a.Reason == core.Deadline {
@@ -568,6 +559,24 @@
 	return f.errorAnswer(s, 502, "upstream_failed", "the store failed", "")
 }
 
+// renewed words the token that follows a request's, if one does.
+func (f *Front) renewed(s *slot) string {
+	next, now := &s.renews.Renewal, f.opt.Clock.Unix()/1000
+	// Guards against a token that outlives its revocation, which counts as long as a token may last.
+	if float64(next.Seconds) > f.policy.Load().TokenSeconds || !s.renews.Renews(now) {
+		return ""
+	}
+	name, text, err := f.ring.Load().Renewed(s.renews, now)
+	switch {
+	case err != nil:
+		return ""
+	case next.Header:
+		return name + ": " + text + "\r\n"
+	}
+	return "Set-Cookie: " + name + "=" + text + "; Path=" + cookiePath(s.msg.Path, next.Depth) +
+		"; Max-Age=" + strconv.Itoa(next.Seconds) + "; HttpOnly\r\n"
+}
+
 // throttle words how long a client should stay away, in whole seconds and in ms.
 func throttle(ms float64) string {
 	head := "Retry-After: " + strconv.Itoa(max(1, int((ms+999)/1000))) + "\r\n"
--- a/token/edgeauth/edgeauth.go
+++ b/token/edgeauth/edgeauth.go
@@ -55,24 +55,37 @@
 	return k.Param
 }
 
-// Find looks for the parameters that the keys name, in the query first, then the headers, then the cookies.
+// Find looks for the names that the keys give, the usual one first: each in the query, the headers, the cookies.
 func (Dialect) Find(q *token.Request, keys []*token.Ready) (token.Carried, bool) {
-	names := []string{DefaultParam}
+	if c, ok := under(q, DefaultParam); ok {
+		return c, true
+	}
 	for _, k := range keys {
 		if p := param(k.Key); p != DefaultParam {
-			names = append(names, p)
-		}
-	}
-	for at, get := range []func(string) string{q.Query.Get, q.HeaderOf, q.CookieOf} {
-		for _, name := range names {
-			if text := get(name); text != "" {
-				return token.Carried{Text: text, Params: []string{name}, From: token.Place(at), Name: name}, true
+			if c, ok := under(q, p); ok {
+				return c, true
 			}
 		}
 	}
 	return token.Carried{}, false
 }
 
+// under gives the token that stands under a name.
+func under(q *token.Request, name string) (token.Carried, bool) {
+	c := token.Carried{Text: q.Query.Get(name), Name: name}
+	if c.Text == "" {
+		c.Text, c.From = q.HeaderOf(name), token.InHeader
+	}
+	if c.Text == "" {
+		c.Text, c.From = q.CookieOf(name), token.InCookie
+	}
+	if c.Text == "" {
+		return c, false
+	}
+	c.Params = []string{name}
+	return c, true
+}
+
 // fields are a token's, in the order of the specification; each at most once.
 type fields struct {
 	ip, st, exp, acl, id, data string
--- a/token/query.go
+++ b/token/query.go
@@ -24,6 +24,15 @@
 	return ""
 }
 
+func (q Query) has(name string) bool {
+	for _, p := range q {
+		if p.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Without leaves parameters out.
 func (q Query) Without(names ...string) (out Query) {
 next:
@@ -58,7 +67,7 @@
 	if raw == "" {
 		return nil, nil
 	}
-	seen := map[string]bool{}
+	q = make(Query, 0, min(queryMost, strings.Count(raw, "&")+1))
 	for item := range strings.SplitSeq(raw, "&") {
 		n, v, _ := strings.Cut(item, "=")
 		var p Pair
@@ -68,10 +77,9 @@
 		if p.Value, err = url.QueryUnescape(v); err != nil {
 			return nil, Reject(Malformed, "the query can't be read")
 		}
-		if seen[p.Name] || p.Name == "" || len(q) >= queryMost {
+		if p.Name == "" || len(q) >= queryMost || q.has(p.Name) {
 			return nil, Reject(Malformed, "a parameter without a name, twice there, or too many")
 		}
-		seen[p.Name] = true
 		q = append(q, p)
 	}
 	return q, nil
--- a/token/ring/ring.go
+++ b/token/ring/ring.go
@@ -100,7 +100,12 @@
 		return g, nil, err
 	}
 	g.Kind = with.Kind()
-	g.Vary = map[token.Place]string{token.InHeader: got.Name, token.InCookie: "Cookie"}[got.From]
+	switch got.From {
+	case token.InHeader:
+		g.Vary = got.Name
+	case token.InCookie:
+		g.Vary = "Cookie"
+	}
 	if err = g.Check(&q, now, leeway); err == nil && g.Query {
 		rest = q.Query.Without(got.Params...)
 	}
