Limit the signed front by grant, key and client, and make forged tokens cost their sender

Need: 64 connections with forged links took 0.83 of the good clients' rate, and each forged link wrote a log line.

Change: package limits, without I/O and with the time handed in: token buckets in tables of fixed memory (xxHash64, sets of eight, the bucket nearest to full gives way), a guard over sources that fail, numbers in hand, sampling. The front answers a failing source at once and reads its next request later; past a hundred failures it checks 20 of its tokens a second and refuses the rest before any signature. [limit] in the operator's file; nothing is limited without it.

Fuzzing against plain buckets found that a clock going back could keep a name from its tokens; mended. Not done: global rates as leases.

--- a/config/operator.go
+++ b/config/operator.go
@@ -15,6 +15,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/limits"
 	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
@@ -33,6 +34,7 @@
 	OperatorSecret string        `toml:"operator_secret"`
 	OperatorFile   string        `toml:"operator_secret_file"`
 	Cors           Cors          `toml:"cors"`
+	Limit          Limit         `toml:"limit"`
 	Limits         Limits        `toml:"limits"`
 	Module         Module        `toml:"module"`
 	Classes        []Class       `toml:"class"`
@@ -77,6 +79,59 @@
 	return nil
 }
 
+// Limit is what those who ask at the signed front may have; what is left out is no limit.
+type Limit struct {
+	Grant  Each `toml:"grant"`
+	Key    Each `toml:"key"`
+	Client Each `toml:"client"`
+	V4     int  `toml:"client_v4_bits"` // of an address that make a client; 0: 24
+	V6     int  `toml:"client_v6_bits"` // 0: 56
+	Names  int  `toml:"names"`          // remembered of each kind; 0: 65,536
+}
+
+// Each is a limit for each grant, key or client.
+type Each struct {
+	PerSecond float64 `toml:"per_second"`
+	Burst     float64 `toml:"burst"` // 0: a second's worth
+	KBps      float64 `toml:"kb_per_s"`
+	AtOnce    int     `toml:"at_once"`
+}
+
+func (e Each) limit() limits.Limit {
+	return limits.Limit{
+		Requests: limits.Rate{PerSecond: e.PerSecond, Burst: e.Burst}, Bytes: limits.Rate{PerSecond: e.KBps * 1000}, AtOnce: e.AtOnce,
+	}
+}
+
+// Options words the limits for the front.
+func (l Limit) Options() limits.Options {
+	return limits.Options{Grant: l.Grant.limit(), Key: l.Key.limit(), Client: l.Client.limit(), V4: l.V4, V6: l.V6, Names: l.Names}
+}
+
+func (l Limit) check() error {
+	for _, x := range []struct {
+		name string
+		each Each
+	}{{"grant", l.Grant}, {"key", l.Key}, {"client", l.Client}} {
+		for field, v := range map[string]float64{
+			"per_second": x.each.PerSecond, "burst": x.each.Burst, "kb_per_s": x.each.KBps, "at_once": float64(x.each.AtOnce),
+		} {
+			if !(v >= 0 && v < 1e9) {
+				return fmt.Errorf("limit.%s.%s: %v is no limit", x.name, field, v)
+			}
+		}
+	}
+	switch {
+	case l.V4 < 0 || l.V4 > 32:
+		return fmt.Errorf("limit.client_v4_bits: %d is not within 0 to 32", l.V4)
+	case l.V6 < 0 || l.V6 > 128:
+		return fmt.Errorf("limit.client_v6_bits: %d is not within 0 to 128", l.V6)
+	case l.Names < 0 || l.Names > 1<<22:
+		return fmt.Errorf("limit.names: %d is not within 0 to 4,194,304", l.Names)
+	}
+	return nil
+}
+
 // Limits is the size of the machine.
 type Limits struct {
 	Cores    float64 `toml:"cores"`
@@ -232,6 +287,9 @@
 	if err := o.Cors.check(); err != nil {
 		return err
 	}
+	if err := o.Limit.check(); err != nil {
+		return err
+	}
 	if len(o.Classes) == 0 {
 		return fmt.Errorf("class: none given")
 	}
--- /dev/null
+++ b/front/signed/guard.go
@@ -0,0 +1,94 @@
+package signed
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/limits"
+	"turnfork.dev/turnfork/token"
+)
+
+func guardOf(o limits.GuardOptions) limits.GuardOptions {
+	if o == (limits.GuardOptions{}) {
+		return limits.DefaultGuard
+	}
+	return o
+}
+
+// source is what a client's failures are booked under: its address, of IPv6 the first 56 bits, which one client may
+// have to itself.
+func source(a netip.Addr) string {
+	if a.Is6() {
+		if p, err := a.Prefix(56); err == nil {
+			return p.String()
+		}
+	}
+	return a.String()
+}
+
+// forged tells whether a rejection speaks against its sender: who comes too late or without a token tries none out.
+func forged(err error) bool {
+	switch token.WhyOf(err) {
+	case token.BadSignature, token.BadKey, token.Malformed:
+		return true
+	}
+	return false
+}
+
+// slow keeps a connection whose source fails unread for a moment. All that it asked is answered by then: what waits is
+// what it has not been asked yet.
+func (c *conn) slow() {
+	f := c.front
+	pause := f.guard.Pause(c.source, f.opt.Clock.Now())
+	if pause <= 0 {
+		return
+	}
+	t := time.NewTimer(clock.Duration(pause))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ended:
+	}
+}
+
+// sampled writes a log line of a kind that clients cause, so many a second, with the number of those left out.
+func (f *Front) sampled(e *zerolog.Event, kind string, with func(*zerolog.Event)) {
+	f.sampling.Lock()
+	ok, left := f.sampler.Take(kind, f.opt.Clock.Now())
+	f.sampling.Unlock()
+	if !ok {
+		return
+	}
+	if with(e); left > 0 {
+		e.Int("left_out", left)
+	}
+	e.Msg(kind)
+}
+
+// within counts a request in its grant's, its key's and its client's limits, or refuses it.
+func (c *conn) within(s *slot, g *token.Grant) bool {
+	f := c.front
+	if !f.limits.On() {
+		return true
+	}
+	who := &limits.Who{Key: g.Key, Client: f.limits.Client(c.addr())}
+	if g.ID != "" {
+		who.Grant = g.Use()
+	}
+	if r := f.limits.Enter(*who, f.opt.Clock.Now()); r != nil {
+		c.fail(s, 429, "limited", "the limit of this "+r.By+" is reached", throttle(r.Wait))
+		return false
+	}
+	s.who = who
+	return true
+}
+
+// out counts a request out of its limits, with the bytes of its answer.
+func (f *Front) out(s *slot) {
+	if s.who != nil {
+		f.limits.Leave(*s.who, float64(len(s.answer)), f.opt.Clock.Now())
+		s.who = nil
+	}
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -23,6 +23,7 @@
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front"
 	"turnfork.dev/turnfork/internal/http1"
+	"turnfork.dev/turnfork/limits"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
 )
@@ -61,9 +62,11 @@
 	TokenMost  float64 // s that an issued token may last; 0: one day
 	MaxConns   int     // 0: 200
 	CORS       CORS
-	RetryAfter float64 // ms that clients should stay away which a drain refuses; 0: no advice
-	MaxBytes   int64   // answers that wait to be written; 0: 24 MB
-	ClaimMost  float64 // ms that a claim may take; 0: 1000
+	Limits     limits.Options
+	Guard      limits.GuardOptions // the zero value: limits.DefaultGuard
+	RetryAfter float64             // ms that clients should stay away which a drain refuses; 0: no advice
+	MaxBytes   int64               // answers that wait to be written; 0: 24 MB
+	ClaimMost  float64             // ms that a claim may take; 0: 1000
 	Tap        func(net.Conn) net.Conn
 }
 
@@ -78,6 +81,7 @@
 	pipelineMost = 4
 	intakeMost   = 8 << 20 // bodies of requests without an answer, on all connections
 	claimMargin  = 60000   // ms that a claim outlives expiry and leeway
+	logsMost     = 10      // lines a second of one kind that clients cause
 	releases     = 64      // claims being given back at once
 )
 
@@ -93,6 +97,12 @@
 	open    atomic.Int64
 	release chan struct{}
 	dates   atomic.Pointer[dateText]
+	guard   *limits.Guard
+	limits  *limits.Limits
+	denied  atomic.Int64 // refused before a check
+
+	sampling sync.Mutex
+	sampler  *limits.Sampler
 }
 
 // New returns a front.
@@ -119,6 +129,7 @@
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
+		guard: limits.NewGuard(guardOf(opt.Guard)), limits: limits.New(opt.Limits), sampler: limits.NewSampler(limits.Rate{PerSecond: logsMost, Burst: logsMost}),
 	}
 	for _, c := range opt.Classes {
 		f.classes[c.Name] = c
@@ -168,6 +179,7 @@
 	use    string       // that its grant has, if any
 	vary   string       // the header that carried its token
 	renews *token.Grant // of a token that another may follow
+	who    *limits.Who  // whose limits it is counted in
 	claim  string       // the name of its claim, if it has one
 	owner  string
 	held   int // bytes of its body booked with the front's intake
@@ -184,6 +196,8 @@
 	queue chan *slot
 	ended chan struct{} // closed when the writer ends
 
+	source string // what its failures are booked under
+
 	unwritten atomic.Int64 // whole requests, or unreadable ones, whose answer is not yet written
 
 	mu   sync.Mutex
@@ -196,6 +210,7 @@
 	c := &conn{
 		front: f, net: nc, seat: seat, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
 	}
+	c.source = source(c.addr())
 	seat.Hushes()
 	seat.Yields(c.yield)
 	var g errgroup.Group
@@ -223,8 +238,10 @@
 		c.begin(0)
 		s := &slot{msg: m, ready: make(chan struct{})}
 		if b, ok := http1.IsBad(err); ok {
-			c.front.opt.Log.Warn().Int("status", b.Status).Str("what", b.Text).Stringer("from", c.net.RemoteAddr()).
-				Msg("request can't be read")
+			c.front.guard.Failed(c.source, c.front.opt.Clock.Now())
+			c.front.sampled(c.front.opt.Log.Warn(), "request can't be read", func(e *zerolog.Event) {
+				e.Int("status", b.Status).Str("what", b.Text).Str("from", c.source)
+			})
 			s.msg.Close = true
 			c.front.open.Add(1)
 			s.finish(c.front.errorAnswer(s, b.Status, "malformed", b.Text, ""))
@@ -246,6 +263,7 @@
 			c.drain(r)
 			return
 		}
+		c.slow()
 	}
 }
 
@@ -343,6 +361,7 @@
 		close(c.ended)
 		for s := range c.queue { // the reader withdraws what is open, which readies these too
 			<-s.ready
+			c.front.out(s)
 			c.front.intake.Give(s.held)
 			c.front.open.Add(-1)
 		}
@@ -351,6 +370,7 @@
 		<-s.ready
 		c.front.intake.Give(s.held)
 		held := len(s.answer)
+		c.front.out(s)
 		if !c.front.budget.Take(held) {
 			c.front.opt.Log.Warn().Msg("too much waits to be written: slow client dropped")
 			c.front.open.Add(-1)
@@ -395,6 +415,12 @@
 		return
 	}
 	now := f.opt.Clock.Unix()
+	// Guards against who tries tokens out: a source that fails is refused before its signatures cost anything.
+	if ok, wait := f.guard.Check(c.source, f.opt.Clock.Now()); !ok {
+		f.denied.Add(1)
+		c.fail(s, 429, "too_many_failures", "too many tokens from this address were not accepted", throttle(wait))
+		return
+	}
 	grant, rest, err := f.ring.Load().Verify(token.Request{
 		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Method: m.Method, Addr: c.addr(),
 		Cookie: m.Cookie, Header: func(name string) string { return m.Header[strings.ToLower(name)] },
@@ -402,7 +428,10 @@
 	if err != nil {
 		status, code, text, head := rejected(err)
 		c.fail(s, status, code, text, head)
-		f.opt.Log.Info().Err(err).Str("path", m.Path).Msg("token not accepted")
+		if forged(err) {
+			f.guard.Failed(c.source, f.opt.Clock.Now())
+		}
+		f.sampled(f.opt.Log.Info(), "token not accepted", func(e *zerolog.Event) { e.Err(err).Str("path", m.Path).Str("from", c.source) })
 		return
 	}
 	if grant.ID != "" && f.opt.Claims.Revoked(grant.Use()) {
@@ -431,6 +460,9 @@
 		c.fail(s, 503, "draining", "this gateway is being emptied", throttle(f.opt.RetryAfter))
 		return
 	}
+	if !c.within(s, &grant) {
+		return
+	}
 	if !f.intake.Take(len(m.Body)) {
 		c.fail(s, 503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n")
 		return
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -277,7 +277,7 @@
 	200: "OK", 201: "Created", 204: "No Content", 206: "Partial Content", 304: "Not Modified", 400: "Bad Request", 401: "Unauthorized",
 	403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed", 412: "Precondition Failed", 413: "Content Too Large",
 	414: "URI Too Long", 416: "Range Not Satisfiable",
-	431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+	429: "Too Many Requests", 431: "Request Header Fields Too Large", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
 	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
 }
 
--- /dev/null
+++ b/limits/limits_test.go
@@ -0,0 +1,181 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// FuzzTable checks a table that has room for all against plain buckets, and one that has not against its promise: a
+// name never gets less than its bucket would give.
+func FuzzTable(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 0, 0, 0, 9, 200, 0, 1})
+	f.Add([]byte{5, 5, 5, 5, 5, 255, 5, 5, 5, 128, 5})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		rate := Rate{PerSecond: 10, Burst: 3}
+		wide, tight := NewTable(rate, 1<<12), NewTable(rate, 1)
+		levels, at, now := map[int]float64{}, map[int]float64{}, 1e12
+		for i, s := range steps {
+			now += float64(s>>4) * 20
+			if s == 255 {
+				now -= 1000 // a clock that goes back
+			}
+			name := int(s & 15)
+			text := fmt.Sprint(name)
+			if s%3 == 0 {
+				text = fmt.Sprintf("%d-%d", name, i) // a name seen once
+			}
+			level, seen := levels[name], at[name]
+			if seen == 0 || text != fmt.Sprint(name) {
+				level, seen = 3, now
+			}
+			level = math.Min(3, level+math.Max(0, now-seen)/100)
+			ok, wait := wide.Take(text, 1, now)
+			if want := level >= 1; ok != want && math.Abs(level-1) > 1e-3 {
+				t.Fatalf("step %d: %v at level %v", i, ok, level)
+			}
+			if !ok && (wait <= 0 || wait > 100.1) {
+				t.Fatalf("wait %v", wait)
+			}
+			if more, _ := tight.Take(text, 1, now); ok && !more && math.Abs(level-1) > 1e-3 {
+				t.Fatalf("step %d: a crowded table gave less", i)
+			}
+			if ok {
+				level--
+			}
+			if text == fmt.Sprint(name) {
+				levels[name], at[name] = level, now
+			}
+		}
+	})
+}
+
+// A million names cost what the table was made for, and a name that used its burst stays known beside them as long as
+// its set has not eight that lack more.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(Rate{PerSecond: 1, Burst: 5}, 1<<16)
+	for range 5 {
+		table.Take("greedy", 1, 0)
+	}
+	forgotten := 0
+	for i := range 1000000 {
+		table.Take(fmt.Sprint(i), 1, float64(i)/1e6)
+		if i%100000 == 0 {
+			if ok, _ := table.Take("greedy", 1, float64(i)/1e6); ok {
+				forgotten++
+			}
+		}
+	}
+	if n := table.Bytes(); n > 1<<16*bucketSize*2 || forgotten > 0 {
+		t.Errorf("%d bytes, forgotten %d times", n, forgotten)
+	}
+	t.Logf("%d bytes for a million names", table.Bytes())
+}
+
+// A source that fails is slowed, then barred, and is checked at its rate all the while; it is forgiven in time. Others
+// notice nothing.
+func TestGuard(t *testing.T) {
+	g := NewGuard(GuardOptions{Failures: Rate{1, 10}, Checks: Rate{5, 5}, PauseMs: 200, Sources: 100})
+	now, checked := 0.0, 0
+	for i := range 40 {
+		pause := g.Pause("bad", now)
+		if i < 5 && pause != 0 || i > 5 && i < 10 && (pause <= 0 || pause > 200) || i > 15 && pause != 200 {
+			t.Errorf("failure %d: paused %v", i, pause)
+		}
+		if ok, wait := g.Check("bad", now); ok {
+			checked++
+			g.Failed("bad", now)
+		} else if wait <= 0 {
+			t.Errorf("failure %d: no advice", i)
+		}
+	}
+	if checked != 15 { // ten forgiven, and a burst of five
+		t.Errorf("%d checked", checked)
+	}
+	for range 20 {
+		now += 200
+		if ok, _ := g.Check("bad", now); !ok {
+			t.Error("less than its rate")
+		}
+		g.Failed("bad", now)
+	}
+	if ok, wait := g.Check("good", now); !ok || wait != 0 || g.Pause("good", now) != 0 {
+		t.Error("another source is held to it")
+	}
+	now += 60000
+	if g.Pause("bad", now) != 0 {
+		t.Error("never forgiven")
+	}
+}
+
+func TestSampler(t *testing.T) {
+	s := NewSampler(Rate{PerSecond: 10, Burst: 10})
+	through, left := 0, 0
+	for i := range 10000 {
+		if ok, n := s.Take("a", float64(i)/10); ok {
+			through++
+			left += n
+		}
+	}
+	if through < 19 || through > 20 || left+through > 10000 || left < 8000 {
+		t.Errorf("%d through, %d counted", through, left)
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	t := NewTable(Rate{PerSecond: 1000}, 1<<16)
+	names := make([]string, 1<<12)
+	for i := range names {
+		names[i] = fmt.Sprint("grant/", i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		t.Take(names[i&(1<<12-1)], 1, float64(i))
+	}
+}
+
+// FuzzLimits holds the limits to a plain count: no name has more in hand than it may, a refusal costs nothing, and what
+// was let in is let out.
+func FuzzLimits(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 128, 4, 5, 129, 130, 1, 1, 1, 1})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		l := New(Options{
+			Grant: Limit{Requests: Rate{10, 3}, AtOnce: 2}, Key: Limit{AtOnce: 4, Bytes: Rate{1000, 1000}}, Client: Limit{Requests: Rate{5, 5}},
+		})
+		var in []Who
+		count := map[string]int{}
+		now := 1e6
+		for _, s := range steps {
+			if s >= 128 && len(in) > 0 {
+				at := int(s) % len(in)
+				l.Leave(in[at], float64(s), now)
+				count["g"+in[at].Grant]--
+				count["k"+in[at].Key]--
+				in = append(in[:at], in[at+1:]...)
+				continue
+			}
+			now += float64(s>>3) * 5
+			w := Who{Grant: fmt.Sprint("g", s%4), Key: fmt.Sprint("k", s%2), Client: "c"}
+			before := l.kinds[2].requests.Level("c", now)
+			r := l.Enter(w, now)
+			after := l.kinds[2].requests.Level("c", now)
+			switch {
+			case r == nil:
+				count["g"+w.Grant]++
+				count["k"+w.Key]++
+				in = append(in, w)
+			case r.Wait <= 0 || math.Abs(before-after) > 1e-3:
+				t.Fatalf("%+v cost %v", r, before-after)
+			}
+			if count["g"+w.Grant] > 2 || count["k"+w.Key] > 4 {
+				t.Fatalf("%v", count)
+			}
+		}
+		for _, w := range in {
+			l.Leave(w, 0, now)
+		}
+		if len(l.inUse.open) > 0 {
+			t.Errorf("left behind: %v", l.inUse.open)
+		}
+	})
+}
--- a/turnfork.go
+++ b/turnfork.go
@@ -229,7 +229,7 @@
 		f := signed.New(signed.Options{
 			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
 			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
-			MaxConns: room.front, Tap: tap("signed"), CORS: signed.CORS{Origins: o.Cors.Origins, Headers: o.Cors.Headers, MaxAge: o.Cors.MaxAgeS}, RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
+			MaxConns: room.front, Tap: tap("signed"), Limits: o.Limit.Options(), CORS: signed.CORS{Origins: o.Cors.Origins, Headers: o.Cors.Headers, MaxAge: o.Cors.MaxAgeS}, RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
 		})
 		changed.Store(f)
 		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
