Give claims stages, so that a retry is served once or told the truth

Need: a claim that was proposed and not confirmed answered 503, and the client's next try could be refused as replayed although nothing ran; a phone that lost its answer could not learn whether its ride had ended.

Change: package claims decides without I/O: held, sent, ran or doubt. A held use passes to whoever asks next, as its owner has sent nothing and its own step to sent then fails; a use that may have run never passes. The replicated log makes the steps; an owner's step may be made again, so one of unknown fate is.

Not done: the same with three members and the leader killed at each step over sockets.

--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,76 @@
+package claims
+
+import "testing"
+
+// FuzzApply has requests for one token take any steps in any order, some twice, and holds the records to the promise: no
+// two requests are ever about to send at once, and none after one that ran or may have.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte{0, 1, 4, 5, 1, 0, 8, 9})
+	f.Add([]byte{0, 16, 4, 20, 8, 0, 16})
+	f.Add([]byte{0, 4, 12, 16, 20, 24})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		var r Record
+		there := false
+		type request struct{ sends, ended, released bool }
+		all := map[string]*request{}
+		for i, b := range steps {
+			owner := string('a' + rune(b>>4))
+			q := all[owner]
+			if q == nil {
+				q = &request{}
+				all[owner] = q
+			}
+			s := Step{Owner: owner, Until: float64(i)}
+			switch b % 16 / 4 {
+			case 0:
+				if q.sends || q.ended { // a request holds before it sends, never after
+					continue
+				}
+				s.Op = Hold
+			case 1:
+				if q.ended || q.released {
+					continue
+				}
+				s.Op = Send
+			case 2:
+				if !q.sends {
+					continue
+				}
+				s.Op, s.To, s.Outcome = Settle, []Stage{Ran, Doubt}[b%2], "200"
+			case 3: // nothing ran: it was refused, or never knew that it might send
+				if q.ended {
+					continue
+				}
+				s.Op = Release
+			}
+			before := r
+			next, stays, ok := Apply(r, there, s)
+			if again, stays2, ok2 := Apply(next, stays, s); ok && (again != next || stays2 != stays || !ok2) && s.Op != Hold {
+				t.Fatalf("step %d: made again it differs: %+v %+v", i, next, again)
+			}
+			if !ok && next != before {
+				t.Fatalf("step %d: refused, yet it changed %+v to %+v", i, before, next)
+			}
+			r, there = next, stays
+			if !stays {
+				r = Record{}
+			}
+			if !ok {
+				continue
+			}
+			switch s.Op {
+			case Send:
+				for other, o := range all {
+					if other != owner && o.sends && !o.released {
+						t.Fatalf("step %d: %s may send beside %s", i, owner, other)
+					}
+				}
+				q.sends = true
+			case Settle:
+				q.ended = true
+			case Release:
+				q.released = true
+			}
+		}
+	})
+}
--- /dev/null
+++ b/front/signed/claim_test.go
@@ -0,0 +1,245 @@
+package signed
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
+)
+
+// book is a replicated store that loses messages: a step may fail before it is agreed on, or after.
+type book struct {
+	mu      sync.Mutex
+	records map[string]claims.Record
+	faults  map[claims.Op]string // "before" or "after", once
+}
+
+func (b *book) Step(_ context.Context, name string, s claims.Step) (claims.Record, bool, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fault := b.faults[s.Op]
+	delete(b.faults, s.Op)
+	if fault == "before" {
+		return claims.Record{}, false, errors.New("no leader")
+	}
+	old, there := b.records[name]
+	next, stays, ok := claims.Apply(old, there, s)
+	if delete(b.records, name); stays {
+		b.records[name] = next
+	}
+	if fault == "after" {
+		return claims.Record{}, false, errors.New("the leader is gone")
+	}
+	return next, ok, nil
+}
+
+func (b *book) stage(name string) claims.Stage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.records[name].Stage
+}
+
+func (b *book) Revoke(context.Context, string, float64) error { return nil }
+func (b *book) Revoked(string) bool                           { return false }
+func (b *book) Put(context.Context, string, any) error        { return nil }
+
+// depot is two gateways on one book, before a core that runs rides as told.
+type depot struct {
+	*testing.T
+	book   *book
+	fronts []*Front
+	addrs  []string
+	url    string
+	name   string
+	mu     sync.Mutex
+	runs   int
+	answer func() core.Answer // nil: the gateway is killed before it is known
+	asked  chan core.Ask
+}
+
+func newDepot(t *testing.T) *depot {
+	keys, err := ring.New([]token.Key{{ID: "k", Kind: token.HMAC, Secret: base64.StdEncoding.EncodeToString([]byte(strings.Repeat("s", 32)))}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock.Manual(1e12)
+	d := &depot{T: t, book: &book{records: map[string]claims.Record{}, faults: map[claims.Op]string{}}, name: "k/n", asked: make(chan core.Ask, 16)}
+	got, err := keys.Issue("k", token.Terms{URI: "/v1/ride-end/00000000000000e1/0", Until: 1e9 + 600, ID: "n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.url = got.URL
+	ctx, stop := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range 2 {
+		f := New(Options{
+			Post: d.post, Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: d.book, Classes: []Class{{Name: "ride-end", Deadline: 3000, Write: true}},
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		wg.Go(func() { f.Serve(ctx, l) })
+		d.fronts, d.addrs = append(d.fronts, f), append(d.addrs, l.Addr().String())
+	}
+	t.Cleanup(func() { stop(); wg.Wait() })
+	return d
+}
+
+// post is the core: a ride runs once it is asked for.
+func (d *depot) post(ev core.Event) {
+	a, ok := ev.(core.Ask)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	answer := d.answer()
+	if answer.Verdict != core.Refused {
+		d.runs++
+	}
+	d.mu.Unlock()
+	d.asked <- a
+	go a.From.Answer(a.Tag, answer)
+}
+
+// call ends the ride at a gateway: status, X-Claim, and what it says.
+func (d *depot) call(at int) (int, string, string) {
+	d.Helper()
+	resp, err := http.Post("http://"+d.addrs[at]+d.url, "text/plain", strings.NewReader("ride"))
+	if err != nil {
+		d.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b := make([]byte, 256)
+	n, _ := resp.Body.Read(b)
+	return resp.StatusCode, resp.Header.Get("X-Claim"), string(b[:n])
+}
+
+// settled waits until no step of a claim is under way at the gateways.
+func (d *depot) settled() {
+	for limit := time.Now().Add(20 * time.Second); d.fronts[0].Open()+d.fronts[1].Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			d.Fatal("never settled")
+		}
+	}
+}
+
+var (
+	served  = core.Answer{Verdict: core.Served, Body: []byte("ok"), Ran: true}
+	refused = core.Answer{Verdict: core.Refused, RetryAfter: 50}
+	failed  = core.Answer{Verdict: core.Failed, Reason: core.NoStore, Ran: true}
+	late    = core.Answer{Verdict: core.Failed, Reason: core.Deadline, Ran: true}
+)
+
+// However the store's messages are lost and whatever a ride comes to, a client that retries at either gateway ends with
+// one ride at most and the truth.
+func TestClaimsInDoubt(t *testing.T) {
+	cases := 0
+	for _, op := range []claims.Op{"", claims.Hold, claims.Send, claims.Settle, claims.Release} {
+		for _, when := range []string{"before", "after"} {
+			for name, answers := range map[string][]core.Answer{
+				"served": {served}, "refused, then served": {refused, served}, "failed": {failed}, "late": {late}, "refused twice": {refused, refused, served},
+			} {
+				cases++
+				t.Run(fmt.Sprint(op, " lost ", when, ", ", name), func(t *testing.T) {
+					d := newDepot(t)
+					at := 0
+					d.answer = func() core.Answer { a := answers[min(at, len(answers)-1)]; at++; return a }
+					if op != "" {
+						d.book.faults[op] = when
+					}
+					code, claim, text := 0, "", ""
+					for try := 0; try < 8 && (code == 0 || code == 503); try++ {
+						code, claim, text = d.call(try % 2)
+						d.settled()
+					}
+					want := map[string]int{"failed": 502, "late": 504}[name]
+					if want == 0 {
+						want = 200
+					}
+					lostRefusal := op == claims.Release && strings.HasPrefix(name, "refused") // a step that a dying gateway never made
+					if lostRefusal && when == "before" {
+						if code != 403 || claim != "sent" || d.runs != 0 {
+							t.Errorf("%d %s %s, %d runs", code, claim, text, d.runs)
+						}
+						return
+					}
+					if code != want || d.runs != 1 {
+						t.Fatalf("%d %s %s, %d runs", code, claim, text, d.runs)
+					}
+					code, claim, text = d.call(1) // the phone that lost its answer
+					stage := map[int]string{200: "ran", 502: "doubt", 504: "doubt"}[want]
+					if op == claims.Settle && when == "before" {
+						stage = "sent" // the gateway ended between answer and record
+					}
+					if code != 403 || claim != stage || !strings.Contains(text, "replayed") || d.runs != 1 {
+						t.Errorf("replay: %d %q %s, %d runs", code, claim, text, d.runs)
+					}
+				})
+			}
+		}
+	}
+	t.Logf("%d cases", cases)
+}
+
+// A gateway that was killed leaves its claim where it stood: before its send the token is another's, after it is not.
+func TestClaimsOfTheDead(t *testing.T) {
+	for stage, want := range map[claims.Stage]int{claims.Held: 200, claims.Sent: 403, claims.Ran: 403, claims.Doubt: 403, "": 403} {
+		d := newDepot(t)
+		d.answer = func() core.Answer { return served }
+		d.book.records[d.name] = claims.Record{Owner: "dead", Until: 2e12, Stage: stage}
+		code, claim, text := d.call(0)
+		if code != want || want == 403 && (claim != string(stage) && stage != "" || d.runs != 0) {
+			t.Errorf("%q: %d %q %s, %d runs", stage, code, claim, text, d.runs)
+		}
+	}
+}
+
+// A client that leaves does not end its ride: what became of it is recorded, and its next call learns of it.
+func TestClaimOutlivesItsClient(t *testing.T) {
+	d := newDepot(t)
+	let := make(chan struct{})
+	d.answer = func() core.Answer { return served }
+	plain := d.fronts[0].opt.Post
+	d.fronts[0].opt.Post = func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			d.asked <- a
+			go func() { <-let; a.From.Answer(a.Tag, served) }()
+			return
+		}
+		plain(ev)
+	}
+	c, err := net.Dial("tcp", d.addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", d.url)
+	<-d.asked
+	c.Close()
+	for d.fronts[0].Conns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if code, claim, _ := d.call(1); code != 403 || claim != "sent" {
+		t.Errorf("meanwhile: %d %s", code, claim)
+	}
+	close(let)
+	for d.book.stage(d.name) != claims.Ran {
+		time.Sleep(time.Millisecond)
+	}
+	if code, claim, text := d.call(1); code != 403 || claim != "ran" || !strings.Contains(text, "served 2 bytes") {
+		t.Errorf("afterwards: %d %s %s", code, claim, text)
+	}
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -19,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front"
@@ -30,8 +31,7 @@
 
 // Claims is where single-use tokens are claimed and revocations are kept.
 type Claims interface {
-	Claim(ctx context.Context, name, owner string, until float64) (bool, error)
-	Release(ctx context.Context, name, owner string) (bool, error)
+	Step(ctx context.Context, name string, step claims.Step) (r claims.Record, ok bool, err error)
 	Revoke(ctx context.Context, name string, until float64) error
 	Revoked(name string) bool
 	Put(ctx context.Context, name string, value any) error
@@ -79,10 +79,11 @@
 	idleMost     = 60000.0          // ms without a request
 	writeLimit   = 5 * time.Second
 	pipelineMost = 4
-	intakeMost   = 8 << 20 // bodies of requests without an answer, on all connections
-	claimMargin  = 60000   // ms that a claim outlives expiry and leeway
-	logsMost     = 10      // lines a second of one kind that clients cause
-	releases     = 64      // claims being given back at once
+	intakeMost   = 8 << 20     // bodies of requests without an answer, on all connections
+	claimMargin  = 60000       // ms that a claim outlives expiry and leeway
+	settleMost   = time.Minute // until a claim's end is given up, which then stays in doubt
+	logsMost     = 10          // lines a second of one kind that clients cause
+	releases     = 256         // claims being given back at once
 )
 
 // Front serves one listener.
@@ -150,8 +151,8 @@
 // Handle serves one connection until it ends.
 func (f *Front) Handle(nc net.Conn) { f.server.Handle(nc, f.handle) }
 
-// Open counts the requests whose answer is not yet written.
-func (f *Front) Open() int { return int(f.open.Load()) }
+// Open counts the requests whose answer is not yet written, and the claims whose end is not yet agreed on.
+func (f *Front) Open() int { return int(f.open.Load()) + len(f.release) }
 
 // Drain begins to empty the front of connections, or with on false ends that.
 func (f *Front) Drain(on bool) { f.server.Drain(on) }
@@ -316,10 +317,13 @@
 	c.mu.Lock()
 	var left []uint64
 	for tag, s := range c.open {
+		s.finish(nil)
+		if s.claim != "" { // it may have run: its end is waited for, so that a replay learns of it
+			continue
+		}
 		if s.asked {
 			left = append(left, tag)
 		}
-		s.finish(nil)
 		delete(c.open, tag)
 	}
 	c.mu.Unlock()
@@ -514,15 +518,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
 	defer cancel()
 	until := s.until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
-	ok, err := f.opt.Claims.Claim(ctx, s.claim, s.owner, until)
-	switch {
-	case err != nil:
-		f.opt.Log.Warn().Err(err).Msg("claim not made")
-		c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
-	case !ok:
-		c.fail(s, 403, "replayed", "the token has been used", "")
+	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: until}, {Op: claims.Send, Owner: s.owner}} {
+		r, ok, err := f.opt.Claims.Step(ctx, s.claim, step)
+		if err != nil {
+			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("claim not made")
+			f.settle(s.claim, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whatever was agreed on
+			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
+			return false
+		}
+		if !ok {
+			c.fail(s, 403, "replayed", replayed(r), "X-Claim: "+claimOf(r)+"\r\n")
+			return false
+		}
 	}
-	return err == nil && ok
+	return true
 }
 
 // Answer is the core's final answer to a request.
@@ -534,29 +543,12 @@
 		return // withdrawn
 	}
 	delete(c.open, tag)
-	s.finish(c.front.word(s, a))
-	// A refusal promises that nothing ran, so the token may be used again. Everything else stays
-	// claimed: what ran, and what is in doubt.
-	if a.Verdict == core.Refused && s.claim != "" {
-		c.front.giveBack(s.claim, s.owner)
+	if !s.done {
+		s.finish(c.front.word(s, a))
 	}
-}
-
-// giveBack releases a claim without holding up the core. Past the bound it stays claimed.
-func (f *Front) giveBack(name, owner string) {
-	select {
-	case f.release <- struct{}{}:
-	default:
-		return
+	if s.claim != "" {
+		c.front.settle(s.claim, outcome(s, a))
 	}
-	go func() {
-		defer func() { <-f.release }()
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		if _, err := f.opt.Claims.Release(ctx, name, owner); err != nil {
-			f.opt.Log.Warn().Err(err).Msg("claim not given back")
-		}
-	}()
 }
 
 // word maps a final answer to a response.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/raft"
 	boltdb "github.com/hashicorp/raft-boltdb/v2"
 	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
 )
 
@@ -159,15 +160,13 @@
 	return err
 }
 
-// Claim takes a name for an owner until a time, in Unix ms, if nobody has it. ok tells whether the
-// owner has it now; with an error that is not known, and it must be taken for claimed by somebody.
-func (s *Store) Claim(ctx context.Context, name, owner string, until float64) (ok bool, err error) {
-	return s.propose(ctx, command{Op: opClaim, Name: name, Owner: owner, Until: until})
-}
-
-// Release gives a claim back, if it is the owner's.
-func (s *Store) Release(ctx context.Context, name, owner string) (ok bool, err error) {
-	return s.propose(ctx, command{Op: opRelease, Name: name, Owner: owner})
+// Step makes a step of a name's claim. ok tells whether it was granted, and the record how the claim stands; with an
+// error its fate is not known. It goes on trying until ctx ends, as an owner may make a step again.
+func (s *Store) Step(ctx context.Context, name string, step claims.Step) (r claims.Record, ok bool, err error) {
+	res, err := s.propose(ctx, command{
+		Op: string(step.Op), Name: name, Owner: step.Owner, Until: step.Until, To: step.To, Outcome: step.Outcome,
+	})
+	return res.Record, res.OK, err
 }
 
 // Revoke refuses a token's use from now on, until a time in Unix ms.
@@ -208,31 +207,31 @@
 
 // propose has a majority agree on a command, by way of the leader. It goes on looking for one until
 // ctx ends, but a command whose fate is unknown is not proposed again.
-func (s *Store) propose(ctx context.Context, c command) (bool, error) {
+func (s *Store) propose(ctx context.Context, c command) (out result, err error) {
 	if len(c.Name) == 0 || len(c.Name) > nameMost || len(c.Value) > valueMost {
-		return false, fmt.Errorf("replica: name: 1 to %d bytes", nameMost)
+		return out, fmt.Errorf("replica: name: 1 to %d bytes", nameMost)
 	}
 	c.At = s.opt.Clock.Unix()
 	b, err := json.Marshal(c)
 	if err != nil {
-		return false, err
+		return out, err
 	}
 	for {
 		res, sure, err := s.once(ctx, b)
 		if err == nil {
 			if res.Err != "" {
-				return false, errors.New("replica: " + res.Err)
+				return out, errors.New("replica: " + res.Err)
 			}
-			return res.OK, nil
+			return res, nil
 		}
-		// Guards against a claim made twice: where the first proposal may still be agreed on, a
-		// second would find it taken by its own owner, or do a thing twice.
-		if !sure {
-			return false, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+		// Guards against doing a thing twice, where the first proposal may still be agreed on. A claim's owner may
+		// make its step again.
+		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) {
+			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 		}
 		select {
 		case <-ctx.Done():
-			return false, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 		case <-time.After(retryPause):
 		}
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/internal/standin"
 )
@@ -108,7 +109,10 @@
 	t.Helper()
 	// A leader that has just been lost can leave a proposal's fate open; the claim's own state is asked
 	// with another owner in the tests below, so only a clean answer counts here.
-	got, err := s.Claim(patient(t), name, owner, s.opt.Clock.Unix()+60000)
+	_, got, err := s.Step(patient(t), name, claims.Step{Op: claims.Hold, Owner: owner, Until: s.opt.Clock.Unix() + 60000})
+	if got && err == nil { // about to send: from here on it is taken
+		_, got, err = s.Step(patient(t), name, claims.Step{Op: claims.Send, Owner: owner})
+	}
 	if err != nil || got != want {
 		t.Errorf("claim of %s by %s: %v, %v; want %v", name, owner, got, err, want)
 	}
@@ -120,7 +124,7 @@
 	mustClaim(t, c.stores[at], "k/1", "a", true)
 	mustClaim(t, c.stores[(at+1)%3], "k/1", "b", false) // by way of the leader
 	mustClaim(t, c.stores[(at+2)%3], "k/2", "c", true)
-	if ok, err := c.stores[at].Release(patient(t), "k/2", "b"); ok || err != nil {
+	if _, ok, err := c.stores[at].Step(patient(t), "k/2", claims.Step{Op: claims.Release, Owner: "b"}); ok || err != nil {
 		t.Errorf("another owner's claim was released: %v, %v", ok, err)
 	}
 
@@ -135,7 +139,7 @@
 	c.stop(other)
 	ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
 	defer cancel()
-	if ok, err := c.stores[next].Claim(ctx, "k/4", "e", 1e15); ok || !errors.Is(err, ErrNoQuorum) {
+	if _, ok, err := c.stores[next].Step(ctx, "k/4", claims.Step{Op: claims.Hold, Owner: "e", Until: 1e15}); ok || !errors.Is(err, ErrNoQuorum) {
 		t.Errorf("a minority answered a claim with %v, %v", ok, err)
 	}
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -7,14 +7,16 @@
 	"sync"
 
 	"github.com/hashicorp/raft"
+	"turnfork.dev/turnfork/claims"
 )
 
 // Operations of the log.
 const (
-	opClaim   = "claim"   // compare-and-set: none or a lapsed one becomes the owner's
-	opRelease = "release" // only the owner's
-	opRevoke  = "revoke"
-	opPut     = "put" // operator configuration
+	opClaim  = "claim" // of logs written before claims had stages: none becomes the owner's, for good
+	opRevoke = "revoke"
+	opPut    = "put" // operator configuration
+
+	// The steps of package claims stand under their own names.
 )
 
 // command is one entry of the log. Its times are the proposer's, so every member comes to the same.
@@ -25,18 +27,26 @@
 	At    float64         `json:"at"`              // Unix ms of the proposal
 	Until float64         `json:"until,omitempty"` // Unix ms
 	Value json.RawMessage `json:"value,omitempty"`
+
+	To      claims.Stage `json:"to,omitempty"`
+	Outcome string       `json:"outcome,omitempty"`
+}
+
+// steps tells whether a command is a step of a claim, which its owner may make again.
+func (c *command) steps() bool {
+	switch claims.Op(c.Op) {
+	case claims.Hold, claims.Send, claims.Settle, claims.Release:
+		return true
+	}
+	return false
 }
 
 // result is what a command came to.
 type result struct {
 	OK  bool   `json:"ok"`
 	Err string `json:"err,omitempty"`
-}
 
-// claim is held until a time; the store forgets it a good while later.
-type claim struct {
-	Owner string  `json:"owner"`
-	Until float64 `json:"until"`
+	Record claims.Record `json:"record,omitzero"` // of a claim, as it stands then
 }
 
 // forgetAfter is how long, in ms, what has lapsed is kept: a member whose clock runs ahead must not
@@ -53,7 +63,7 @@
 // state is the replicated state machine.
 type state struct {
 	mu      sync.RWMutex
-	Claims  map[string]claim           `json:"claims"`
+	Claims  map[string]claims.Record   `json:"claims"`
 	Revoked map[string]float64         `json:"revoked"` // name to the time until which it counts
 	Config  map[string]json.RawMessage `json:"config"`
 	Latest  float64                    `json:"latest"` // the highest time seen
@@ -63,7 +73,7 @@
 }
 
 func newState() *state {
-	return &state{Claims: map[string]claim{}, Revoked: map[string]float64{}, Config: map[string]json.RawMessage{}}
+	return &state{Claims: map[string]claims.Record{}, Revoked: map[string]float64{}, Config: map[string]json.RawMessage{}}
 }
 
 // Apply carries out one entry of the log.
@@ -84,6 +94,9 @@
 	defer s.mu.Unlock()
 	s.Latest = max(s.Latest, c.At)
 	s.sweep()
+	if c.steps() {
+		return s.step(c)
+	}
 	switch c.Op {
 	case opClaim:
 		// A lapsed claim stays taken until it is forgotten: its token has expired all the same.
@@ -96,12 +109,7 @@
 		if len(s.Claims) >= claimsMost {
 			return result{Err: "too many claims"}
 		}
-		s.Claims[c.Name] = claim{c.Owner, c.Until}
-	case opRelease:
-		if s.Claims[c.Name].Owner != c.Owner {
-			return result{}
-		}
-		delete(s.Claims, c.Name)
+		s.Claims[c.Name] = claims.Record{Owner: c.Owner, Until: c.Until}
 	case opRevoke:
 		s.Revoked[c.Name] = max(s.Revoked[c.Name], c.Until)
 	case opPut:
@@ -112,6 +120,28 @@
 	return result{OK: true}
 }
 
+// step makes a step of a claim.
+func (s *state) step(c command) result {
+	old, there := s.Claims[c.Name]
+	if claims.Op(c.Op) == claims.Hold {
+		if _, revoked := s.Revoked[c.Name]; revoked {
+			return result{}
+		}
+		if !there && len(s.Claims) >= claimsMost {
+			return result{Err: "too many claims"}
+		}
+	}
+	next, stays, ok := claims.Apply(old, there, claims.Step{
+		Op: claims.Op(c.Op), Owner: c.Owner, Until: c.Until, To: c.To, Outcome: c.Outcome,
+	})
+	if stays {
+		s.Claims[c.Name] = next
+	} else {
+		delete(s.Claims, c.Name)
+	}
+	return result{OK: ok, Record: next}
+}
+
 // sweep forgets what lapsed long ago. It goes by the log's own times alone.
 func (s *state) sweep() {
 	if s.Latest < s.sweptAt+forgetAfter/10 {
