Kill the leader at each step of a claim, and answer a use under way with advice

Need: the claims' table was shown on a book that loses messages, not on the replicated store itself. Doing so showed a retry that came before the gateway could give a lost step back: it was told 403 sent for good although nothing ran.

Change: a record tells when it was sent; while its class's deadline and 2 s have not passed, who asks gets 503 claim_pending with Retry-After. A store that is shut down ends its proposals at once instead of trying until their time is up.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -23,6 +23,16 @@
 	Until   float64 `json:"until"` // Unix ms
 	Stage   Stage   `json:"stage,omitempty"`
 	Outcome string  `json:"outcome,omitempty"`
+	At      float64 `json:"at,omitempty"` // Unix ms of the step to sent; 0: not told
+}
+
+// settling is how long, in ms, the record of an end may take to be agreed on.
+const settling = 2000
+
+// Pending tells whether a use's end may still be on its way at now, in Unix ms, where a request lasts so many ms. Until
+// then who asks is told to come back, and not that the use is lost: its owner may be about to release it.
+func (r Record) Pending(now, lasts float64) bool {
+	return r.Stage == Sent && r.At > 0 && now < r.At+lasts+settling
 }
 
 // Op is the kind of a step.
@@ -41,7 +51,8 @@
 	Op      Op
 	Owner   string
 	Until   float64
-	To      Stage // of Settle: Ran or Doubt
+	At      float64 // Unix ms of the step
+	To      Stage   // of Settle: Ran or Doubt
 	Outcome string
 }
 
@@ -62,7 +73,9 @@
 		if !mine || r.Stage != Held && r.Stage != Sent {
 			return r, there, false
 		}
-		r.Stage = Sent
+		if r.Stage == Held {
+			r.Stage, r.At = Sent, s.At
+		}
 		return r, true, true
 	case Settle:
 		if !mine || r.Stage == Held || r.Stage == Ran || s.To != Ran && s.To != Doubt || len(s.Outcome) > OutcomeMost {
--- /dev/null
+++ b/claims_test.go
@@ -0,0 +1,213 @@
+package turnfork
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/replica"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
+)
+
+// trio is three gateways, each with its member of the replicated store on disk, in mutual TLS.
+type trio struct {
+	*testing.T
+	members []replica.Member
+	dirs    []string
+	stores  [3]*replica.Store
+	fronts  [3]*signed.Front
+	runs    atomic.Int64
+	open    func(i int, l net.Listener)
+	fault   atomic.Pointer[fault]
+	killed  chan struct{}
+}
+
+// fault kills the leader at one step of a claim, before it is proposed or once it is agreed on; then the answer to the
+// step is lost too.
+type fault struct {
+	op    claims.Op
+	after bool
+}
+
+// faulty is a member that meets the trio's fault.
+type faulty struct {
+	*replica.Store
+	trio *trio
+}
+
+func (f faulty) Step(ctx context.Context, name string, s claims.Step) (claims.Record, bool, error) {
+	fault := f.trio.fault.Load()
+	if fault == nil || fault.op != s.Op || !f.trio.fault.CompareAndSwap(fault, nil) {
+		return f.Store.Step(ctx, name, s)
+	}
+	if !fault.after {
+		f.trio.kill(f.trio.leader())
+		return f.Store.Step(ctx, name, s)
+	}
+	f.Store.Step(ctx, name, s)
+	f.trio.kill(f.trio.leader())
+	return claims.Record{}, false, errors.New("the leader is gone")
+}
+
+func (c *trio) leader() int {
+	for {
+		for i, s := range c.stores {
+			if s.Leads() {
+				return i
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *trio) kill(i int) {
+	c.stores[i].Close()
+	close(c.killed)
+}
+
+func newTrio(t *testing.T, keys *ring.Ring, clk *clock.Clock) *trio {
+	c := &trio{T: t, killed: make(chan struct{}), dirs: []string{t.TempDir(), t.TempDir(), t.TempDir()}}
+	cert, err := standin.Authority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listeners []net.Listener
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		c.members = append(c.members, replica.Member{ID: fmt.Sprint("m", i), Addr: l.Addr().String()})
+	}
+	c.open = func(i int, l net.Listener) {
+		if l == nil {
+			if l, err = net.Listen("tcp", c.members[i].Addr); err != nil {
+				t.Fatal(err)
+			}
+		}
+		conf, err := cert()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.stores[i], err = replica.Open(replica.Options{
+			ID: c.members[i].ID, Members: c.members, Listener: l, TLS: conf, Dir: c.dirs[i], Clock: clk, Log: zerolog.Nop(),
+			Pace: 200 * time.Millisecond,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		c.fronts[i] = signed.New(signed.Options{
+			Post: answering(&c.runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: faulty{c.stores[i], c}, Leeway: 10000,
+			Classes: []signed.Class{{Name: "ride-end", Deadline: 1000, Write: true}}, ClaimMost: 20000,
+		})
+	}
+	for i := range 3 {
+		c.open(i, listeners[i])
+	}
+	t.Cleanup(func() {
+		for _, s := range c.stores {
+			s.Close()
+		}
+	})
+	return c
+}
+
+// ride ends a ride at a member's gateway: the status and what its claim is said to be.
+func (c *trio) ride(at int, url string) (int, string) {
+	c.Helper()
+	near, far := net.Pipe()
+	go c.fronts[at].Handle(far)
+	defer near.Close()
+	fmt.Fprintf(near, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", url)
+	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+	if err != nil {
+		c.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header.Get("X-Claim")
+}
+
+// The leader is killed at each step of a claim, before and after it is agreed on, under a client that retries at the
+// members in turn: one final answer that is the truth, one ride at most, and all members say the same once it is back.
+func TestLeaderKilledAtEachStep(t *testing.T) {
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
+	keys, err := ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := clock.System()
+	var rows sync.Map
+	for _, op := range []claims.Op{claims.Hold, claims.Send, claims.Settle} {
+		for _, after := range []bool{false, true} {
+			for _, own := range []bool{false, true} { // at the leader's own gateway, or at another
+				t.Run(fmt.Sprintf("%s after=%v own=%v", op, after, own), func(t *testing.T) {
+					t.Parallel()
+					c := newTrio(t, keys, clk)
+					lead := c.leader()
+					got, err := keys.Issue("url", token.Terms{URI: rideEnd, Until: clk.Unix()/1000 + 600, ID: "n"})
+					if err != nil {
+						t.Fatal(err)
+					}
+					c.fault.Store(&fault{op, after})
+					first := lead
+					if !own {
+						first = (lead + 1) % 3
+					}
+					code, claim := c.ride(first, got.URL)
+					for at, limit := first, time.Now().Add(40*time.Second); code == 503 && time.Now().Before(limit); {
+						if at = (at + 1) % 3; at != lead { // that is dead
+							code, claim = c.ride(at, got.URL)
+						}
+						time.Sleep(20 * time.Millisecond)
+					}
+					// A gateway whose own member dies with the step to sent can't tell anybody that it did not send.
+					lost := own && op == claims.Send && after
+					if !lost && (code != 200 || c.runs.Load() != 1) || lost && (code != 403 || claim != "sent" || c.runs.Load() != 0) {
+						t.Fatalf("%d %q, ran %d times", code, claim, c.runs.Load())
+					}
+					<-c.killed // also where the end is recorded after the answer
+					c.open(lead, nil)
+					c.leader()
+					said := map[string]int{}
+					for limit := time.Now().Add(20 * time.Second); len(said) != 1 || said["sent"] > 0; {
+						clear(said)
+						for i := range 3 {
+							code, claim := c.ride(i, got.URL)
+							if code == 503 {
+								continue
+							}
+							if said[claim]++; code != 403 {
+								t.Fatalf("replay at %d: %d", i, code)
+							}
+						}
+						// Its own member died before the end was agreed on: then it stays sent.
+						if (lost || own && op == claims.Settle && !after) && said["sent"] == 3 || time.Now().After(limit) {
+							break
+						}
+					}
+					if c.runs.Load() > 1 || len(said) != 1 {
+						t.Errorf("ran %d times, members say %v", c.runs.Load(), said)
+					}
+					rows.Store(t.Name(), fmt.Sprint(said))
+				})
+			}
+		}
+	}
+	t.Cleanup(func() {
+		rows.Range(func(k, v any) bool { t.Log(k, v); return true })
+	})
+}
--- a/front/signed/answer.go
+++ b/front/signed/answer.go
@@ -32,7 +32,8 @@
 var causes = map[string]string{
 	"malformed": "http_request_error", "method": "http_request_error", "not_found": "destination_not_found",
 	"unknown_class": "destination_not_found", "crowded": "connection_limit_reached", "draining": "destination_unavailable",
-	"refused": "connection_limit_reached", "too_many_failures": "http_request_denied", "limited": "connection_limit_reached", "deadline": "http_response_timeout", "upstream_failed": "destination_unavailable",
+	"refused": "connection_limit_reached", "too_many_failures": "http_request_denied", "limited": "connection_limit_reached",
+	"claim_pending": "connection_limit_reached", "deadline": "http_response_timeout", "upstream_failed": "destination_unavailable",
 	"no_quorum": "proxy_internal_error",
 }
 
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -526,6 +526,10 @@
 			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
 			return false
 		}
+		if !ok && r.Pending(f.opt.Clock.Unix(), s.class.Deadline) {
+			c.fail(s, 503, "claim_pending", "the token is in use; ask again for what became of it", "Retry-After: 1\r\nX-Claim: sent\r\n")
+			return false
+		}
 		if !ok {
 			c.fail(s, 403, "replayed", replayed(r), "X-Claim: "+claimOf(r)+"\r\n")
 			return false
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -229,6 +229,9 @@
 		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) {
 			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 		}
+		if s.raft.State() == raft.Shutdown {
+			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+		}
 		select {
 		case <-ctx.Done():
 			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
--- a/replica/state.go
+++ b/replica/state.go
@@ -132,7 +132,7 @@
 		}
 	}
 	next, stays, ok := claims.Apply(old, there, claims.Step{
-		Op: claims.Op(c.Op), Owner: c.Owner, Until: c.Until, To: c.To, Outcome: c.Outcome,
+		Op: claims.Op(c.Op), Owner: c.Owner, Until: c.Until, At: c.At, To: c.To, Outcome: c.Outcome,
 	})
 	if stays {
 		s.Claims[c.Name] = next
