--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -547,12 +547,12 @@
 		return // withdrawn
 	}
 	delete(c.open, tag)
+	if s.claim != "" { // before the answer: whoever waits for the front to be done must not find it so in between
+		c.front.settle(s.claim, outcome(s, a))
+	}
 	if !s.done {
 		s.finish(c.front.word(s, a))
 	}
-	if s.claim != "" {
-		c.front.settle(s.claim, outcome(s, a))
-	}
 }
 
 // word maps a final answer to a response.
