Have one trio, one depot and one accept loop serve the tests that wrote their own

Change: internal/standin/server.go accepts and closes for both stand-ins, so Laggard too closes what it accepts while it closes. newTrio serves both tests of members; each member has an address of its own that its certificate names, so its port is free while it is down: no wait, no skip, and the runs go side by side again. newSite starts by runGateway; depotOf and getFrom serve the flood and the limits.

No change to the program.

--- a/claims_test.go
+++ b/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/base64"
 	"errors"
 	"fmt"
@@ -31,8 +32,10 @@
 	dirs    []string
 	stores  [3]*replica.Store
 	fronts  [3]*signed.Front
+	clock   *clock.Clock
+	keys    *ring.Ring
+	cert    func() (*tls.Config, error)
 	runs    atomic.Int64
-	open    func(i int, l net.Listener)
 	fault   atomic.Pointer[fault]
 	killed  chan struct{}
 }
@@ -80,47 +83,30 @@
 	close(c.killed)
 }
 
-func newTrio(t *testing.T, keys *ring.Ring, clk *clock.Clock) *trio {
-	c := &trio{T: t, killed: make(chan struct{}), dirs: []string{t.TempDir(), t.TempDir(), t.TempDir()}}
-	cert, err := standin.Authority()
-	if err != nil {
+// trios counts the trios of this process.
+var trios atomic.Int32
+
+// newTrio starts three members; deadline, in ms, is ride-end's.
+func newTrio(t *testing.T, deadline float64) *trio {
+	c := &trio{T: t, clock: clock.System(), killed: make(chan struct{}), dirs: []string{t.TempDir(), t.TempDir(), t.TempDir()}}
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
+	var err error
+	if c.keys, err = ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}}); err != nil {
 		t.Fatal(err)
 	}
-	var listeners []net.Listener
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, l)
-		c.members = append(c.members, replica.Member{ID: fmt.Sprint("m", i), Addr: l.Addr().String()})
+	// Addresses of their own: while a member is down, no connection that leaves from 127.0.0.1 has its port.
+	n := byte(trios.Add(1))
+	at := func(i int) net.IP { return net.IPv4(127, 77, n, byte(i+1)) }
+	if c.cert, err = standin.Authority(at(0), at(1), at(2)); err != nil {
+		t.Fatal(err)
 	}
-	c.open = func(i int, l net.Listener) {
-		if l == nil {
-			// While a member is down, a connection that leaves from here may have its port for a moment.
-			for limit := time.Now().Add(10 * time.Second); l == nil; time.Sleep(5 * time.Millisecond) {
-				if l, err = net.Listen("tcp", c.members[i].Addr); err != nil && time.Now().After(limit) {
-					t.Skip("another connection of this machine has the member's port:", err)
-				}
-			}
-		}
-		conf, err := cert()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if c.stores[i], err = replica.Open(replica.Options{
-			ID: c.members[i].ID, Members: c.members, Listener: l, TLS: conf, Dir: c.dirs[i], Clock: clk, Log: zerolog.Nop(),
-			Pace: 200 * time.Millisecond,
-		}); err != nil {
-			t.Fatal(err)
-		}
-		c.fronts[i] = signed.New(signed.Options{
-			Post: answering(&c.runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: faulty{c.stores[i], c}, Leeway: 10000,
-			Classes: []signed.Class{{Name: "ride-end", Deadline: 1000, Write: true}}, ClaimMost: 20000,
-		})
+	listeners := make([]net.Listener, 3)
+	for i := range listeners {
+		listeners[i] = c.listen(at(i).String() + ":0")
+		c.members = append(c.members, replica.Member{ID: fmt.Sprint("m", i), Addr: listeners[i].Addr().String()})
 	}
-	for i := range 3 {
-		c.open(i, listeners[i])
+	for i, l := range listeners {
+		c.open(i, l, deadline)
 	}
 	t.Cleanup(func() {
 		for _, s := range c.stores {
@@ -130,11 +116,57 @@
 	return c
 }
 
-// ride ends a ride at a member's gateway: the status and what its claim is said to be.
-func (c *trio) ride(at int, url string) (int, string) {
+func (c *trio) listen(addr string) net.Listener {
+	c.Helper()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		c.Fatal(err)
+	}
+	return l
+}
+
+// open starts a member and its gateway: on a listener, or with nil where it listened before.
+func (c *trio) open(i int, l net.Listener, deadline float64) {
+	c.Helper()
+	if l == nil {
+		l = c.listen(c.members[i].Addr)
+	}
+	conf, err := c.cert()
+	if err != nil {
+		c.Fatal(err)
+	}
+	if c.stores[i], err = replica.Open(replica.Options{
+		ID: c.members[i].ID, Members: c.members, Listener: l, TLS: conf, Dir: c.dirs[i], Clock: c.clock, Log: zerolog.Nop(),
+		Pace: 200 * time.Millisecond,
+	}); err != nil {
+		c.Fatal(err)
+	}
+	c.fronts[i] = c.front(faulty{c.stores[i], c}, deadline, 20000)
+}
+
+// front is a gateway on a member; a claim may take claimMost ms.
+func (c *trio) front(member signed.Claims, deadline, claimMost float64) *signed.Front {
+	return signed.New(signed.Options{
+		Post: answering(&c.runs), Clock: c.clock, Log: zerolog.Nop(), Ring: c.keys, Claims: member, Leeway: 10000,
+		Classes: []signed.Class{{Name: "ride-end", Deadline: deadline, Write: true}}, ClaimMost: claimMost,
+	})
+}
+
+// url signs a ride's end.
+func (c *trio) url(nonce string) string {
+	c.Helper()
+	u, err := c.keys.Issue("url", token.Terms{URI: rideEnd, Until: c.clock.Unix()/1000 + 600, ID: nonce})
+	if err != nil {
+		c.Fatal(err)
+	}
+	return u.URL
+}
+
+// ride ends a ride at a gateway, over a pipe: the status and what its claim is said to be.
+func (c *trio) ride(f *signed.Front, url string) (int, string) {
 	c.Helper()
 	near, far := net.Pipe()
-	go c.fronts[at].Handle(far)
+	go f.Handle(far)
 	defer near.Close()
 	fmt.Fprintf(near, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", url)
 	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
@@ -147,32 +179,25 @@
 // The leader is killed at each step of a claim, before and after it is agreed on, under a client that retries at the
 // members in turn: one final answer that is the truth, one ride at most, and all members say the same once it is back.
 func TestLeaderKilledAtEachStep(t *testing.T) {
-	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	keys, err := ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	clk := clock.System()
 	var rows sync.Map
 	for _, op := range []claims.Op{claims.Hold, claims.Send, claims.Settle} {
 		for _, after := range []bool{false, true} {
 			for _, own := range []bool{false, true} { // at the leader's own gateway, or at another
 				t.Run(fmt.Sprintf("%s after=%v own=%v", op, after, own), func(t *testing.T) {
-					c := newTrio(t, keys, clk)
+					t.Parallel()
+					const deadline = 1000
+					c := newTrio(t, deadline)
 					lead := c.leader()
-					got, err := keys.Issue("url", token.Terms{URI: rideEnd, Until: clk.Unix()/1000 + 600, ID: "n"})
-					if err != nil {
-						t.Fatal(err)
-					}
+					url := c.url("n")
 					c.fault.Store(&fault{op, after})
 					first := lead
 					if !own {
 						first = (lead + 1) % 3
 					}
-					code, claim := c.ride(first, got.URL)
+					code, claim := c.ride(c.fronts[first], url)
 					for at, limit := first, time.Now().Add(40*time.Second); code == 503 && time.Now().Before(limit); {
 						if at = (at + 1) % 3; at != lead { // that is dead
-							code, claim = c.ride(at, got.URL)
+							code, claim = c.ride(c.fronts[at], url)
 						}
 						time.Sleep(20 * time.Millisecond)
 					}
@@ -182,13 +207,13 @@
 						t.Fatalf("%d %q, ran %d times", code, claim, c.runs.Load())
 					}
 					<-c.killed // also where the end is recorded after the answer
-					c.open(lead, nil)
+					c.open(lead, nil, deadline)
 					c.leader()
 					said := map[string]int{}
 					for limit := time.Now().Add(20 * time.Second); len(said) != 1 || said["sent"] > 0; {
 						clear(said)
 						for i := range 3 {
-							code, claim := c.ride(i, got.URL)
+							code, claim := c.ride(c.fronts[i], url)
 							if code == 503 {
 								continue
 							}
--- a/flood_test.go
+++ b/flood_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,13 +39,7 @@
 	forged := strings.Replace(s.url(tile, 600, "f"), "signature=", "signature=A", 1)
 	good := s.url(tile, 600, "g")
 	from := func(addr, url string) (int, string) {
-		dial := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(addr)}}
-		client := &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true}}
-		resp, err := client.Get("http://" + s.addr + url)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp.Body.Close()
+		resp, _ := getFrom(t, addr, "http://"+s.addr+url)
 		return resp.StatusCode, resp.Header.Get("Retry-After")
 	}
 	codes := map[int]int{}
@@ -74,6 +69,49 @@
 	}
 }
 
+// load has clients ask for a URL over and over until a time, each on a connection of its own from an address. It counts
+// the answers that are good and the others, and reads them leanly, so that the figures are the gateway's.
+func load(b *testing.B, wg *sync.WaitGroup, addr, from, url string, clients int, until time.Time, good, other *atomic.Int64) {
+	ask := func() error {
+		dial := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+		c, err := dial.Dial("tcp", addr)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		c.SetDeadline(until.Add(2 * time.Second))
+		r := bufio.NewReader(c)
+		for time.Now().Before(until) {
+			fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", url)
+			line, err := r.ReadSlice('\n')
+			count, size := other, 0
+			if len(line) > 12 && line[9] == '2' {
+				count = good
+			}
+			for err == nil && len(line) > 2 {
+				if line, err = r.ReadSlice('\n'); bytes.HasPrefix(line, []byte("Content-Length: ")) {
+					size, _ = strconv.Atoi(string(line[16 : len(line)-2]))
+				}
+			}
+			if err != nil {
+				return err
+			}
+			if _, err := r.Discard(size); err != nil {
+				return err
+			}
+			count.Add(1)
+		}
+		return nil
+	}
+	for range clients {
+		wg.Go(func() {
+			if err := ask(); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+}
+
 // BenchmarkFlood measures the good clients' rate alone and beside 64 connections that send forged links from another
 // address, in one run, and the lines that the log grows by.
 func BenchmarkFlood(b *testing.B) {
@@ -84,75 +122,25 @@
 		b.Fatal(err)
 	}
 	defer store.Close()
-	o, err := config.ParseOperator(fmt.Sprintf(`
-listen = "127.0.0.1:0"
-[[class]]
-name = "firmware"
-deadline_ms = 5000
-[[store]]
-id = 1
-kind = "cache"
-addr = %q
-[[store]]
-id = 2
-kind = "origin"
-addr = %q
-[[key]]
-id = "url"
-kind = "hmac"
-secret = "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
-`, store.Addr(), store.Addr()), b.TempDir())
-	if err != nil {
-		b.Fatal(err)
-	}
 	log, clk := &lines{}, clock.System()
-	addr, stop := runGateway(b, o, zerolog.New(log), clk)
+	addr, keys, stop := depotOf(b, store, zerolog.New(log), clk, "")
 	defer stop()
-	keys, err := o.Ring()
+	got, err := keys.Issue("url", token.Terms{URI: tile, Until: math.Floor(clk.Unix()/1000) + 600, ID: "n"})
 	if err != nil {
 		b.Fatal(err)
 	}
-	good, forged := signedFor(b, keys, clk), ""
-	forged = strings.Replace(good, "signature=", "signature=A", 1)
-	load := func(clients int, from, url string, until time.Time, good, other *atomic.Int64, wg *sync.WaitGroup) {
-		for range clients {
-			wg.Go(func() {
-				dial := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
-				c, err := dial.Dial("tcp", addr)
-				if err != nil {
-					b.Error(err)
-					return
-				}
-				defer c.Close()
-				c.SetDeadline(until.Add(2 * time.Second))
-				r := bufio.NewReader(c)
-				for time.Now().Before(until) {
-					fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", url)
-					resp, err := http.ReadResponse(r, nil)
-					if err != nil {
-						b.Error(err)
-						return
-					}
-					if r.Discard(int(resp.ContentLength)); resp.StatusCode == 200 {
-						good.Add(1)
-					} else {
-						other.Add(1)
-					}
-				}
-			})
-		}
-	}
+	good, forged := got.URL, strings.Replace(got.URL, "signature=", "signature=A", 1)
 	const length = 3 * time.Second
 	for b.Loop() {
 		var alone, beside, refused, none, denied, warm atomic.Int64
 		var wg sync.WaitGroup
-		load(1, "127.0.0.1", good, time.Now().Add(time.Second), &warm, &warm, &wg)
+		load(b, &wg, addr, "127.0.0.1", good, 1, time.Now().Add(time.Second), &warm, &warm)
 		wg.Wait()
-		load(16, "127.0.0.1", good, time.Now().Add(length), &alone, &refused, &wg)
+		load(b, &wg, addr, "127.0.0.1", good, 16, time.Now().Add(length), &alone, &refused)
 		wg.Wait()
 		before := log.n.Load()
-		load(64, "127.0.0.2", forged, time.Now().Add(length), &none, &denied, &wg)
-		load(16, "127.0.0.1", good, time.Now().Add(length), &beside, &refused, &wg)
+		load(b, &wg, addr, "127.0.0.2", forged, 64, time.Now().Add(length), &none, &denied)
+		load(b, &wg, addr, "127.0.0.1", good, 16, time.Now().Add(length), &beside, &refused)
 		wg.Wait()
 		b.ReportMetric(float64(alone.Load())/length.Seconds(), "alone/s")
 		b.ReportMetric(float64(beside.Load())/float64(alone.Load()), "share")
@@ -165,6 +153,54 @@
 	}
 }
 
+// depotOf runs a gateway with one store and two keys, "url" and "other", and what more its operator's file says.
+func depotOf(t testing.TB, store *standin.Store, log zerolog.Logger, clk *clock.Clock, more string) (addr string, keys *ring.Ring, stop func()) {
+	o, err := config.ParseOperator(fmt.Sprintf(`
+listen = "127.0.0.1:0"
+[[class]]
+name = "firmware"
+deadline_ms = 5000
+[[store]]
+id = 1
+kind = "cache"
+addr = %q
+[[store]]
+id = 2
+kind = "origin"
+addr = %q
+[[key]]
+id = "url"
+kind = "hmac"
+secret = "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
+[[key]]
+id = "other"
+kind = "hmac"
+secret = "b2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
+%s`, store.Addr(), store.Addr(), more), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if keys, err = o.Ring(); err != nil {
+		t.Fatal(err)
+	}
+	addr, stop = runGateway(t, o, log, clk)
+	return addr, keys, stop
+}
+
+// getFrom asks for a URL from an address, on a connection of its own.
+func getFrom(t testing.TB, from, url string) (*http.Response, string) {
+	dial := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true}}
+	resp, err := client.Get(url)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{}, ""
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp, string(b)
+}
+
 // runGateway runs a gateway by an operator's file until stop.
 func runGateway(b testing.TB, o *config.Operator, log zerolog.Logger, clk *clock.Clock) (addr string, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -182,14 +218,6 @@
 	}
 }
 
-func signedFor(b testing.TB, keys *ring.Ring, clk *clock.Clock) string {
-	got, err := keys.Issue("url", token.Terms{URI: tile, Until: math.Floor(clk.Unix()/1000) + 600, ID: "n"})
-	if err != nil {
-		b.Fatal(err)
-	}
-	return got.URL
-}
-
 // Limits of the operator's file hold over sockets: by grant, by key, by client, and in hand; others go on.
 func TestLimitsAtTheFront(t *testing.T) {
 	let := make(chan struct{})
@@ -203,8 +231,8 @@
 		t.Fatal(err)
 	}
 	defer store.Close()
-	o, err := config.ParseOperator(fmt.Sprintf(`
-listen = "127.0.0.1:0"
+	clk := clock.Manual(start)
+	addr, keys, stop := depotOf(t, store, zerolog.Nop(), clk, `
 [limit]
 client_v4_bits = 32
 [limit.grant]
@@ -214,54 +242,18 @@
 at_once = 2
 [limit.client]
 kb_per_s = 20
-[[class]]
-name = "firmware"
-deadline_ms = 5000
-[[store]]
-id = 1
-kind = "cache"
-addr = %q
-[[store]]
-id = 2
-kind = "origin"
-addr = %q
-[[key]]
-id = "url"
-kind = "hmac"
-secret = "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
-[[key]]
-id = "other"
-kind = "hmac"
-secret = "b2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
-`, store.Addr(), store.Addr()), t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	clk := clock.Manual(start)
-	addr, stop := runGateway(t, o, zerolog.Nop(), clk)
+`)
 	defer stop()
-	keys, err := o.Ring()
-	if err != nil {
-		t.Fatal(err)
-	}
 	get := func(from, key, id, part string) (int, string) {
 		u, err := keys.Issue(key, token.Terms{URI: "/v1/firmware/7f3a9c21e0b4d655/" + part, Until: start/1000 + 600, ID: id})
 		if err != nil {
 			t.Fatal(err)
 		}
-		dial := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
-		client := &http.Client{Transport: &http.Transport{DialContext: dial.DialContext, DisableKeepAlives: true}}
-		resp, err := client.Get("http://" + addr + u.URL)
-		if err != nil {
-			t.Error(err)
-			return 0, ""
-		}
-		defer resp.Body.Close()
-		b, _ := io.ReadAll(resp.Body)
+		resp, text := getFrom(t, from, "http://"+addr+u.URL)
 		if resp.StatusCode == 429 && (resp.Header.Get("Retry-After") == "" || resp.Header.Get("X-Throttle-Ms") == "") {
 			t.Error("no advice when to come back")
 		}
-		return resp.StatusCode, string(b)
+		return resp.StatusCode, text
 	}
 	for i := range 4 {
 		if code, text := get("127.0.0.1", "url", "a", "0"); (code == 429) != (i == 3) || i == 3 && !strings.Contains(text, "this grant") {
--- a/internal/standin/authority.go
+++ b/internal/standin/authority.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// Authority makes an authority of its own, and gives certificates for members on loopback.
-func Authority() (func() (*tls.Config, error), error) {
+// Authority makes an authority of its own, and gives certificates for members on 127.0.0.1 and further loopback
+// addresses.
+func Authority(further ...net.IP) (func() (*tls.Config, error), error) {
 	caKey, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, err
@@ -43,7 +44,7 @@
 		}
 		leaf := &x509.Certificate{
 			SerialNumber: serial, NotBefore: ca.NotBefore, NotAfter: ca.NotAfter,
-			IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+			IPAddresses: append([]net.IP{net.IPv4(127, 0, 0, 1)}, further...),
 			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 		}
 		der, err := x509.CreateCertificate(rand.Reader, leaf, root, &key.PublicKey, caKey)
--- a/internal/standin/laggard.go
+++ b/internal/standin/laggard.go
@@ -29,6 +29,7 @@
 type Laggard struct {
 	Addrs []string
 
+	server
 	way   func(c Call, n int) Way
 	mu    sync.Mutex
 	gate  *sync.Cond
@@ -36,44 +37,23 @@
 	out   map[string]int // attempts that are out, by ID
 	gets  map[string]int // GETs that came
 	twice int
-	ends  []net.Listener
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
 }
 
 // NewLaggard starts so many stores. way tells how the GET number n of an ID ends, from 0.
 func NewLaggard(stores int, way func(c Call, n int) Way) (*Laggard, error) {
-	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}, conns: map[net.Conn]struct{}{}}
+	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}}
 	s.gate = sync.NewCond(&s.mu)
 	for range stores {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := s.listen("127.0.0.1:0", s.serve)
 		if err != nil {
 			s.Close()
 			return nil, err
 		}
-		s.ends = append(s.ends, l)
 		s.Addrs = append(s.Addrs, l.Addr().String())
-		s.wg.Add(1)
-		go s.accept(l)
 	}
 	return s, nil
 }
 
-func (s *Laggard) accept(l net.Listener) {
-	defer s.wg.Done()
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		s.wg.Add(1)
-		go s.serve(c)
-	}
-}
-
 // Hold has the stores notice nothing until Notice.
 func (s *Laggard) Hold() { s.set(true) }
 
@@ -111,19 +91,10 @@
 // Close ends the stores.
 func (s *Laggard) Close() {
 	s.Notice()
-	for _, l := range s.ends {
-		l.Close()
-	}
-	s.mu.Lock()
-	for c := range s.conns {
-		c.Close()
-	}
-	s.mu.Unlock()
-	s.wg.Wait()
+	s.server.Close()
 }
 
 func (s *Laggard) serve(c net.Conn) {
-	defer s.wg.Done()
 	mine := map[string]int{} // attempts out on this connection
 	end := func(id string) {
 		if mine[id] > 0 {
@@ -139,9 +110,7 @@
 				end(id)
 			}
 		}
-		delete(s.conns, c)
 		s.mu.Unlock()
-		c.Close()
 	}()
 	r := bufio.NewReader(c)
 	for {
@@ -191,9 +160,6 @@
 }
 
 func act(c net.Conn, id string, way Way) {
-	if way == ResetReading || way == ResetWriting {
-		c.(*net.TCPConn).SetLinger(0)
-	}
 	if way == Cut || way == ResetWriting || way == Stall {
 		fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$3\r\nAC", len(id), id)
 	}
@@ -208,7 +174,9 @@
 		write(c, id, "EIO")
 	case Spoilt:
 		fmt.Fprint(c, "*4\r\n$70000\r\n")
-	case Cut, ResetReading, ResetWriting:
+	case Cut:
 		c.Close()
+	case ResetReading, ResetWriting:
+		reset(c)
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,44 +25,20 @@
 	// goroutine of its own.
 	Handle func(c Call) (word, fields string, body []byte, ok bool)
 
-	l      net.Listener
+	server // Close: GETs that Handle holds must have been let go
 	mu     sync.Mutex
 	calls  []Call
-	conns  map[net.Conn]struct{}
-	closed bool
-	wg     sync.WaitGroup
 }
 
 // Listen starts a store on an address.
 func Listen(addr string, handle func(Call) (string, string, []byte, bool)) (*Store, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	s := &Store{Handle: handle, l: l, conns: map[net.Conn]struct{}{}}
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			s.conns[c] = struct{}{}
-			if s.closed { // it was accepted while the store closed
-				c.Close()
-			}
-			s.mu.Unlock()
-			s.wg.Add(1)
-			go func() { defer s.wg.Done(); s.serve(c) }()
-		}
-	}()
-	return s, nil
+	s := &Store{Handle: handle}
+	_, err := s.listen(addr, s.serve)
+	return s, err
 }
 
 // Addr is where the store listens.
-func (s *Store) Addr() string { return s.l.Addr().String() }
+func (s *Store) Addr() string { return s.listeners[0].Addr().String() }
 
 // Calls gives the commands that came with a verb.
 func (s *Store) Calls(verb string) (out []Call) {
@@ -76,35 +52,7 @@
 	return out
 }
 
-// Cut resets every connection, as a dying process does.
-func (s *Store) Cut() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Close()
-	}
-}
-
-// Close ends the store. GETs that its Handle holds must have been let go.
-func (s *Store) Close() {
-	s.mu.Lock()
-	s.closed = true
-	s.mu.Unlock()
-	s.l.Close()
-	s.Cut()
-	s.wg.Wait()
-}
-
 func (s *Store) serve(c net.Conn) {
-	defer c.Close()
-	defer func() {
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
 	r := bufio.NewReader(c)
 	var out sync.Mutex
 	for {
--- a/signed_test.go
+++ b/signed_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"crypto/rand"
 	"crypto/rsa"
 	"crypto/x509"
@@ -25,7 +24,6 @@
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/internal/standin"
-	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/jws"
 	"turnfork.dev/turnfork/token/ring"
@@ -36,7 +34,7 @@
 // site is a gateway with the second front before a stand-in store, on loopback, with a clock that the
 // test sets.
 type site struct {
-	t     *testing.T
+	t     testing.TB
 	clock *clock.Clock
 	store *standin.Store
 	ring  *ring.Ring
@@ -48,10 +46,10 @@
 const start = 1.8e12 // Unix ms
 
 // rsaKey is one key for all tests of the package.
-var rsaKey = func() func(*testing.T) string {
+var rsaKey = func() func(testing.TB) string {
 	var once sync.Once
 	var text string
-	return func(t *testing.T) string {
+	return func(t testing.TB) string {
 		once.Do(func() {
 			key, err := rsa.GenerateKey(rand.Reader, 2048)
 			if err != nil {
@@ -68,7 +66,7 @@
 }()
 
 // hold lets a test keep a GET unanswered; a nil handler answers at once.
-func newSite(t *testing.T, handle func(standin.Call) (string, string, []byte, bool)) *site {
+func newSite(t testing.TB, handle func(standin.Call) (string, string, []byte, bool)) *site {
 	t.Helper()
 	s := &site{t: t, clock: clock.Manual(start)}
 	var err error
@@ -153,20 +151,8 @@
 	if s.ring, err = o.Ring(); err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	ready, ended := make(chan Addrs, 1), make(chan error, 1)
-	go func() {
-		ended <- Run(ctx, Config{
-			Node: o.Node(1), Operator: o, Log: zerolog.Nop(), Clock: s.clock, Ready: func(a Addrs) { ready <- a },
-		})
-	}()
-	select {
-	case a := <-ready:
-		s.addr = a.Signed.String()
-	case err := <-ended:
-		t.Fatal(err)
-	}
-	s.stop = sync.OnceFunc(func() { cancel(); <-ended; s.store.Close() })
+	addr, stop := runGateway(t, o, zerolog.Nop(), s.clock)
+	s.addr, s.stop = addr, sync.OnceFunc(func() { stop(); s.store.Close() })
 	t.Cleanup(s.stop)
 	return s
 }
@@ -565,127 +551,53 @@
 	}
 }
 
-// post sends one request to a front over a pipe and gives the status.
-func post(t *testing.T, f *signed.Front, url string) int {
-	t.Helper()
-	near, far := net.Pipe()
-	go f.Handle(far)
-	defer near.Close()
-	fmt.Fprintf(near, "POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", url)
-	resp, err := http.ReadResponse(bufio.NewReader(near), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return resp.StatusCode
-}
-
 // A ride-end token is used up at every member, also while one is lost and after all have restarted; a
 // member without a majority sends nothing.
 func TestReplayAtAnotherReplica(t *testing.T) {
-	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	keys, err := ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	clk := clock.System()
-	url := func(nonce string) string {
-		u, err := keys.Issue("url", token.Terms{URI: rideEnd, Until: clk.Unix()/1000 + 60, ID: nonce})
-		if err != nil {
-			t.Fatal(err)
-		}
-		return u.URL
-	}
-	cert, err := standin.Authority()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var members []replica.Member
-	var listeners []net.Listener
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, l)
-		members = append(members, replica.Member{ID: fmt.Sprint("m", i), Addr: l.Addr().String()})
-	}
-	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
-	var runs atomic.Int64
-	stores, fronts := make([]*replica.Store, 3), make([]*signed.Front, 3)
-	open := func(i int, l net.Listener) {
-		if l == nil {
-			if l, err = net.Listen("tcp", members[i].Addr); err != nil {
-				t.Fatal(err)
-			}
-		}
-		conf, err := cert()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if stores[i], err = replica.Open(replica.Options{
-			ID: members[i].ID, Members: members, Listener: l, TLS: conf, Dir: dirs[i], Clock: clk, Log: zerolog.Nop(),
-			Pace: 200 * time.Millisecond,
-		}); err != nil {
-			t.Fatal(err)
-		}
-		fronts[i] = signed.New(signed.Options{
-			Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: stores[i], Leeway: 10000,
-			Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 20000,
-		})
-	}
-	for i := range 3 {
-		open(i, listeners[i])
-	}
-	defer func() {
-		for _, s := range stores {
-			s.Close()
-		}
-	}()
-	one := url("one")
+	const deadline = 30000
+	c := newTrio(t, deadline)
+	one := c.url("one")
 	var wg sync.WaitGroup
 	var ok atomic.Int64
 	for i := range 3 { // at all three at once
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if post(t, fronts[i], one) == 200 {
+			if code, _ := c.ride(c.fronts[i], one); code == 200 {
 				ok.Add(1)
 			}
 		}()
 	}
 	wg.Wait()
-	if ok.Load() != 1 || runs.Load() != 1 {
-		t.Fatalf("served %d, ran %d", ok.Load(), runs.Load())
+	if ok.Load() != 1 || c.runs.Load() != 1 {
+		t.Fatalf("served %d, ran %d", ok.Load(), c.runs.Load())
 	}
-	for _, f := range fronts { // the end of the one ride is recorded
+	for _, f := range c.fronts { // the end of the one ride is recorded
 		for f.Open() > 0 {
 			time.Sleep(time.Millisecond)
 		}
 	}
 	for i := range 3 {
-		if err := stores[i].Close(); err != nil {
+		if err := c.stores[i].Close(); err != nil {
 			t.Fatal(err)
 		}
 	}
 	for i := range 3 {
-		open(i, nil)
+		c.open(i, nil, deadline)
 	}
 	for i := range 3 {
-		if got := post(t, fronts[i], one); got != 403 {
+		if got, _ := c.ride(c.fronts[i], one); got != 403 {
 			t.Errorf("after the restart, member %d: %d", i, got)
 		}
 	}
-	stores[0].Close()
-	stores[1].Close()
-	lonely := signed.New(signed.Options{
-		Post: answering(&runs), Clock: clk, Log: zerolog.Nop(), Ring: keys, Claims: stores[2], Leeway: 10000,
-		Classes: []signed.Class{{Name: "ride-end", Deadline: 30000, Write: true}}, ClaimMost: 300,
-	})
-	if got := post(t, lonely, url("two")); got != 503 {
+	c.stores[0].Close()
+	c.stores[1].Close()
+	lonely := c.front(c.stores[2], deadline, 300)
+	if got, _ := c.ride(lonely, c.url("two")); got != 503 {
 		t.Errorf("without a majority: %d", got)
 	}
-	if runs.Load() != 1 {
-		t.Errorf("ran %d times", runs.Load())
+	if c.runs.Load() != 1 {
+		t.Errorf("ran %d times", c.runs.Load())
 	}
 }
 
