Let the dialects share one number, one URI, one join, one choice of key and one binding

Need: the dialects each wrote again how a number has one spelling (six places), how terms give a whole URI (five), how a token is put behind a query (five), how alg chooses a key, and how a key's issuer and audience bind its tokens (two each). The last is a judgement, which no dialect should make by itself.

Change: token.Number, Terms.Whole, token.Join, Key.Choice and Key.Bind; the dialects call them, and front/signed/object.go calls Number for the part. presign looks its parameters up by slices.Contains; edgeauth's fields are an array by position, where a map was made for each field of each token.

No change in what is accepted, refused or issued.

--- a/front/signed/object.go
+++ b/front/signed/object.go
@@ -38,8 +38,8 @@
 	if a.Object, err = strconv.ParseUint(o.object, 16, 64); err != nil || len(o.object) != objectDigits {
 		return a, fmt.Errorf("the object is no %d hexadecimal digits", objectDigits)
 	}
-	part, err := strconv.ParseUint(o.part, 10, 32)
-	if err != nil || strconv.FormatUint(part, 10) != o.part { // one spelling for one part
+	part, ok := token.Number(o.part, 32) // one spelling for one part
+	if !ok {
 		return a, fmt.Errorf("the part is no number")
 	}
 	a.Part = uint32(part)
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -14,7 +14,6 @@
 	"fmt"
 	"math/big"
 	"net/netip"
-	"net/url"
 	"slices"
 	"strings"
 
@@ -93,16 +92,7 @@
 
 // Ready takes a secret of 32 bytes for HS256, a key pair for ES256 and EdDSA.
 func (Dialect) Ready(k token.Key) (token.Material, error) {
-	switch k.Alg {
-	case "HS256":
-		secret, err := k.Base64()
-		return token.Material{Shared: secret, Signs: true}, err
-	case "ES256":
-		return k.Pair(token.P256)
-	case "EdDSA":
-		return k.Pair(token.Ed25519)
-	}
-	return token.Material{}, fmt.Errorf("alg: %q does not go with kind cat", k.Alg)
+	return k.Choice(map[string]token.Family{"ES256": token.P256, "EdDSA": token.Ed25519})
 }
 
 // Find gives the token of the query, else of the header, else of the cookie.
@@ -264,11 +254,10 @@
 
 // Issue signs a token for one URI, or for the URIs whose path begins with what the terms cover.
 func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
-	u, err := url.Parse(t.URI)
-	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
-		return out, fmt.Errorf("uri: needs a scheme and a host")
+	u, err := t.Whole(true)
+	if err != nil {
+		return out, err
 	}
-	u.Host = strings.ToLower(u.Host)
 	c := map[int64]any{claimExp: int64(t.Until), claimV: int64(1)}
 	if t.Cover != "" {
 		c[claimU] = map[int64]any{partPath: map[int64]any{matchPrefix: t.Cover}}
@@ -321,11 +310,7 @@
 	if t.URI == "" {
 		return out, nil
 	}
-	sep := "?"
-	if u.RawQuery != "" {
-		sep = "&"
-	}
-	out.URL = u.String() + sep + Param + "=" + out.Token
+	out.URL = token.Join(u, Param+"="+out.Token)
 	return out, nil
 }
 
@@ -400,11 +385,9 @@
 	}
 	g := token.Grant{Key: key.ID, URIs: []token.Pattern{{Form: token.Glob, Text: "*"}}}
 	g.Subject, _ = r.claims[claimSub].(string)
-	if iss, _ := r.claims[claimIss].(string); key.Issuer != "" && iss != key.Issuer {
-		r.fail(token.BadClaim, "iss: not the key's issuer")
-	}
-	if aud := r.texts(claimAud); (len(aud) > 0 || key.Audience != "") && (key.Audience == "" || !slices.Contains(aud, key.Audience)) {
-		r.fail(token.BadClaim, "aud: not for this gateway")
+	iss, _ := r.claims[claimIss].(string)
+	if err := key.Bind(iss, r.texts(claimAud)); err != nil && r.err == nil {
+		r.err = err
 	}
 	if id, there := r.claims[claimCti]; there {
 		b, ok := id.([]byte)
--- a/token/cloudcdn/cloudcdn.go
+++ b/token/cloudcdn/cloudcdn.go
@@ -117,8 +117,8 @@
 	if f.prefix == "" && c.From == token.InCookie {
 		return g, token.Reject(token.Malformed, "URLPrefix: missing")
 	}
-	at, err := strconv.ParseUint(f.expires, 10, 40)
-	if err != nil || strconv.FormatUint(at, 10) != f.expires {
+	at, ok := token.Number(f.expires, 40)
+	if !ok {
 		return g, token.Reject(token.Malformed, "Expires: no date")
 	}
 	key, err := keys.Find(f.key)
@@ -158,19 +158,14 @@
 	if t.Address != "" || t.From > 0 {
 		return out, fmt.Errorf("address and after: not with kind cloudcdn")
 	}
-	u, err := url.Parse(t.URI)
-	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
-		return out, fmt.Errorf("uri: needs a scheme and a host")
-	}
-	u.Host = strings.ToLower(u.Host)
-	sep, uri := "?", u.String()
-	if u.RawQuery != "" {
-		sep = "&"
+	u, err := t.Whole(true)
+	if err != nil {
+		return out, err
 	}
 	ends := ParamExpires + "=" + strconv.FormatInt(int64(t.Until), 10)
 	name := ParamKey + "=" + k.ID
 	if t.Cover == "" {
-		signed := uri + sep + ends + "&" + name
+		signed := token.Join(u, ends+"&"+name)
 		return token.Issued{ID: token.IDOf(signed), URL: signed + "&" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
 	}
 	if !usable(t.Cover) {
@@ -182,5 +177,5 @@
 		return token.Issued{ID: token.IDOf(signed), Token: signed + ":" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
 	}
 	signed := prefix + "&" + ends + "&" + name
-	return token.Issued{ID: token.IDOf(signed), URL: uri + sep + signed + "&" + ParamSignature + "=" + mac(k.Shared, signed)}, nil
+	return token.Issued{ID: token.IDOf(signed), URL: token.Join(u, signed+"&"+ParamSignature+"="+mac(k.Shared, signed))}, nil
 }
--- a/token/cloudfront/cloudfront.go
+++ b/token/cloudfront/cloudfront.go
@@ -15,7 +15,6 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"strings"
 
@@ -117,8 +116,7 @@
 			return g, token.Reject(token.Malformed, "Policy: can't be read")
 		}
 	} else {
-		at, err := strconv.ParseUint(expires, 10, 40)
-		if err != nil || strconv.FormatUint(at, 10) != expires || strings.ContainsAny(uri, `"\`) {
+		if _, ok := token.Number(expires, 40); !ok || strings.ContainsAny(uri, `"\`) {
 			return g, token.Reject(token.Malformed, "Expires: no date")
 		}
 		signed = []byte(canned(uri, expires))
@@ -198,11 +196,10 @@
 // Issue signs a URL with the canned policy, or with a custom one where the terms need it. The token, apart from a URL,
 // is the cookies, joined as in a Cookie header.
 func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
-	u, err := url.Parse(t.URI)
-	if err != nil || t.URI != "" && (u.Scheme == "" || u.Host == "") {
-		return out, fmt.Errorf("uri: needs a scheme and a host")
+	u, err := t.Whole(true)
+	if err != nil {
+		return out, err
 	}
-	u.Host = strings.ToLower(u.Host)
 	uri, expires := u.String(), strconv.FormatInt(int64(t.Until), 10)
 	if strings.ContainsAny(uri, `"\`) {
 		return out, fmt.Errorf("uri: can't stand in a policy")
@@ -244,10 +241,6 @@
 	if t.URI == "" {
 		return out, nil
 	}
-	sep := "?"
-	if u.RawQuery != "" {
-		sep = "&"
-	}
-	out.URL = uri + sep + parts.String()
+	out.URL = token.Join(u, parts.String())
 	return out, nil
 }
--- a/token/dialect.go
+++ b/token/dialect.go
@@ -1,5 +1,11 @@
 package token
 
+import (
+	"fmt"
+	"net/url"
+	"strings"
+)
+
 // Dialect reads and writes the tokens of one specification. It authenticates a token and words it as a grant; what the
 // grant allows is Grant.Check's to decide, so no dialect judges dates, URIs, methods or addresses.
 type Dialect interface {
@@ -53,6 +59,25 @@
 	Renew   int // seconds that a renewed token lasts
 }
 
+// Whole gives the URI of terms, which must have a scheme and a host, with the host in lower case. Where a token may come
+// alone there may be no URI, and then it is an empty one.
+func (t Terms) Whole(alone bool) (*url.URL, error) {
+	u, err := url.Parse(t.URI)
+	if err != nil || (u.Scheme == "" || u.Host == "") && !(alone && t.URI == "") {
+		return nil, fmt.Errorf("uri: needs a scheme and a host")
+	}
+	u.Host = strings.ToLower(u.Host)
+	return u, nil
+}
+
+// Join puts parameters, as they are, behind those of a URI.
+func Join(u *url.URL, params string) string {
+	if u.RawQuery != "" {
+		return u.String() + "&" + params
+	}
+	return u.String() + "?" + params
+}
+
 // Issued is an issued token.
 type Issued struct {
 	ID    string // by which it can be revoked
--- a/token/edgeauth/edgeauth.go
+++ b/token/edgeauth/edgeauth.go
@@ -86,16 +86,19 @@
 	return c, true
 }
 
-// fields are a token's, in the order of the specification; each at most once.
-type fields struct {
-	ip, st, exp, acl, id, data string
-}
+// Fields of a token, in the order of the specification; each stands at most once.
+const (
+	ip = iota
+	st
+	exp
+	acl
+	id
+	data
+)
 
-var names = []string{"ip", "st", "exp", "acl", "id", "data"}
+var names = [...]string{"ip", "st", "exp", "acl", "id", "data"}
 
-func (f *fields) of(name string) *string {
-	return map[string]*string{"ip": &f.ip, "st": &f.st, "exp": &f.exp, "acl": &f.acl, "id": &f.id, "data": &f.data}[name]
-}
+type fields [len(names)]string
 
 // read takes a token apart. A field unknown, twice there or out of order is malformed: what is signed is one text.
 func read(text string) (f fields, signed, sum string, err error) {
@@ -112,7 +115,7 @@
 		if !ok || at == len(names) || value == "" {
 			return f, "", "", token.Reject(token.Malformed, "a field that is unknown, empty, twice there or out of order")
 		}
-		*f.of(name) = value
+		f[at] = value
 		at++
 	}
 	return f, signed, sum, nil
@@ -138,7 +141,7 @@
 		return g, err
 	}
 	path := ""
-	if f.acl == "" {
+	if f[acl] == "" {
 		path = q.Path
 	}
 	why := token.Reject(token.BadKey, "no key for this parameter")
@@ -155,17 +158,17 @@
 }
 
 func (f *fields) grant(key, signed, path string) (g token.Grant, err error) {
-	g = token.Grant{Key: key, ID: token.IDOf(signed + "~" + path), Subject: f.id}
-	if g.Until, err = date(f.exp); err != nil {
+	g = token.Grant{Key: key, ID: token.IDOf(signed + "~" + path), Subject: f[id]}
+	if g.Until, err = date(f[exp]); err != nil {
 		return g, err
 	}
-	if f.st != "" {
-		if g.From, err = date(f.st); err != nil {
+	if f[st] != "" {
+		if g.From, err = date(f[st]); err != nil {
 			return g, err
 		}
 	}
-	if f.ip != "" {
-		addr, err := netip.ParseAddr(f.ip)
+	if f[ip] != "" {
+		addr, err := netip.ParseAddr(f[ip])
 		if err != nil {
 			return g, token.Reject(token.Malformed, "ip: no address")
 		}
@@ -175,7 +178,7 @@
 		g.URIs = []token.Pattern{{Form: token.Exact, Text: path, On: token.OnPath}}
 		return g, nil
 	}
-	acls := strings.Split(f.acl, "!")
+	acls := strings.Split(f[acl], "!")
 	if len(acls) > aclsMost {
 		return g, token.Reject(token.Malformed, "acl: too many")
 	}
@@ -187,8 +190,8 @@
 }
 
 func date(text string) (float64, error) {
-	n, err := strconv.ParseUint(text, 10, 40)
-	if err != nil || n == 0 || strconv.FormatUint(n, 10) != text {
+	n, ok := token.Number(text, 40)
+	if !ok || n == 0 {
 		return 0, token.Reject(token.Malformed, "a date that is no number")
 	}
 	return float64(n), nil
@@ -202,25 +205,25 @@
 	}
 	f := fields{ip: t.Address, exp: strconv.FormatUint(uint64(t.Until), 10), acl: t.Cover, data: t.Data}
 	if t.From > 0 {
-		f.st = strconv.FormatUint(uint64(t.From), 10)
+		f[st] = strconv.FormatUint(uint64(t.From), 10)
 	}
 	if t.Single {
-		f.id = t.ID
+		f[id] = t.ID
 	}
 	var parts []string
-	for _, name := range names {
-		if v := *f.of(name); v != "" {
+	for i, name := range names {
+		if v := f[i]; v != "" {
 			if strings.ContainsAny(v, "~&;\"\\ ") || len(v) > 1<<10 {
 				return out, fmt.Errorf("%s: %.40q can't stand in a token", name, v)
 			}
 			parts = append(parts, name+"="+v)
 		}
 	}
-	if _, err := netip.ParseAddr(f.ip); f.ip != "" && err != nil {
+	if _, err := netip.ParseAddr(f[ip]); f[ip] != "" && err != nil {
 		return out, fmt.Errorf("address: one address, no prefix")
 	}
 	signed, path := strings.Join(parts, "~"), ""
-	if f.acl == "" {
+	if f[acl] == "" {
 		path = u.Path
 	}
 	out.Token = signed + "~hmac=" + sum(k, signed, path)
@@ -228,10 +231,6 @@
 	if t.URI == "" {
 		return out, nil
 	}
-	if u.RawQuery != "" {
-		u.RawQuery += "&"
-	}
-	u.RawQuery += param(k.Key) + "=" + url.QueryEscape(out.Token)
-	out.URL = u.String()
+	out.URL = token.Join(u, param(k.Key)+"="+url.QueryEscape(out.Token))
 	return out, nil
 }
--- a/token/hmacurl/hmacurl.go
+++ b/token/hmacurl/hmacurl.go
@@ -63,8 +63,8 @@
 		return g, token.Reject(token.Malformed, "the query is not in canonical form")
 	}
 	expires, nonce := q.Query.Get(ParamExpires), q.Query.Get(ParamNonce)
-	at, err := strconv.ParseUint(expires, 10, 40)
-	if err != nil || strconv.FormatUint(at, 10) != expires || nonce == "" || len(nonce) > token.IDMost {
+	at, ok := token.Number(expires, 40)
+	if !ok || nonce == "" || len(nonce) > token.IDMost {
 		return g, token.Reject(token.Malformed, "the signed URL lacks a field or can't be read")
 	}
 	key, err := keys.Find(q.Query.Get(ParamKey))
--- a/token/jws/jws.go
+++ b/token/jws/jws.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"net/url"
 	"slices"
 	"strings"
 
@@ -78,7 +77,7 @@
 
 // Ready takes a secret of 32 bytes for HS256, a key pair for ES256, EdDSA and RS256.
 func (Dialect) Ready(k token.Key) (token.Material, error) {
-	m, err := signing(k)
+	m, err := k.Choice(families)
 	if err != nil || k.IPSecret == "" {
 		return m, err
 	}
@@ -89,18 +88,6 @@
 	return m, nil
 }
 
-func signing(k token.Key) (token.Material, error) {
-	if k.Alg == "HS256" {
-		secret, err := k.Base64()
-		return token.Material{Shared: secret, Signs: true}, err
-	}
-	family, ok := families[k.Alg]
-	if !ok {
-		return token.Material{}, fmt.Errorf("alg: %q does not go with kind jws", k.Alg)
-	}
-	return k.Pair(family)
-}
-
 // sealings are the ciphers of client addresses, by the size of the key.
 var sealings = map[int]jose.ContentEncryption{16: jose.A128GCM, 32: jose.A256GCM}
 
@@ -204,14 +191,12 @@
 	if err := c.critical(payload); err != nil {
 		return err
 	}
+	if err := key.Bind(c.Issuer, c.Audience); err != nil {
+		return err
+	}
 	switch {
 	case c.Version != nil && *c.Version != 1:
 		return token.Reject(token.BadClaim, "cdniv: unknown version")
-	case key.Issuer != "" && c.Issuer != key.Issuer:
-		return token.Reject(token.BadClaim, "iss: not the key's issuer")
-	case len(c.Audience) > 0 && (key.Audience == "" || !slices.Contains(c.Audience, key.Audience)),
-		key.Audience != "" && len(c.Audience) == 0:
-		return token.Reject(token.BadClaim, "aud: not for this gateway")
 	case len(c.ID) > token.IDMost:
 		return token.Reject(token.Malformed, "jti: too long")
 	case c.Expires == nil || *c.Expires == 0:
@@ -283,11 +268,10 @@
 
 // Issue signs a package for one URI, or for those that a POSIX regular expression covers.
 func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
-	u, err := url.Parse(t.URI)
-	if err != nil || u.Scheme == "" || u.Host == "" {
-		return out, fmt.Errorf("uri: needs a scheme and a host")
+	u, err := t.Whole(false)
+	if err != nil {
+		return out, err
 	}
-	u.Host = strings.ToLower(u.Host)
 	c := Claims{Expires: &t.Until, Container: HashContainer(u.String())}
 	if t.Address != "" {
 		if c.ClientIP, err = seal(k, t.Address); err != nil {
@@ -314,11 +298,7 @@
 		return out, err
 	}
 	out.ID = c.ID
-	sep := "?"
-	if u.RawQuery != "" {
-		sep = "&"
-	}
-	out.URL = u.String() + sep + Param + "=" + out.Token
+	out.URL = token.Join(u, Param+"="+out.Token)
 	return out, nil
 }
 
--- a/token/key.go
+++ b/token/key.go
@@ -10,6 +10,7 @@
 	"encoding/base64"
 	"encoding/pem"
 	"fmt"
+	"slices"
 )
 
 // Kind names a dialect, as the operator's file and the API do.
@@ -64,6 +65,32 @@
 	return secret, nil
 }
 
+// Choice makes a key of the algorithm that its alg names ready: HS256 by a shared secret, any other of the families by a
+// key pair.
+func (k Key) Choice(families map[string]Family) (Material, error) {
+	if k.Alg == "HS256" {
+		secret, err := k.Base64()
+		return Material{Shared: secret, Signs: true}, err
+	}
+	family, ok := families[k.Alg]
+	if !ok {
+		return Material{}, fmt.Errorf("alg: %q does not go with kind %s", k.Alg, k.Kind)
+	}
+	return k.Pair(family)
+}
+
+// Bind holds a token's issuer and audience to those of its key, where the key names them; a token for some audience is
+// for nobody whose key names none.
+func (k Key) Bind(issuer string, audience []string) error {
+	switch {
+	case k.Issuer != "" && issuer != k.Issuer:
+		return Reject(BadClaim, "iss: not the key's issuer")
+	case k.Audience == "" && len(audience) > 0, k.Audience != "" && !slices.Contains(audience, k.Audience):
+		return Reject(BadClaim, "aud: not for this gateway")
+	}
+	return nil
+}
+
 // Pair reads the private or public key of a key; family tells which the algorithm takes.
 func (k Key) Pair(family Family) (Material, error) {
 	var m Material
--- a/token/presign/presign.go
+++ b/token/presign/presign.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -102,7 +103,7 @@
 		}
 	}
 	for _, p := range q.Query { // one that is not known might limit the grant
-		if strings.HasPrefix(p.Name, "X-Amz-") && !known(p.Name) {
+		if strings.HasPrefix(p.Name, "X-Amz-") && !slices.Contains(params, p.Name) {
 			return date, 0, token.Reject(token.BadClaim, "a parameter of the signature is not understood")
 		}
 	}
@@ -115,23 +116,13 @@
 	if date, err = time.Parse(sigv4.Time, q.Query.Get(ParamDate)); err != nil {
 		return date, 0, malformed("X-Amz-Date: no date")
 	}
-	expires := q.Query.Get(ParamExpires)
-	lasts, err = strconv.ParseUint(expires, 10, 32)
-	if err != nil || lasts == 0 || lasts > longest || strconv.FormatUint(lasts, 10) != expires {
+	lasts, ok := token.Number(q.Query.Get(ParamExpires), 32)
+	if !ok || lasts == 0 || lasts > longest {
 		return date, 0, malformed("X-Amz-Expires: 1 second to 7 days")
 	}
 	return date, lasts, nil
 }
 
-func known(name string) bool {
-	for _, p := range params {
-		if p == name {
-			return true
-		}
-	}
-	return false
-}
-
 // headersOf gives the canonical lines of the signed headers; host must be one of them.
 func headersOf(q *token.Request) (string, error) {
 	names := strings.Split(q.Query.Get(ParamHeaders), ";")
@@ -167,10 +158,10 @@
 
 // Issue signs one URI for one method, with host as the only signed header.
 func (Dialect) Issue(k *token.Ready, t token.Terms) (out token.Issued, err error) {
-	u, err := url.Parse(t.URI)
+	u, err := t.Whole(false)
 	switch {
-	case err != nil || u.Scheme == "" || u.Host == "":
-		return out, fmt.Errorf("uri: needs a scheme and a host")
+	case err != nil:
+		return out, err
 	case t.Cover != "" || t.Address != "":
 		return out, fmt.Errorf("cover and address: not with kind presign")
 	case t.From > 0:
@@ -189,7 +180,6 @@
 	if method == "" {
 		method = "GET"
 	}
-	u.Host = strings.ToLower(u.Host)
 	q := append(rest,
 		token.Pair{Name: ParamAlgorithm, Value: sigv4.Algorithm},
 		token.Pair{Name: ParamCredential, Value: k.ID + "/" + sigv4.Scope(stamp, k.Region, k.Service)},
--- a/token/query.go
+++ b/token/query.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"net/url"
+	"strconv"
 	"strings"
 )
 
@@ -104,6 +105,12 @@
 	return true
 }
 
+// Number reads a number of so many bits in its one spelling: decimal digits, no sign, no zero ahead.
+func Number(text string, bits int) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(text, 10, bits)
+	return n, err == nil && strconv.FormatUint(n, 10) == text
+}
+
 // Same compares in a time that depends on the lengths alone.
 func Same(a, b string) bool { return hmac.Equal([]byte(a), []byte(b)) }
 
