Take a store's answer under one lock, and a request's share as it is looked at

Change: the connection's take looks for proofs itself, and a proof's PING is named as probes are; Limits takes where it looks; the claim's owner says whether a use is claimed; the address is kept with the connection; the guard looks at a level once.

--- a/front/signed/guard.go
+++ b/front/signed/guard.go
@@ -73,7 +73,7 @@
 	if !f.limits.On() {
 		return true
 	}
-	who := &limits.Who{Key: g.Key, Client: f.limits.Client(c.addr())}
+	who := &limits.Who{Key: g.Key, Client: f.limits.Client(c.from)}
 	if g.ID != "" {
 		who.Grant = g.Use()
 	}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -100,7 +100,6 @@
 	dates   atomic.Pointer[dateText]
 	guard   *limits.Guard
 	limits  *limits.Limits
-	denied  atomic.Int64 // refused before a check
 
 	sampling sync.Mutex
 	sampler  *limits.Sampler
@@ -177,13 +176,12 @@
 	msg    http1.Message
 	class  Class
 	until  float64      // when its grant ends, in Unix seconds
-	use    string       // that its grant has, if any
+	use    string       // the name of its grant's one use, if it has one
 	vary   string       // the header that carried its token
 	renews *token.Grant // of a token that another may follow
 	who    *limits.Who  // whose limits it is counted in
-	claim  string       // the name of its claim, if it has one
-	owner  string
-	held   int // bytes of its body booked with the front's intake
+	owner  string       // under which that use is claimed; "": it is not
+	held   int          // bytes of its body booked with the front's intake
 	asked  bool
 	done   bool
 	ready  chan struct{}
@@ -197,7 +195,8 @@
 	queue chan *slot
 	ended chan struct{} // closed when the writer ends
 
-	source string // what its failures are booked under
+	from   netip.Addr // the client's
+	source string     // what its failures are booked under
 
 	unwritten atomic.Int64 // whole requests, or unreadable ones, whose answer is not yet written
 
@@ -211,7 +210,10 @@
 	c := &conn{
 		front: f, net: nc, seat: seat, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
 	}
-	c.source = source(c.addr())
+	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		c.from = a.AddrPort().Addr().Unmap()
+	}
+	c.source = source(c.from)
 	seat.Hushes()
 	seat.Yields(c.yield)
 	var g errgroup.Group
@@ -318,7 +320,7 @@
 	var left []uint64
 	for tag, s := range c.open {
 		s.finish(nil)
-		if s.claim != "" { // it may have run: its end is waited for, so that a replay learns of it
+		if s.owner != "" { // it may have run: its end is waited for, so that a replay learns of it
 			continue
 		}
 		if s.asked {
@@ -421,12 +423,11 @@
 	now := f.opt.Clock.Unix()
 	// Guards against who tries tokens out: a source that fails is refused before its signatures cost anything.
 	if ok, wait := f.guard.Check(c.source, f.opt.Clock.Now()); !ok {
-		f.denied.Add(1)
 		c.fail(s, 429, "too_many_failures", "too many tokens from this address were not accepted", throttle(wait))
 		return
 	}
 	grant, rest, err := f.ring.Load().Verify(token.Request{
-		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Method: m.Method, Addr: c.addr(),
+		Scheme: f.opt.Scheme, Host: m.Host, Path: m.Path, RawQuery: m.Query, Method: m.Method, Addr: c.from,
 		Cookie: m.Cookie, Header: func(name string) string { return m.Header[strings.ToLower(name)] },
 	}, now/1000, f.policy.Load().LeewayMs/1000)
 	if err != nil {
@@ -498,14 +499,6 @@
 	f.opt.Post(ask)
 }
 
-// addr is the client's address.
-func (c *conn) addr() netip.Addr {
-	if a, ok := c.net.RemoteAddr().(*net.TCPAddr); ok {
-		return a.AddrPort().Addr().Unmap()
-	}
-	return netip.Addr{}
-}
-
 // claim makes a write's token used before anything is sent. Without an answer from the store nothing
 // is sent either: the token may be taken, so the client has to come with it again.
 func (c *conn) claim(s *slot, left float64) bool {
@@ -514,15 +507,15 @@
 		c.fail(s, 403, "bad_claim", "this class needs a token of a single use, with a jti", "")
 		return false
 	}
-	s.claim, s.owner = s.use, rand.Text()
+	s.owner = rand.Text()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
 	defer cancel()
 	until := s.until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
 	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: until}, {Op: claims.Send, Owner: s.owner}} {
-		r, ok, err := f.opt.Claims.Step(ctx, s.claim, step)
+		r, ok, err := f.opt.Claims.Step(ctx, s.use, step)
 		if err != nil {
 			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("claim not made")
-			f.settle(s.claim, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whatever was agreed on
+			f.settle(s.use, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whatever was agreed on
 			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
 			return false
 		}
@@ -547,8 +540,8 @@
 		return // withdrawn
 	}
 	delete(c.open, tag)
-	if s.claim != "" { // before the answer: whoever waits for the front to be done must not find it so in between
-		c.front.settle(s.claim, outcome(s, a))
+	if s.owner != "" { // before the answer: whoever waits for the front to be done must not find it so in between
+		c.front.settle(s.use, outcome(s, a))
 	}
 	if !s.done {
 		s.finish(c.front.word(s, a))
--- a/limits/guard.go
+++ b/limits/guard.go
@@ -37,26 +37,20 @@
 // Failed notes a token of a source that was not accepted.
 func (g *Guard) Failed(source string, now float64) { g.fails.Spend(source, 1, now) }
 
-// barred tells whether a source has no failure left that is forgiven.
-func (g *Guard) barred(source string, now float64) bool { return g.fails.Level(source, now) < 1 }
-
 // Check tells whether a source's token may be checked; if not, in how many ms the source should come back.
 func (g *Guard) Check(source string, now float64) (ok bool, wait float64) {
-	if !g.fails.On() || !g.barred(source, now) {
+	level := g.fails.Level(source, now)
+	if level >= 1 { // a failure is left that is forgiven
 		return true, 0
 	}
 	if ok, _ := g.checks.Take(source, 1, now); ok {
 		return true, 0
 	}
-	level := g.fails.Level(source, now)
 	return false, math.Ceil((1 - level) / g.opt.Failures.PerSecond * 1000)
 }
 
 // Pause is for how many ms a connection of a source is not read after an answer.
 func (g *Guard) Pause(source string, now float64) float64 {
-	if !g.fails.On() {
-		return 0
-	}
 	half := g.opt.Failures.burst() / 2
 	level := g.fails.Level(source, now)
 	if level >= half {
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -107,19 +107,29 @@
 		if name == "" {
 			continue
 		}
-		if wait := k.full(name, now); wait > 0 {
+		if wait := l.enter(k, name, now); wait > 0 {
 			l.undo(names, i, now)
 			return &Refusal{k.name, wait}
 		}
-		if !l.inUse.Enter(k.name+"/"+name, k.limit.AtOnce) {
-			l.undo(names, i, now)
-			return &Refusal{k.name, busyWait}
-		}
-		k.requests.Spend(name, 1, now)
 	}
 	return nil
 }
 
+// enter lets a request into one kind's limits, or tells in how many ms it is worth coming back.
+func (l *Limits) enter(k *kind, name string, now float64) float64 {
+	if wait := k.full(name, now); wait > 0 {
+		return wait
+	}
+	if !l.inUse.Enter(k.name+"/"+name, k.limit.AtOnce) {
+		return busyWait
+	}
+	ok, wait := k.requests.Take(name, 1, now) // another request may have taken what was there just now
+	if !ok {
+		l.inUse.Leave(k.name+"/"+name, k.limit.AtOnce)
+	}
+	return wait
+}
+
 func (w Who) names() [3]string { return [3]string{w.Grant, w.Key, w.Client} }
 
 // full tells in how many ms a name may ask again; 0: now.
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -122,6 +124,25 @@
 	}
 }
 
+// Requests that come at once take no more than there is.
+func TestLimitsAtOnce(t *testing.T) {
+	for range 200 {
+		l := New(Options{Grant: Limit{Requests: Rate{1, 3}}})
+		var wg sync.WaitGroup
+		var in atomic.Int64
+		for range 16 {
+			wg.Go(func() {
+				if l.Enter(Who{Grant: "g"}, 0) == nil {
+					in.Add(1)
+				}
+			})
+		}
+		if wg.Wait(); in.Load() != 3 {
+			t.Fatalf("%d let in", in.Load())
+		}
+	}
+}
+
 func BenchmarkTake(b *testing.B) {
 	t := NewTable(Rate{PerSecond: 1000}, 1<<16)
 	names := make([]string, 1<<12)
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -41,8 +41,7 @@
 	staleMost = 4096    // IDs remembered; a connection with more takes no new work
 	staleFor  = 10000.0 // ms for which they are: longer than any request lasts
 
-	proofsMost  = 4 // PINGs behind DROPs that may be open on a connection
-	proofPrefix = "d-"
+	proofsMost = 4 // PINGs behind DROPs that may be open on a connection
 )
 
 func newConn(p *Pool, q *peer, nc net.Conn) *conn {
@@ -114,7 +113,7 @@
 		return nil
 	}
 	c.pool.probes++
-	tag := proofPrefix + strconv.FormatUint(c.pool.probes, 10)
+	tag := probeName(c.pool.probes)
 	c.proofs[tag] = drops
 	return appendCommand(nil, "PING", tag)
 }
@@ -239,13 +238,13 @@
 		var a answer
 		if a, err = readAnswer(r); err == nil {
 			var ev core.Event
-			if proven := c.proven(a.id); proven != nil {
-				for _, k := range proven {
-					p.post(core.Settled{Key: k})
-				}
-			} else if ev, err = c.take(a); ev != nil {
+			var proven []core.Key
+			if ev, proven, err = c.take(a); ev != nil {
 				p.post(ev)
 			}
+			for _, k := range proven {
+				p.post(core.Settled{Key: k})
+			}
 		}
 	}
 	c.net.Close()
@@ -284,27 +283,22 @@
 	}
 }
 
-// proven gives the attempts whose DROPs a store has read, as its answer under a tag proves. That it reads does not
-// count as work done: a connection on which work comes to nothing is left all the same.
-func (c *conn) proven(tag string) []core.Key {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	keys := c.proofs[tag]
-	delete(c.proofs, tag)
-	return keys
-}
-
-// take books one answer.
-func (c *conn) take(a answer) (core.Event, error) {
+// take books one answer: the end of an attempt or a probe, or the attempts whose DROPs it proves to be read.
+func (c *conn) take(a answer) (_ core.Event, proven []core.Key, _ error) {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// That a store reads does not count as work done: a connection on which work comes to nothing is left all the same.
+	if proven = c.proofs[a.id]; proven != nil {
+		delete(c.proofs, a.id)
+		return nil, proven, nil
+	}
 	c.heard, c.silentSince = p.now(), 0
 	t := c.open[a.id]
 	if t == nil {
 		// An answer to what was given up, a second copy, or one under an id that was never asked here: each
 		// is whole and harms nothing. Guards against one of them costing every request on the connection.
-		return nil, nil
+		return nil, nil, nil
 	}
 	if t.probe {
 		ev := p.end(t, control.Errored)
@@ -314,16 +308,16 @@
 				got.Result = control.OK
 			case "AILING":
 			default:
-				return ev, fmt.Errorf("%w: %.20q to a probe", errWire, a.word)
+				return ev, nil, fmt.Errorf("%w: %.20q to a probe", errWire, a.word)
 			}
 			got.Load = a.fields.load()
 			ev = got
 		}
-		return ev, nil
+		return ev, nil, nil
 	}
 	res, ok := words[a.word]
 	if !ok {
-		return p.end(t, control.Errored), fmt.Errorf("%w: word %.20q", errWire, a.word)
+		return p.end(t, control.Errored), nil, fmt.Errorf("%w: word %.20q", errWire, a.word)
 	}
 	t.told = true
 	if res != control.OK { // the request may be asked for again
@@ -332,7 +326,7 @@
 	ev, _ := p.end(t, res).(core.Ended)
 	ev.Note, ev.Lag, ev.Load = notes[a.fields.get("why")], a.fields.number("lag"), a.fields.load()
 	ev.Tag, ev.Minted, ev.Body, ev.Same = a.fields.get("tag"), a.fields.number("minted"), a.body, a.word == "NOMOD"
-	return ev, nil
+	return ev, nil, nil
 }
 
 const probePrefix = "p-"
