--- a/claims_test.go
+++ b/claims_test.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -179,7 +178,6 @@
 // The leader is killed at each step of a claim, before and after it is agreed on, under a client that retries at the
 // members in turn: one final answer that is the truth, one ride at most, and all members say the same once it is back.
 func TestLeaderKilledAtEachStep(t *testing.T) {
-	var rows sync.Map
 	for _, op := range []claims.Op{claims.Hold, claims.Send, claims.Settle} {
 		for _, after := range []bool{false, true} {
 			for _, own := range []bool{false, true} { // at the leader's own gateway, or at another
@@ -229,12 +227,8 @@
 					if c.runs.Load() > 1 || len(said) != 1 {
 						t.Errorf("ran %d times, members say %v", c.runs.Load(), said)
 					}
-					rows.Store(t.Name(), fmt.Sprint(said))
 				})
 			}
 		}
 	}
-	t.Cleanup(func() {
-		rows.Range(func(k, v any) bool { t.Log(k, v); return true })
-	})
 }
--- a/config/key_test.go
+++ b/config/key_test.go
@@ -4,8 +4,8 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
+
+	"turnfork.dev/turnfork/internal/standin"
 )
 
 // testKey is made anew for each run.
@@ -14,9 +14,5 @@
 	if err != nil {
 		panic(err)
 	}
-	der, err := x509.MarshalPKCS8PrivateKey(k)
-	if err != nil {
-		panic(err)
-	}
-	return string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))
+	return standin.PrivatePEM(k)
 }()
--- a/signed_test.go
+++ b/signed_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"bufio"
-	"crypto/rand"
-	"crypto/rsa"
-	"crypto/x509"
 	"encoding/base64"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
 	"io"
 	"net"
@@ -45,26 +41,6 @@
 
 const start = 1.8e12 // Unix ms
 
-// rsaKey is one key for all tests of the package.
-var rsaKey = func() func(testing.TB) string {
-	var once sync.Once
-	var text string
-	return func(t testing.TB) string {
-		once.Do(func() {
-			key, err := rsa.GenerateKey(rand.Reader, 2048)
-			if err != nil {
-				t.Fatal(err)
-			}
-			der, err := x509.MarshalPKCS8PrivateKey(key)
-			if err != nil {
-				t.Fatal(err)
-			}
-			text = string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))
-		})
-		return text
-	}
-}()
-
 // hold lets a test keep a GET unanswered; a nil handler answers at once.
 func newSite(t testing.TB, handle func(standin.Call) (string, string, []byte, bool)) *site {
 	t.Helper()
@@ -144,7 +120,7 @@
 issuer = "dala"
 audience = "gateways"
 secret = %q
-`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, rsaKey(t), secret, secret), t.TempDir())
+`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, standin.PrivatePEM(standin.RSAKey()), secret, secret), t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/token/ring/dialects_test.go
+++ b/token/ring/dialects_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"testing"
 
+	"turnfork.dev/turnfork/internal/standin"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -30,10 +31,7 @@
 }
 
 func samples(t testing.TB) []sample {
-	rs, err := rsa.GenerateKey(rand.Reader, 2048)
-	if err != nil {
-		t.Fatal(err)
-	}
+	rs := standin.RSAKey()
 	ec, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
@@ -44,20 +42,25 @@
 	}
 	cdn := base64.URLEncoding.EncodeToString([]byte("sixteen bytes..."))
 	return []sample{
-		{token.Key{ID: "K1", Kind: token.CloudFront, Private: private(t, rs)}, "http*://cdn.example/v1/firm?are/*"},
-		{token.Key{ID: "K2", Kind: token.CloudFront, Alg: "RS256", Private: private(t, rs)}, "https://cdn.example/v1/firmware/*"},
-		{token.Key{ID: "K3", Kind: token.CloudFront, Alg: "ES256", Private: private(t, ec)}, "https://cdn.example/v1/firmware/*"},
+		{token.Key{ID: "K1", Kind: token.CloudFront, Private: standin.PrivatePEM(rs)}, "http*://cdn.example/v1/firm?are/*"},
+		{token.Key{ID: "K2", Kind: token.CloudFront, Alg: "RS256", Private: standin.PrivatePEM(rs)}, "https://cdn.example/v1/firmware/*"},
+		{token.Key{ID: "K3", Kind: token.CloudFront, Alg: "ES256", Private: standin.PrivatePEM(ec)}, "https://cdn.example/v1/firmware/*"},
 		{token.Key{ID: "c", Kind: token.CloudCDN, Secret: cdn}, "https://cdn.example/v1/firmware/"},
 		{token.Key{ID: "AKID", Kind: token.Presign, Secret: strings.Repeat("p", 20), Region: "kz-1", Service: "s3"}, ""},
 		{token.Key{ID: "m", Kind: token.CAT, Alg: "HS256", Secret: secret}, "/v1/firmware/"},
-		{token.Key{ID: "s", Kind: token.CAT, Alg: "ES256", Private: private(t, ec)}, "/v1/firmware/"},
-		{token.Key{ID: "d", Kind: token.CAT, Alg: "EdDSA", Private: private(t, ed)}, "/v1/firmware/"},
+		{token.Key{ID: "s", Kind: token.CAT, Alg: "ES256", Private: standin.PrivatePEM(ec)}, "/v1/firmware/"},
+		{token.Key{ID: "d", Kind: token.CAT, Alg: "EdDSA", Private: standin.PrivatePEM(ed)}, "/v1/firmware/"},
 		{token.Key{ID: "j", Kind: token.JWS, Alg: "HS256", Secret: secret}, `https://cdn\.example/v1/firmware/.*`},
 		{token.Key{ID: "h", Kind: token.HMAC, Secret: secret}, ""},
 		{token.Key{ID: "e", Kind: token.EdgeAuth, Secret: strings.Repeat("0a", 16), Salt: "salt"}, "/v1/tiles/*!/v1/firmware/*"},
 	}
 }
 
+// only gives one header or cookie.
+func only(name, value string) func(string) string {
+	return func(n string) string { return map[string]string{name: value}[n] }
+}
+
 // sent words a URL as a request.
 func sent(t testing.TB, text string) token.Request {
 	t.Helper()
@@ -175,7 +178,7 @@
 		t.Error(err)
 	}
 	header := sent(t, someURI)
-	header.Header = func(name string) string { return map[string]string{"__token__": got.Token}[name] }
+	header.Header = only("__token__", got.Token)
 	if _, _, err := r.Verify(header, 1300, 0); err != nil {
 		t.Error("in a header:", err)
 	}
@@ -221,19 +224,21 @@
 	}
 }
 
+// enc is CloudFront's base64.
+func enc(b []byte) string {
+	return strings.NewReplacer("+", "-", "=", "_", "/", "~").Replace(base64.StdEncoding.EncodeToString(b))
+}
+
 // The published form of a URL with a canned policy: what is signed is this text, byte for byte.
 func TestCloudFrontCanned(t *testing.T) {
-	rs, err := rsa.GenerateKey(rand.Reader, 2048)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := ringOf(t, []sample{{key: token.Key{ID: "K2JCJMDEHXQW5F", Kind: token.CloudFront, Private: private(t, rs)}}})
+	rs := standin.RSAKey()
+	r := ringOf(t, []sample{{key: token.Key{ID: "K2JCJMDEHXQW5F", Kind: token.CloudFront, Private: standin.PrivatePEM(rs)}}})
 	sum := sha1.Sum([]byte(`{"Statement":[{"Resource":"https://d111111abcdef8.cloudfront.net/v1/a/b/0?size=large","Condition":{"DateLessThan":{"AWS:EpochTime":1767290400}}}]}`))
 	sig, err := rsa.SignPKCS1v15(nil, rs, crypto.SHA1, sum[:])
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.NewReplacer("+", "-", "=", "_", "/", "~").Replace(base64.StdEncoding.EncodeToString(sig))
+	text := enc(sig)
 	q := sent(t, "https://d111111abcdef8.cloudfront.net/v1/a/b/0?size=large&Expires=1767290400&Signature="+text+"&Key-Pair-Id=K2JCJMDEHXQW5F")
 	if _, rest, err := r.Verify(q, 1767290400, 0); err != nil || rest.Get("size") != "large" {
 		t.Error(rest, err)
@@ -285,9 +290,6 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		enc := func(b []byte) string {
-			return strings.NewReplacer("+", "-", "=", "_", "/", "~").Replace(base64.StdEncoding.EncodeToString(b))
-		}
 		q := sent(t, someURI+"?Policy="+enc([]byte(policy))+"&Signature="+enc(sig)+"&Key-Pair-Id=K1")
 		if _, _, err := r.Verify(q, 1500, 0); want == "" && err != nil || want != "" && (err == nil || token.WhyOf(err) != want) {
 			t.Errorf("%s: %v", policy, err)
@@ -303,14 +305,14 @@
 		t.Fatal(err)
 	}
 	q := sent(t, someURI+"?kb=5")
-	q.Cookie = func(name string) string { return map[string]string{"Cloud-CDN-Cookie": got.Token}[name] }
+	q.Cookie = only("Cloud-CDN-Cookie", got.Token)
 	if _, rest, err := r.Verify(q, 1500, 0); err != nil || rest != nil {
 		t.Error(rest, err)
 	}
 	for i := range got.Token {
 		other := []byte(got.Token)
 		other[i] ^= 1
-		q.Cookie = func(name string) string { return map[string]string{"Cloud-CDN-Cookie": string(other)}[name] }
+		q.Cookie = only("Cloud-CDN-Cookie", string(other))
 		if _, _, err := r.Verify(q, 1500, 0); err == nil {
 			t.Errorf("changed at %d: %s passed", i, other)
 		}
--- a/token/ring/ring_test.go
+++ b/token/ring/ring_test.go
@@ -5,7 +5,6 @@
 	"crypto/ed25519"
 	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/rsa"
 	"crypto/x509"
 	"encoding/base64"
 	"encoding/pem"
@@ -13,20 +12,13 @@
 	"strings"
 	"testing"
 
+	"turnfork.dev/turnfork/internal/standin"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/jws"
 )
 
 var secret = base64.StdEncoding.EncodeToString([]byte(strings.Repeat("s", 32)))
 
-func private(t testing.TB, key any) string {
-	der, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}))
-}
-
 func public(t testing.TB, key any) string {
 	der, err := x509.MarshalPKIXPublicKey(key)
 	if err != nil {
@@ -46,13 +38,10 @@
 func TestAlgorithms(t *testing.T) {
 	ec, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	edPub, ed, _ := ed25519.GenerateKey(rand.Reader)
-	rs, err := rsa.GenerateKey(rand.Reader, 2048)
-	if err != nil {
-		t.Fatal(err)
-	}
+	rs := standin.RSAKey()
 	keys := []token.Key{
-		{ID: "a", Kind: token.JWS, Alg: "HS256", Secret: secret}, {ID: "b", Kind: token.JWS, Alg: "ES256", Private: private(t, ec)},
-		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Private: private(t, ed)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Private: private(t, rs)},
+		{ID: "a", Kind: token.JWS, Alg: "HS256", Secret: secret}, {ID: "b", Kind: token.JWS, Alg: "ES256", Private: standin.PrivatePEM(ec)},
+		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Private: standin.PrivatePEM(ed)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Private: standin.PrivatePEM(rs)},
 	}
 	signers, err := New(keys)
 	if err != nil {
@@ -130,7 +119,7 @@
 		t.Fatal(err)
 	}
 	q := request("")
-	q.RawQuery, q.Cookie = "", func(name string) string { return map[string]string{jws.Param: next}[name] }
+	q.RawQuery, q.Cookie = "", only(jws.Param, next)
 	if g, _, err := r.Verify(q, 149, 0); err != nil || g.Until != 150 || g.ID != "j" {
 		t.Errorf("%+v %v", g, err)
 	}
