--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -488,3 +489,36 @@
 		t.Errorf("a bad configuration: %v %s", err, out)
 	}
 }
+
+// A gateway started alone, at an address of its own and with $TMPDIR, keeps its orders there but opens no Unix socket:
+// the fleet's bench refuses them, and no other process could take its connections over without the socket.
+func TestAloneOpensNoUnixSocket(t *testing.T) {
+	bin := build(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	dir := t.TempDir()
+	conf := filepath.Join(dir, "config.json")
+	os.WriteFile(conf, []byte(strings.Replace(fmt.Sprintf(settings, ""), `"results":[]`, `"results":[{"seq":1,"fleet":{"full":true,
+"servers":[{"id":"s-00000008","addr":"127.0.0.1:1","zone":"edge","kind":"box","state":"Ready","weight":10}]}}]`, 1)), 0o600)
+	p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=" + addr, "NODE_NAME=n1", "NODE_CONSOLE=127.0.0.1:0", "TMPDIR=" + dir})
+	if got := call(t, p.console(t), "PUT", "/stores/disable", `{"id":"s-00000008"}`); got != 200 {
+		t.Fatalf("disable: %d", got)
+	}
+	var files, sockets []string
+	filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			files = append(files, d.Name())
+			if d.Type()&os.ModeSocket != 0 {
+				sockets = append(sockets, path)
+			}
+		}
+		return nil
+	})
+	if len(sockets) > 0 || !slices.Contains(files, "orders.json") {
+		t.Errorf("sockets %v; files %v", sockets, files)
+	}
+}
--- a/turnfork.go
+++ b/turnfork.go
@@ -292,7 +292,9 @@
 	g.Go(func() error { reloads(ctx, cfg, c.Post, moves); return nil })
 	g.Go(func() error { own.watch(ctx); return nil })
 	g.Go(func() error { own.write(ctx); return nil })
-	if adopt != nil {
+	// Connections are taken over only where another process can share the listening socket, which it inherits; a
+	// gateway started alone opens no Unix socket, which the fleet's bench forbids (docs/fleet.md).
+	if adopt != nil && node.SocketFD != 0 {
 		if l, err := relatives.Listen(); err != nil { // such as a path too long for a socket
 			cfg.Log.Warn().Err(err).Msg("no connections can be taken over from another process")
 		} else if l != nil {
