Look members up in one place, and let the source of a fill fall back to its target

Change: member() in state.go serves the three places that looked a member up by find and an index; pickSource ends in the target where no source may be asked, as its only caller that names a target did for it. No decision changes.

--- a/control/control.go
+++ b/control/control.go
@@ -223,8 +223,7 @@
 	if ev.On {
 		c.barred[ev.Member] = struct{}{}
 	}
-	if i, ok := c.find(ev.Member); ok && was != ev.On {
-		m := c.members[i]
+	if m := c.member(ev.Member); m != nil && was != ev.On {
 		if ev.On {
 			m.outAt = c.now
 		} else {
@@ -275,11 +274,10 @@
 }
 
 func (c *Controller) probeDone(ev Probed) {
-	i, ok := c.find(ev.Member)
-	if !ok {
+	m := c.member(ev.Member)
+	if m == nil {
 		return
 	}
-	m := c.members[i]
 	if ev.Result == OK { // a probe is answered beside the queue: it clears no member of work left unanswered
 		if ev.Load != nil {
 			m.report(*ev.Load, c.now)
@@ -350,10 +348,9 @@
 
 // room tells whether a cache's own link has room for one more transfer: beyond what fits at a client's pace
 // each one slows all others, and all end late instead of some being refused. The last report tells it as it
-// does for the window: low use, else few in hand. Without it a front has its even part of the link.
-// Attempts past their time wait for a source, or their answer is lost, and do not use the link, unless it is
-// the cache itself that is slow. Where weights
-// are not told nothing is known of links, so none is taken to be full.
+// does for the window: low use, else few in hand. Without it a front has its even part of the link. Attempts
+// past their time wait for a source, or their answer is lost, and do not use the link, unless it is the
+// cache itself that is slow. Where weights are not told nothing is known of links: none is taken to be full.
 func (c *Controller) room(m *member) bool {
 	fits, out := linkWidth*m.Weight, 0.0
 	for _, a := range m.open {
@@ -381,6 +378,7 @@
 
 // pickSource gives the source of a fill: a parent of the hub, any other that is up, the origin. While the
 // origin is under strain, the first of all hubs' parents: it is asked for an object once, not by each hub.
+// Where none may be asked it is the target itself, which then gives only what it holds.
 func (c *Controller) pickSource(r *request, to *member) *member {
 	hub := c.hubOf(c.set.Zone)
 	for _, own := range []bool{true, false} {
@@ -394,7 +392,7 @@
 	if m := c.origin(); m != nil && c.allowed(r, to, m) {
 		return m
 	}
-	return nil
+	return to
 }
 
 // tried tells whether a request has failed at a member. A broken connection is no verdict the first time: the
@@ -625,9 +623,6 @@
 		return !r.looked && c.send(r, to, to, false)
 	}
 	source := c.pickSource(r, to)
-	if source == nil {
-		source = to
-	}
 	return c.send(r, to, source, !known && source != to)
 }
 
@@ -654,8 +649,7 @@
 }
 
 func (c *Controller) outcome(ev Outcome) {
-	if i, ok := c.find(ev.Member); ok && ev.Load != nil {
-		m := c.members[i]
+	if m := c.member(ev.Member); m != nil && ev.Load != nil {
 		m.report(*ev.Load, c.now)
 		if c.isCache(m) && ev.Load.Link >= 0 {
 			c.link.told, c.link.u = true, ev.Load.Link
--- a/control/state.go
+++ b/control/state.go
@@ -146,6 +146,14 @@
 	return slices.BinarySearchFunc(c.members, id, func(m *member, id MemberID) int { return int(int64(m.ID) - int64(id)) })
 }
 
+// member gives the entry of a member, nil where there is none.
+func (c *Controller) member(id MemberID) *member {
+	if i, ok := c.find(id); ok {
+		return c.members[i]
+	}
+	return nil
+}
+
 // Listed tells whether a list has named a member, lately or not too long ago.
 func (c *Controller) Listed(id MemberID) bool {
 	_, now := c.listed[0][id]
