Let a front take one deviation more than its even part of a link, as fronts are not in step

Where nine fronts share a cache of weight 3.5 the even part of its link is half a transfer, so each held one at a time: a firmware part of 560 ms shut its front's app-assets, which may wait 180 ms, out of that cache.

At fault: room() in control.go, own = even part. Fronts send independently, so of a link's fits transfers a front has a binomial number: its even part and a deviation sqrt(even*(1-1/n)). A front alone has the whole link as before; a fresh report still counts for more than chance. TestFrontsDoNotSendInStep fails without (nine fronts: 1 transfer, not 2).

--- a/control/control.go
+++ b/control/control.go
@@ -348,9 +348,10 @@
 
 // room tells whether a cache's own link has room for one more transfer: beyond what fits at a client's pace
 // each one slows all others, and all end late instead of some being refused. The last report tells it as it
-// does for the window: low use, else few in hand. Without it a front has its even part of the link. Attempts
-// past their time wait for a source, or their answer is lost, and do not use the link, unless it is the
-// cache itself that is slow. Where weights are not told nothing is known of links: none is taken to be full.
+// does for the window: low use, else few in hand. Without it a front has its even part of the link, and one
+// deviation (binomial) more, as fronts do not send in step. Attempts past their time wait for a source, or
+// their answer is lost, and do not use the link, unless it is the cache itself that is slow. Where weights
+// are not told nothing is known of links: none is taken to be full.
 func (c *Controller) room(m *member) bool {
 	fits, out := linkWidth*m.Weight, 0.0
 	for _, a := range m.open {
@@ -359,9 +360,10 @@
 		}
 	}
 	sharers := float64(c.sharers(m))
-	own := fits / sharers
+	even := fits / sharers
+	own := even + math.Sqrt(even*(1-1/sharers))
 	if c.now < m.reported+reportFor { // what others leave, as all see it: one that is gone leaves its part
-		own += max(0, min(reportMost*fits, fits-m.others)-own) / max(1, sharers-1)
+		own = even + max(0, min(reportMost*fits, fits-m.others)-even)/max(1, sharers-1)
 	}
 	m.own = max(1, own)
 	return !c.set.WeightsTold || c.spare(m) && out < reportPart*fits || out < m.own
--- a/control/slow_test.go
+++ b/control/slow_test.go
@@ -248,3 +248,38 @@
 		}
 	}
 }
+
+// A front that shares a cache with many has one deviation more than its even part of the link, which may be less
+// than one transfer; one that is alone has the whole link as before, and a report counts for more than chance.
+func TestFrontsDoNotSendInStep(t *testing.T) {
+	for _, x := range []struct {
+		name         string
+		fronts, want int
+		held         float64 // reported; below 0: no report
+	}{
+		{"alone", 1, 5, -1},
+		{"two", 2, 4, -1},
+		{"nine", 9, 2, -1},
+		{"a hundred", 100, 1, -1},
+		{"nine, and a report of a full link", 9, 1, 30},
+	} {
+		set := testSettings()
+		set.FrontsByZone = []int{0, 0, x.fronts, 0}
+		c, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.now = 100 * time.Second
+		m := &member{Member: Member{ID: 10, Zone: testZone, Weight: 3.5, State: Ready}, load: Load{-1, -1, -1, -1}}
+		if x.held >= 0 {
+			m.report(Load{Held: x.held, Busy: 1, Hits: -1, Link: -1}, c.now)
+		}
+		r := &request{class: &set.Classes[0], sending: time.Second}
+		for c.room(m) && len(m.open) < 100 {
+			m.open = append(m.open, &attempt{of: r, to: m, source: m, sent: c.now})
+		}
+		if got := len(m.open); got != x.want {
+			t.Errorf("%s: %d transfers leave, %d wanted", x.name, got, x.want)
+		}
+	}
+}
