Trace how long an end was in doubt, and whether time or the store's word ended it

Change: at debug, a line 'settled' with ms and by_time for each end in doubt. TestTraceTellsHowAnEndSettled covers both ways.

--- a/core/settle.go
+++ b/core/settle.go
@@ -43,6 +43,7 @@
 	if r.doubt.until == 0 || r.doubt.key != k {
 		return
 	}
+	c.traceSettle(r, k)
 	r.doubt = doubt{}
 	c.release(r.attempts[len(r.attempts)-1])
 }
--- a/core/trace.go
+++ b/core/trace.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// traceSettle tells how long an end was in doubt, in ms, and whether time ended that and not the store's word.
+func (c *Core) traceSettle(r *request, k Key) {
+	if c.tracing() {
+		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Float64("ms", c.now()-(r.doubt.until-c.opt.Settle)).
+			Bool("by_time", r.doubt.until <= c.now()).Msg("settled")
+	}
+}
+
 func (c *Core) traceAnswer(r *request, a Answer) {
 	if c.tracing() && a.Verdict == Refused && len(r.attempts) == 0 && a.Reason == GivenUp {
 		c.opt.Log.Debug().Str("txn", r.Txn).Str("module", c.module.Explain(control.ObjectID(r.Object), r.Part)).
--- a/core/trace_test.go
+++ b/core/trace_test.go
@@ -46,3 +46,43 @@
 		}
 	}
 }
+
+// An end in doubt leaves a line that tells how long it was, and whether the store's word or time ended it.
+func TestTraceTellsHowAnEndSettled(t *testing.T) {
+	for _, byTime := range []bool{false, true} {
+		c, w, clk := newCore(t)
+		var out bytes.Buffer
+		c.opt.Log = zerolog.New(&out)
+		c.Handle(ask(w, 1, "tile", clk.Now()))
+		if len(w.sends) != 1 {
+			t.Fatalf("%d attempts", len(w.sends))
+		}
+		delete(w.out[1], 0)
+		c.Handle(Ended{Key: w.sends[0].Key, Result: control.Broken, Doubt: true})
+		wait := 5.0
+		if byTime {
+			wait = c.opt.Settle
+		}
+		clk.Advance(wait)
+		if byTime {
+			c.Tick()
+		} else {
+			c.Handle(Settled{Key: w.sends[0].Key})
+		}
+		var e struct {
+			Message string
+			Ms      float64
+			ByTime  bool `json:"by_time"`
+		}
+		for _, line := range bytes.Split(out.Bytes(), []byte("\n")) {
+			if bytes.Contains(line, []byte("settled")) {
+				if err := json.Unmarshal(line, &e); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if e.Message != "settled" || e.ByTime != byTime || e.Ms < wait-1 || e.Ms > wait+1 {
+			t.Errorf("by time %v after %v ms: %+v", byTime, wait, e)
+		}
+	}
+}
