Back off the patience for fills when one is called off, as those are in no mean

Fills by the origin that came back fell from 150 to 55 a second though 1,800 attempts a second left.

At fault: patience() learns from fills that came back (fillLate in learn()). Once fills take longer than that, all are called off, none is learned from, and the next are called off as early. Called off before their aim, they do not count as late for the window either, which stayed open.

Change: what a fill called off was given, twice over, is what the next are given at least (RFC 6298, 5.5), at most until twice their aim, from where the module takes a fill for lost; each fill that comes back takes an eighth of it off. TestPatienceForFillsBacksOff fails without.

--- a/control/control.go
+++ b/control/control.go
@@ -311,11 +311,9 @@
 	best := ranks[0]
 	o := c.remember(objectKey{object: r.Object, part: r.Part, whole: true})
 	spreadTo := 1 + int(o.demand/hotOver.Seconds()/(hotShare*best.Weight))
-	for _, m := range ranks[1:min(len(ranks), max(1, spreadTo))] {
-		if m.pressure() < best.pressure() {
-			best = m
-		}
-	}
+	best = slices.MinFunc(ranks[:min(len(ranks), max(1, spreadTo))], func(a, b *member) int {
+		return cmp.Compare(a.pressure(), b.pressure())
+	})
 	if !c.room(best) {
 		for _, m := range ranks {
 			if c.known(r, m) && c.room(m) {
@@ -698,6 +696,7 @@
 			c.strained(ev.Latency > r.aim())
 		}
 		if filled {
+			c.backOff -= c.backOff / 8
 			c.fillLate[r.Class].add(max(0, ev.Latency-r.sending).Seconds())
 		}
 		if !filled && ev.Note != Joined && c.work[r.Class] > 0 {
@@ -772,6 +771,7 @@
 	late, to := c.lateness[r.Class].most(devs), a.to
 	if a.source != to {
 		late = max(late, c.fillLate[r.Class].most(devs)+time.Duration((slowFill-1)*float64(r.sending)))
+		late = max(late, min(c.backOff, lostAims*r.aim()-r.sending-slack))
 	}
 	if c.set.CanRunTwo && r.SizeKB > 0 && c.spare(to) {
 		return r.sending + min(late+slack, max(slack, r.aim()-2*r.sending-slack))
@@ -801,6 +801,9 @@
 		return
 	}
 	a.suspected = true
+	if a.source != a.to { // those called off are in no mean: the timer backs off instead (RFC 6298, 5.5)
+		c.backOff = max(c.backOff, 2*(c.now-a.sent-r.sending))
+	}
 	if c.set.CanRunTwo && c.mayRepeat(r) {
 		c.release(r)
 	} else if c.set.CanCancel {
--- a/control/silent_test.go
+++ b/control/silent_test.go
@@ -193,3 +193,51 @@
 		}
 	}
 }
+
+// calledOff has fills of new objects sent until one is called off, and tells after how long it was.
+func calledOff(t *testing.T, c *Controller, id RequestID, now time.Duration) time.Duration {
+	t.Helper()
+	for _, m := range c.members { // what is asked here is how long fills are given, not who is at fault
+		m.errors, m.until, m.trial = 0, 0, false
+	}
+	c.Handle(now, Request{ID: id, Object: ObjectID(id * 77), SizeKB: 50, Left: 5 * time.Second}, nil)
+	for at := now; at < now+5*time.Second; at += ms {
+		for _, a := range c.Handle(at, Woken{Token: uint64(id) << 8}, nil) {
+			if _, off := a.(Cancel); off {
+				c.Handle(at, Left{ID: id}, nil)
+				c.Handle(at, Outcome{ID: id, Member: c.requests[id].attempts[0].to.ID, Result: Cancelled}, nil)
+				return at - now
+			}
+		}
+	}
+	t.Fatalf("request %d was never called off", id)
+	return 0
+}
+
+// A slow origin makes every fill late at once. Those that were called off were in no mean of how late fills come, so
+// the next were called off as early, and each of them was asked for again at the other caches and parents: the origin
+// did several times the work for a third of the answers.
+func TestPatienceForFillsBacksOff(t *testing.T) {
+	c := silentPair(t)
+	first := calledOff(t, c, 1, 20*time.Second)
+	second := calledOff(t, c, 2, 30*time.Second)
+	if second < 2*first-c.set.Quantum-100*ms {
+		t.Errorf("called off after %v, then after %v: not twice as long", first, second)
+	}
+	for id := RequestID(3); id < 12; id++ {
+		r := &request{Request: Request{ID: id, SizeKB: 50}, class: &c.set.Classes[0], sending: 50 * ms}
+		if got := calledOff(t, c, id, time.Duration(id)*10*time.Second); got > lostAims*r.aim()+tickEvery {
+			t.Fatalf("request %d was called off after %v, its aim is %v", id, got, r.aim())
+		}
+	}
+	high := c.backOff
+	for id := RequestID(20); id < 60; id++ { // fills in time bring it back
+		now := time.Duration(id) * 10 * time.Second
+		c.Handle(now, Request{ID: id, Object: ObjectID(id * 77), SizeKB: 50, Left: 5 * time.Second}, nil)
+		to := c.requests[id].attempts[0].to.ID
+		c.Handle(now+60*ms, Outcome{ID: id, Member: to, Result: OK, Note: Filled, Latency: 60 * ms}, nil)
+	}
+	if c.backOff > high/50 {
+		t.Errorf("after 40 fills in time it is still %v of %v", c.backOff, high)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -70,6 +70,7 @@
 	queue    fairQueue
 	window   window
 	link     linkMeter
+	backOff  time.Duration   // lateness that fills are allowed since some were called off
 	fillLate []spread        // by class: the same of fills alone
 	lateness []spread        // by class: how much later than its sending time an answer comes
 	work     []float64       // by class: mean sending time, seconds
