Carry the client's key through every attempt, and keep keyed work in its key's time

A store that has stopped may run what it has in its buffer whenever it goes on, which no time of a key bounds; - what goes on a connection of its own had it closed right behind the DROP, so the store's word that it knows could not arrive; - a client's later try, at whichever gateway, was a first try to it.

Change: front/fastcgi reads key and mark, and refuses (400) a key that is empty, over 128 bytes or could not stand in a list of fields; none is altered. core refuses a keyed request without a key, passes the key on in keyed classes alone, and frees a further attempt of keyed work that was given up here by the store's word only. The module says until when each attempt may leave (Until: the first send that may have run and key-ttl; for a later try, what its remaining patience proves of the first), and the upstream does not write it after that. What has no time left fails at once. clients.marks-retry is read.

TestIDInHandIsRefused waited for exactly two GETs and could see three; it takes two or more.

--- a/control/api.go
+++ b/control/api.go
@@ -85,6 +85,7 @@
 	CanProbe       bool
 	CanRunTwo      bool // a request may have two attempts out at once
 	CanRetryAfter  bool
+	MarksRepeat    bool // clients mark their repeats: what is not marked is a first try
 	MaxRetryAfter  time.Duration
 	Direct         bool // requests may go straight to a parent or the origin
 	Joins          bool // a request may join a fill under way
@@ -262,6 +263,7 @@
 	HeldOnly   bool  // the source gives only what it holds, and asks nobody for the rest
 	Timeout    time.Duration
 	MaxAge     time.Duration // oldest copy that will do; 0: the class's fresh time
+	Until      time.Duration // clock time from which on it must not leave any more; 0: none
 }
 
 // Refuse is a final answer: trying again is harmless.
--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,7 @@
 	meterFade   = 1.02    // a capacity once learned is tried anew, so much more each interval
 	objectsKept = 1 << 14 // objects remembered in each of two generations
 	idsKept     = 1 << 13 // ids of members, likewise
+	forever     = math.MaxInt64 * time.Nanosecond
 )
 
 // New returns a controller, or an error that names the setting that makes no sense. The seed spreads in time
@@ -85,9 +86,7 @@
 	if !c.ticking {
 		c.ticking = true
 		c.tick()
-		if c.set.AskList {
-			c.do(Watch{})
-		}
+		c.watch()
 	}
 	switch ev := ev.(type) {
 	case Members:
@@ -143,15 +142,11 @@
 	if r == nil || r.done || r.bound {
 		return
 	}
-	switch kind {
-	case timerDeadline:
-		c.giveUp(r)
-	case timerQueue:
-		if r.queued && c.now >= r.useful {
-			c.giveUp(r)
-		}
-	default:
+	switch {
+	case kind < timerTick:
 		c.overdue(r, int(kind))
+	case kind == timerDeadline || r.queued && c.now >= r.useful:
+		c.giveUp(r)
 	}
 }
 
@@ -181,9 +176,7 @@
 
 func (c *Controller) list(ev Members) {
 	if ev.Failed {
-		if c.set.AskList {
-			c.do(Watch{})
-		}
+		c.watch()
 		return
 	}
 	c.version++
@@ -277,9 +270,7 @@
 	switch m := c.member(ev.Member); {
 	case m == nil:
 	case ev.Result == OK: // a probe is answered beside the queue: it clears no member of work left unanswered
-		if ev.Load != nil {
-			m.report(*ev.Load, c.now)
-		}
+		m.report(ev.Load, c.now)
 		c.pump()
 	case ev.Result == Unreached || ev.Result == TimedOut || ev.Result == Broken:
 		m.eject(c.now)
@@ -306,10 +297,9 @@
 	if len(ranks) == 0 {
 		return nil
 	}
-	best := ranks[0]
 	o := c.remember(objectKey{object: r.Object, part: r.Part, whole: true})
-	spreadTo := 1 + int(o.demand/hotOver.Seconds()/(hotShare*best.Weight))
-	best = slices.MinFunc(ranks[:min(len(ranks), max(1, spreadTo))], func(a, b *member) int {
+	spreadTo := 1 + int(o.demand/hotOver.Seconds()/(hotShare*ranks[0].Weight))
+	best := slices.MinFunc(ranks[:min(len(ranks), max(1, spreadTo))], func(a, b *member) int {
 		return cmp.Compare(a.pressure(), b.pressure())
 	})
 	if !c.room(best) {
@@ -559,6 +549,14 @@
 	if q.Repeat || float64(q.Left) < laterTry*float64(c.longest[q.Class]) {
 		r.useful = c.now
 	}
+	if r.keyEnd = forever; r.class.Effect == Keyed {
+		r.keyFor = r.class.KeyFor - 2*c.set.Quantum
+		if q.Repeat || !c.set.MarksRepeat && float64(q.Left) < laterTry*float64(r.class.Deadline) {
+			// The first try, wherever it was, began no longer ago than a deadline before this one ends.
+			r.keyEnd = c.now + q.Left - r.class.Deadline + r.keyFor
+			r.useful = min(r.useful, r.keyEnd)
+		}
+	}
 	c.requests[q.ID] = r
 	c.probes = min(c.probes+probeShare/float64(c.zoneSharers()), probesSaved)
 	o := c.remember(objectKey{object: q.Object, part: q.Part, whole: true})
@@ -574,7 +572,7 @@
 // holds it otherwise. A request that must wait for a slot first looks whether its cache holds the object, so
 // hits never wait, and while late fills alone close the window, whether its parent does: that asks no origin.
 func (c *Controller) admit(r *request) {
-	if c.now+r.sending > r.deadline && !r.Known && c.set.ClientKBps > 0 && r.SizeKB > 0 {
+	if !c.mayRepeat(r) || c.now+r.sending > r.deadline && !r.Known && c.set.ClientKBps > 0 && r.SizeKB > 0 {
 		c.giveUp(r)
 	} else if c.now < r.waitTill || !c.release(r) {
 		if r.useful <= c.now {
@@ -649,8 +647,7 @@
 }
 
 func (c *Controller) outcome(ev Outcome) {
-	if m := c.member(ev.Member); m != nil && ev.Load != nil {
-		m.report(*ev.Load, c.now)
+	if m := c.member(ev.Member); m != nil && m.report(ev.Load, c.now) {
 		if c.isCache(m) && ev.Load.Link >= 0 {
 			c.link.told, c.link.u = true, ev.Load.Link
 		}
@@ -674,14 +671,11 @@
 			c.window.max = max(1, c.window.max-1) // as a whole interval above Umax: fills pile up behind the link
 		}
 	}
-	if ev.Result == OK || ev.Closed {
+	if ev.Result == OK || ev.Closed || r.done && r.out == 0 {
 		c.close(r)
 	} else if !r.done && r.out == 0 {
 		c.again(r, a)
 	}
-	if r.done && r.out == 0 {
-		delete(c.requests, r.ID)
-	}
 	c.pump()
 }
 
@@ -903,7 +897,7 @@
 		c.fills = append(c.fills, a)
 		c.window.w++
 	}
-	n := len(r.attempts)
+	n, until := len(r.attempts), c.repeatUntil(r)
 	r.attempts = append(r.attempts, a)
 	r.out++
 	to.open = append(to.open, a)
@@ -915,8 +909,8 @@
 	}
 	c.do(Attempt{
 		ID: r.ID, To: to.ID, Source: via.ID, Keep: keep, Timeout: r.deadline - c.now, MaxAge: c.maxAge(r),
-		HeldOnly: heldOnly && via != to,
-		Join:     c.set.Joins && via != to && !slices.ContainsFunc(r.attempts[:n], (*attempt).uncertain),
+		HeldOnly: heldOnly && via != to, Until: until,
+		Join: c.set.Joins && via != to && !slices.ContainsFunc(r.attempts[:n], (*attempt).uncertain),
 	})
 	c.wake(c.now+c.patience(r, a), r.ID, uint64(n))
 	return true
@@ -927,9 +921,15 @@
 	if r.out > 0 && !c.set.CanRunTwo {
 		return false
 	}
-	return r.class.Effect == Safe || !slices.ContainsFunc(r.attempts, func(a *attempt) bool {
-		return a.uncertain() && (r.class.Effect == Unsafe || c.now >= a.sent+r.class.KeyFor-2*c.set.Quantum)
-	})
+	return c.now < c.repeatUntil(r)
+}
+
+// repeatUntil ends the time of sends: that of a key begins with the first send that may run.
+func (c *Controller) repeatUntil(r *request) time.Duration {
+	if i := slices.IndexFunc(r.attempts, (*attempt).uncertain); i >= 0 && r.class.Effect != Safe {
+		return min(r.keyEnd, r.attempts[i].sent+r.keyFor)
+	}
+	return r.keyEnd
 }
 
 // sameGroup keeps a keyed request that may have run to the caches that drop its repeats.
@@ -944,8 +944,8 @@
 
 // mayRefuse tells whether "trying again is harmless" holds.
 func (c *Controller) mayRefuse(r *request) bool {
-	return r.class.Effect == Safe || r.class.Effect == Keyed && r.class.Group == GroupAll ||
-		!slices.ContainsFunc(r.attempts, (*attempt).uncertain)
+	dropped := r.class.Effect == Keyed && r.class.Group == GroupAll && c.now < c.repeatUntil(r) // a repeat of it
+	return r.class.Effect == Safe || dropped || !slices.ContainsFunc(r.attempts, (*attempt).uncertain)
 }
 
 // allowed keeps rules 3 and 4: no target or source that drains or is gone, no cold one over budget.
--- a/control/rules_test.go
+++ b/control/rules_test.go
@@ -473,3 +473,24 @@
 		t.Errorf("after 200 ms: small one answered %v, large one %v", b.final[1], b.final[2])
 	}
 }
+
+// How long a keyed request may be sent again is what the settings say, less what an event may be late.
+func TestKeyTimeIsTheSettings(t *testing.T) {
+	for _, x := range []struct {
+		keyFor, at time.Duration
+		again      bool
+	}{{0, ms, false}, {time.Second, 995 * ms, true}, {time.Second, 996 * ms, false}, {2 * time.Second, 1995 * ms, true}} {
+		set := testSettings()
+		set.CanRunTwo = false
+		set.Classes[3] = Class{Aim: 300 * ms, Deadline: 3 * time.Second, Worth: 1, Effect: Keyed, KeyFor: x.keyFor, Write: true}
+		b := newBook(t, set, testMembers())
+		b.ask(Request{ID: 1, Class: 3, Left: 3 * time.Second})
+		b.now += x.at
+		b.end(1, 0, Broken, NoNote)
+		if n := len(b.attempts[1]); (n == 2) != x.again || b.final[1] == x.again {
+			t.Errorf("key of %v, end after %v: %d attempts, answered %v", x.keyFor, x.at, n, b.final[1])
+		} else if until := b.attempts[1][n-1].Until; x.again && until != 100*time.Second+x.keyFor-2*set.Quantum {
+			t.Errorf("key of %v: may leave until %v", x.keyFor, until)
+		}
+	}
+}
--- a/control/slow_test.go
+++ b/control/slow_test.go
@@ -220,7 +220,7 @@
 		m := &member{Member: Member{ID: 10, Zone: testZone, Weight: 4, State: Ready}}
 		c.now = 100 * time.Second
 		for range 8 {
-			m.report(Load{Held: float64(len(m.open)) + others, Busy: 0.9, Hits: -1, Link: -1}, c.now)
+			m.report(&Load{Held: float64(len(m.open)) + others, Busy: 0.9, Hits: -1, Link: -1}, c.now)
 		}
 		n := 0
 		for ; c.room(m); n++ {
@@ -272,7 +272,7 @@
 		c.now = 100 * time.Second
 		m := &member{Member: Member{ID: 10, Zone: testZone, Weight: 3.5, State: Ready}, load: Load{-1, -1, -1, -1}}
 		if x.held >= 0 {
-			m.report(Load{Held: x.held, Busy: 1, Hits: -1, Link: -1}, c.now)
+			m.report(&Load{Held: x.held, Busy: 1, Hits: -1, Link: -1}, c.now)
 		}
 		r := &request{class: &set.Classes[0], sending: time.Second}
 		for c.room(m) && len(m.open) < 100 {
--- a/control/state.go
+++ b/control/state.go
@@ -17,6 +17,8 @@
 	arrived  time.Duration
 	deadline time.Duration // the final answer is given before it
 	useful   time.Duration // a fill that leaves later misses the aim
+	keyFor   time.Duration // for how long after a send that may have run it may be sent again; 0: never
+	keyEnd   time.Duration // when the time ends in which it may be sent at all, as an earlier try may have run
 	sending  time.Duration // its sending time at a client's pace: told, else the class's mean
 	attempts []*attempt    // every one ever made; an attempt's number is its place
 	out      int           // attempts without an outcome
@@ -312,12 +314,24 @@
 	}
 }
 
-// report takes a load report. What a member holds beyond our own attempts is that of the other fronts.
-func (m *member) report(l Load, now time.Duration) {
-	m.load, m.reported = l, now
+// report takes a load report and tells whether there was one. What a member holds beyond our own attempts is that
+// of the other fronts.
+func (m *member) report(l *Load, now time.Duration) bool {
+	if l == nil {
+		return false
+	}
+	m.load, m.reported = *l, now
 	if l.Held >= 0 {
 		m.others += othersGain * (max(0, l.Held-float64(len(m.open))) - m.others)
 	}
+	return true
+}
+
+// watch asks for the list where it does not come by itself.
+func (c *Controller) watch() {
+	if c.set.AskList {
+		c.do(Watch{})
+	}
 }
 
 // answered notes that a member has answered an attempt.
--- a/core/book.go
+++ b/core/book.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"container/heap"
-
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
@@ -20,8 +18,7 @@
 	r.last = e.Result
 	c.traceEnd(r, t, e)
 	if e.Doubt {
-		r.doubt = doubt{key: e.Key, until: c.now() + c.opt.Settle}
-		heap.Push(&c.timers, timer{at: r.doubt.until, of: t, free: true})
+		c.doubt(r, t, e)
 	}
 	if e.Result == control.OK && !r.answered {
 		a := Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Minted: e.Minted, Note: e.Note}
--- a/core/core.go
+++ b/core/core.go
@@ -210,8 +210,8 @@
 		if t.of == nil {
 			c.tell(control.Woken{Token: t.token})
 		} else if t.free {
-			c.settle(t.of.of, t.of.key)
-		} else if !t.of.over {
+			c.late(t.of.of, t.of.key)
+		} else if !t.of.over && (!t.held || t.of.held != nil) {
 			c.timeOut(t.of)
 		}
 	}
@@ -237,12 +237,14 @@
 	c.busy = false
 }
 
-// timer is due at a time: for the module with a token, as the time-out of an attempt, or to let a held one leave.
+// timer is due at a time: for the module with a token, as the time-out of an attempt or of its being held, or to end
+// the doubt in an end.
 type timer struct {
 	at    float64
 	token uint64
 	of    *attempt
 	free  bool
+	held  bool
 }
 
 type timerHeap []timer
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -55,7 +55,7 @@
 	w := &wires{t: t, answers: map[uint64][]Answer{}, out: map[control.RequestID]map[int]Send{}, clock: clk,
 		settles: map[control.RequestID]float64{}}
 	c, err := New(Options{
-		Classes: []string{"tile", "ride-end"}, Clock: clk, Log: zerolog.Nop(), MaxOpen: 20,
+		Classes: []string{"tile", "ride-end", "mark"}, Clock: clk, Log: zerolog.Nop(), MaxOpen: 20,
 		Settings: control.Settings{
 			Fronts: 1, Zone: 1, FrontsByZone: []int{0, 1}, ZoneHub: []int{0, 0}, Kinds: 3, ParentKind: 1, OriginKind: 2,
 			Quantum: 2 * time.Millisecond, ClientKBps: 1000, WeightsTold: true, MaxAttempts: 8, CanCancel: true,
@@ -63,6 +63,7 @@
 			Classes: []control.Class{
 				{Aim: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1},
 				{Aim: 700 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Effect: control.Unsafe, Write: true},
+				{Aim: 700 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Effect: control.Keyed, KeyFor: 2 * time.Second, Write: true},
 			},
 		},
 	}, w)
@@ -155,6 +156,33 @@
 	}
 }
 
+// Time settles the end of keyed work that its store has made, and of none that was given up here.
+func TestOnlyTheStoresWordFreesKeyedWork(t *testing.T) {
+	for _, x := range []struct {
+		res          control.Result
+		byTime, sent int
+	}{{control.Broken, 2, 2}, {control.TimedOut, 1, 2}, {control.Cancelled, 1, 2}} {
+		c, w, clk := newCore(t)
+		a := ask(w, 1, "mark", clk.Now())
+		a.Dedupe = "k"
+		c.Handle(a)
+		k := w.sends[0].Key
+		delete(w.out[k.ID], 0)
+		c.Handle(Ended{Key: k, Result: x.res, Doubt: true})
+		for _, ms := range []float64{0, 41, 500} {
+			clk.Advance(ms)
+			c.Tick()
+		}
+		if n := len(w.sends); n != x.byTime {
+			t.Errorf("%v: %d attempts by time alone, want %d", x.res, n, x.byTime)
+		}
+		c.Handle(Settled{Key: k})
+		if n := len(w.sends); n != x.sent || w.sends[n-1].Dedupe != "k" {
+			t.Errorf("%v: %d attempts after the store's word, want %d", x.res, n, x.sent)
+		}
+	}
+}
+
 // No attempt starts once a request's leave has run out; the client hears of it at once.
 func TestNoAttemptAfterLeave(t *testing.T) {
 	c, w, clk := newCore(t)
--- a/core/overlap_test.go
+++ b/core/overlap_test.go
@@ -49,12 +49,15 @@
 	}
 	t.Cleanup(r.lag.Close)
 	opt := core.Options{
-		Classes: []string{"tile"}, Clock: r.clock, Log: zerolog.Nop(),
+		Classes: []string{"tile", "mark"}, Clock: r.clock, Log: zerolog.Nop(),
 		Settings: control.Settings{
 			Fronts: 1, Zone: 1, FrontsByZone: []int{0, 1}, ZoneHub: []int{0, 0}, Kinds: 3, ParentKind: 1, OriginKind: 2,
 			Quantum: 2 * time.Millisecond, ClientKBps: 1000, WeightsTold: true, MaxAttempts: 8, CanCancel: true,
-			CanRetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, Direct: true, NotesTold: true,
-			Classes: []control.Class{{Aim: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1}},
+			CanRetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, Direct: true, NotesTold: true, MarksRepeat: true,
+			Classes: []control.Class{
+				{Aim: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1},
+				{Aim: 700 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Effect: control.Keyed, KeyFor: keyFor * time.Millisecond, Write: true},
+			},
 		},
 	}
 	pool := resp.New(resp.Options{
@@ -212,7 +215,7 @@
 		r.ask(tag, standin.Hang, 1)
 		r.stats()
 		tag++
-		return r.lag.Gets(txn) == 2
+		return r.lag.Gets(txn) >= 2
 	})
 	served := 0
 	for i := uint64(2); i < tag; i++ {
--- a/core/settle.go
+++ b/core/settle.go
@@ -1,6 +1,10 @@
 package core
 
-import "turnfork.dev/turnfork/control"
+import (
+	"container/heap"
+
+	"turnfork.dev/turnfork/control"
+)
 
 // settleMost is how long, in ms, a store may take to notice that an attempt was given up, unless Options say.
 // DROP and the close of a connection reach a store in the order of that connection alone: one that reads several may
@@ -13,17 +17,31 @@
 // doubt is an attempt's end of which its store may not know yet.
 type doubt struct {
 	key   Key
+	from  float64
 	until float64 // 0: none
+	word  bool    // time does not let the next attempt leave, only the store's word does
+}
+
+// doubt notes that an end is in doubt. Time ends that but for what was given up of a keyed request: a store that has
+// stopped may run it whenever it goes on, which no time of a key bounds, so only its word does. An end that the store
+// itself made by closing the connection has given up all that was open there, and there time is for the way.
+func (c *Core) doubt(r *request, t *attempt, e Ended) {
+	word := r.keyed && e.Result != control.Broken
+	r.doubt = doubt{key: e.Key, from: c.now(), until: c.now() + c.opt.Settle, word: word}
+	heap.Push(&c.timers, timer{at: r.doubt.until, of: t, free: true})
 }
 
 // leaveOrHold has an attempt leave once the one before it has settled.
 func (c *Core) leaveOrHold(t *attempt, s Send) {
-	if t.of.doubt.until <= c.now() {
+	if d := t.of.doubt; d.until <= c.now() && !d.word {
 		c.up.Send(s)
 		return
 	}
 	c.stats.Held++
 	t.held = &s
+	if t.of.keyed {
+		heap.Push(&c.timers, timer{at: s.NotAfter, of: t, held: true})
+	}
 }
 
 // settled takes a store's word that it knows of an attempt's end.
@@ -38,6 +56,15 @@
 	c.settle(r, s.Key)
 }
 
+// late ends the doubt in an attempt's end by time, where that is enough.
+func (c *Core) late(r *request, k Key) {
+	if r.doubt.key == k && r.doubt.word {
+		c.forget(r)
+		return
+	}
+	c.settle(r, k)
+}
+
 // settle ends the doubt in an attempt's end, by a store's word or by time.
 func (c *Core) settle(r *request, k Key) {
 	if r.doubt.until == 0 || r.doubt.key != k {
--- a/core/takein.go
+++ b/core/takein.go
@@ -29,9 +29,17 @@
 		a.From.Answer(a.Tag, Answer{Verdict: Refused, Reason: Crowded, RetryAfter: 50})
 		return
 	}
-	c.lastID++
 	set := &c.opt.Settings.Classes[class]
-	r := &request{Ask: a, id: c.lastID, write: set.Write, once: set.Effect != control.Safe}
+	keyed := set.Effect == control.Keyed
+	if !keyed {
+		a.Dedupe = ""
+	} else if a.Dedupe == "" { // nothing would tell a repeat of it from another request
+		c.stats.Failed++
+		a.From.Answer(a.Tag, Answer{Verdict: Failed, Reason: NoKey})
+		return
+	}
+	c.lastID++
+	r := &request{Ask: a, id: c.lastID, write: set.Write, once: set.Effect != control.Safe, keyed: keyed}
 	c.requests[r.id] = r
 	c.byTag[key] = r
 	c.byTxn[r.Txn] = r
--- a/core/trace.go
+++ b/core/trace.go
@@ -11,7 +11,7 @@
 
 var (
 	verdictNames = [...]string{"served", "same", "refused", "failed"}
-	reasonNames  = [...]string{"", "given-up", "deadline", "unknown-class", "crowded", "taken", "expired", "no-store"}
+	reasonNames  = [...]string{"", "given-up", "deadline", "unknown-class", "crowded", "taken", "expired", "no-key", "no-store"}
 )
 
 func (v Verdict) String() string {
@@ -33,7 +33,7 @@
 func (c *Core) traceTake(r *request) {
 	if c.tracing() {
 		c.opt.Log.Debug().Str("txn", r.Txn).Str("class", r.Class).Str("name", r.Name).Uint32("part", r.Part).
-			Float64("left_ms", r.Left).Float64("kb", r.SizeKB).Msg("take")
+			Float64("left_ms", r.Left).Float64("kb", r.SizeKB).Bool("repeat", r.Repeat).Str("key", r.Dedupe).Msg("take")
 	}
 }
 
@@ -54,7 +54,7 @@
 // traceSettle tells how long an end was in doubt, in ms, and whether time ended that and not the store's word.
 func (c *Core) traceSettle(r *request, k Key) {
 	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Float64("ms", c.now()-(r.doubt.until-c.opt.Settle)).
+		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Float64("ms", c.now()-r.doubt.from).
 			Bool("by_time", r.doubt.until <= c.now()).Msg("settled")
 	}
 }
--- a/core/types.go
+++ b/core/types.go
@@ -35,6 +35,7 @@
 	Crowded             // too many requests in hand
 	Taken               // a request of the same Txn is in hand
 	Expired             // its leave to be sent on ran out
+	NoKey               // its class is keyed, and it has no key
 	NoStore             // its last attempt failed
 )
 
@@ -88,8 +89,10 @@
 	MaxAge     float64 // ms; 0: the class's fresh time
 	Known      string  // tag of the client's copy
 	Body       []byte
-	Write      bool // it runs at the origin and is not kept
-	Once       bool // it must not run twice, so a connection that breaks under it costs it
+	Write      bool    // it runs at the origin and is not kept
+	Once       bool    // it must not run twice, so a connection that breaks under it costs it
+	Dedupe     string  // the client's idempotency key, where the class has one
+	NotAfter   float64 // clock ms after which it must not leave, as its key may be forgotten; 0: none
 }
 
 // Store is one entry of the list.
@@ -115,6 +118,7 @@
 	At, Left float64 // when its last byte came, and how long the client waits from then on
 	Repeat   bool
 	Known    string
+	Dedupe   string // the client's idempotency key
 	Body     []byte
 	NotAfter float64 // Unix ms after which no new attempt starts; 0: none
 }
@@ -206,6 +210,7 @@
 	id       control.RequestID
 	write    bool
 	once     bool
+	keyed    bool // a repeat within the time of its key is dropped by the stores
 	answered bool
 	attempts []*attempt
 	open     int // attempts without an end
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -386,6 +386,12 @@
 			a.SizeKB = float(name, value)
 		case "HTTP_X_CACHED":
 			a.Known = cleanTag(value)
+		case "HTTP_X_SECOND_TRY":
+			a.Repeat = value == "1"
+		case "HTTP_X_TXN_KEY":
+			if a.Dedupe = value; !isKey(value) && bad == "" {
+				bad = fmt.Sprintf("%s: %.40q", name, value)
+			}
 		}
 	})
 	q.params = nil
@@ -417,6 +423,20 @@
 	return nil
 }
 
+// keyMost bounds an idempotency key, in bytes; the protocol's example has 32.
+const keyMost = 128
+
+// isKey tells whether a key can go on to a store as it is: it stands in a list name=value,name=value there, so what
+// separates these is refused, and so is what is no visible ASCII. No key is altered.
+func isKey(v string) bool {
+	for i := range len(v) {
+		if b := v[i]; b <= ' ' || b >= 0x7f || b == ',' || b == '=' {
+			return false
+		}
+	}
+	return v != "" && len(v) <= keyMost
+}
+
 // cleanTag takes the quotes off a tag and passes on none that a store could not read.
 func cleanTag(v string) string {
 	v = strings.Trim(strings.TrimPrefix(v, "W/"), `"`)
@@ -451,6 +471,8 @@
 			status = "504 Gateway Timeout"
 		case core.UnknownClass:
 			status = "404 Not Found"
+		case core.NoKey:
+			status = "400 Bad Request"
 		}
 		c.reply(id, status, head, nil)
 	}
--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -20,12 +20,12 @@
 }
 
 // whole is a request's records after its beginning.
-func whole(id uint16, script, txn string) []byte {
+func whole(id uint16, script, txn string, more ...[2]string) []byte {
 	p := appendPair(nil, "SCRIPT_NAME", script)
-	for _, kv := range [][2]string{
+	for _, kv := range append(more, [][2]string{
 		{"HTTP_X_TXN", txn}, {"HTTP_X_TTL_MS", "1500"}, {"HTTP_X_ROW", "7f3a9c21e0b4d655"}, {"HTTP_X_BLOCK", "3"},
 		{"HTTP_X_FAMILY", "17"}, {"HTTP_X_WORKING_SET_KB", "412.5"}, {"HTTP_X_CACHED", `"4be0c1927d55a6f3"`},
-	} {
+	}...) {
 		p = appendPair(p, kv[0], kv[1])
 	}
 	b := appendRecord(nil, typeParams, id, p)
@@ -153,6 +153,38 @@
 	}
 }
 
+// A key goes on as it came or is refused; so does the mark of a later try.
+func TestKeysAreNotAltered(t *testing.T) {
+	asks := make(chan core.Ask, 1)
+	f := newFront(func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			asks <- a
+		}
+	})
+	c := dial(f)
+	defer c.Close()
+	for i, x := range []struct {
+		key string
+		ok  bool
+	}{
+		{"5c0f6e1a2b3d4c59a8b7c6d5e4f30211", true}, {"Order/17:a~b", true}, {strings.Repeat("k", 128), true},
+		{strings.Repeat("k", 129), false}, {"", false}, {"a,dedupe=b", false}, {"a=b", false}, {"a b", false}, {"a\r\n", false}, {"\xc3\xa9", false},
+	} {
+		id := uint16(i + 1)
+		c.Write(append(begin(id), whole(id, "/v1/ride-end", "9b1f03aa5c7e2d41", [2]string{"HTTP_X_TXN_KEY", x.key}, [2]string{"HTTP_X_SECOND_TRY", "1"})...))
+		if x.ok {
+			a := <-asks
+			if a.Dedupe != x.key || !a.Repeat {
+				t.Errorf("%q came on as %q, later try %v", x.key, a.Dedupe, a.Repeat)
+			}
+			a.From.Answer(a.Tag, core.Answer{Verdict: core.Failed, Reason: core.NoKey})
+		}
+		if got := c.wait(t, id).stdout.String(); !strings.HasPrefix(got, "Status: 400") {
+			t.Errorf("%q: %q", x.key, got)
+		}
+	}
+}
+
 // Many requests that never end must not fill the memory: past the bound they are refused, and what they
 // held comes back.
 func TestIntakeIsBounded(t *testing.T) {
--- a/internal/standin/laggard.go
+++ b/internal/standin/laggard.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 )
 
@@ -36,6 +37,7 @@
 	held  bool
 	out   map[string]int // attempts that are out, by ID
 	gets  map[string]int // GETs that came
+	calls []Call         // the same, in the order in which they came
 	twice int
 }
 
@@ -88,6 +90,13 @@
 	return s.gets[id]
 }
 
+// Calls gives the GETs that came.
+func (s *Laggard) Calls() []Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
 // Close ends the stores.
 func (s *Laggard) Close() {
 	s.Notice()
@@ -118,7 +127,7 @@
 		if err != nil || len(words) < 2 {
 			return
 		}
-		call := Call{Verb: string(words[0]), ID: string(words[1])}
+		call := callOf(words)
 		s.mu.Lock()
 		switch call.Verb {
 		case "DROP":
@@ -132,6 +141,7 @@
 			mine[call.ID]++
 			way := s.way(call, s.gets[call.ID])
 			s.gets[call.ID]++
+			s.calls = append(s.calls, call)
 			if way <= Spoilt { // its end is written from here on
 				end(call.ID)
 			}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -60,17 +60,7 @@
 		if err != nil || len(words) < 2 {
 			return
 		}
-		call := Call{Verb: string(words[0]), ID: string(words[1]), Fields: map[string]string{}}
-		if len(words) > 3 {
-			call.Body = words[3]
-		}
-		if len(words) > 2 {
-			for _, f := range strings.Split(string(words[2]), ",") {
-				if k, v, ok := strings.Cut(f, "="); ok {
-					call.Fields[k] = v
-				}
-			}
-		}
+		call := callOf(words)
 		s.mu.Lock()
 		s.calls = append(s.calls, call)
 		s.mu.Unlock()
@@ -95,6 +85,22 @@
 	}
 }
 
+// callOf reads the words of a command, two at least.
+func callOf(words [][]byte) Call {
+	call := Call{Verb: string(words[0]), ID: string(words[1]), Fields: map[string]string{}}
+	if len(words) > 3 {
+		call.Body = words[3]
+	}
+	if len(words) > 2 {
+		for _, f := range strings.Split(string(words[2]), ",") {
+			if k, v, ok := strings.Cut(f, "="); ok {
+				call.Fields[k] = v
+			}
+		}
+	}
+	return call
+}
+
 func read(r *bufio.Reader) (words [][]byte, err error) {
 	length := func(kind byte) (int, error) {
 		line, err := r.ReadString('\n')
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -33,6 +33,9 @@
 		Probes        bool
 		RetryAfter    bool `json:"retry-after"`
 	}
+	Clients struct {
+		MarksRetry bool `json:"marks-retry"`
+	}
 	Info struct {
 		AgedWorth   []float64 `json:"aged-worth"`
 		ClassFresh  []float64 `json:"class-fresh"`
@@ -75,7 +78,7 @@
 		Kinds: len(e.Kinds), ParentKind: or(e.Info.ShieldKind, -1), OriginKind: or(e.Info.OriginKind, -1),
 		Quantum: secs(e.Quantum), ClientKBps: e.Info.ClientKBps, WeightsTold: e.Weights != "silent",
 		AskList: e.Discovery == "ask", MaxAttempts: e.Allowed.MaxAttempts, CanCancel: e.Allowed.Cancel,
-		CanProbe: e.Allowed.Probes, CanRunTwo: e.Allowed.Parallel, CanRetryAfter: e.Allowed.RetryAfter,
+		CanProbe: e.Allowed.Probes, MarksRepeat: e.Clients.MarksRetry, CanRunTwo: e.Allowed.Parallel, CanRetryAfter: e.Allowed.RetryAfter,
 		MaxRetryAfter: secs(e.Allowed.MaxRetryAfter), Direct: e.Info.Straight, Joins: e.Info.Joins,
 		NotesTold: e.Info.Says == "all", DrainGrace: secs(e.Guarantees.DrainGrace),
 		ColdShare: e.Guarantees.ColdShare, ColdFor: secs(e.Guarantees.Cold),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -131,9 +131,9 @@
 
 func TestSettings(t *testing.T) {
 	s, loads, err := Settings([]byte(`{"az":3,"balancers":2,"not-known":[1],"quantum":0.002,"weights":"silent",
-		"classes":[{"aim":0.4,"deadline":6,"repeat":"free","worth":2},{"deadline":1,"repeat":"guarded","group":"cell"},
+		"classes":[{"aim":0.4,"deadline":6,"repeat":"free","worth":2},{"deadline":1,"repeat":"guarded","group":"cell","key-ttl":2},
 		{"deadline":1,"repeat":"something new"}],"allowed":{"max-attempts":6,"parallel-tries":true},
-		"family-info":{"class-fresh":[0,5],"sideways":"any","says":"all","shield-kind":2},
+		"clients":{"marks-retry":true},"family-info":{"class-fresh":[0,5],"sideways":"any","says":"all","shield-kind":2},
 		"report":{"fields":["x1"]}}`))
 	if err != nil {
 		t.Fatal(err)
@@ -141,7 +141,8 @@
 	if s.Zone != 3 || s.Fronts != 2 || s.WeightsTold || !s.CanRunTwo || s.ParentKind != 2 || s.OriginKind != -1 {
 		t.Errorf("settings %+v", s)
 	}
-	if s.Classes[1].Fresh != 5*time.Second || s.Classes[1].Effect != control.Keyed || s.Classes[1].Group != control.GroupCell {
+	if s.Classes[1].Fresh != 5*time.Second || s.Classes[1].Effect != control.Keyed || s.Classes[1].Group != control.GroupCell ||
+		s.Classes[1].KeyFor != 2*time.Second || !s.MarksRepeat {
 		t.Errorf("class 1 %+v", s.Classes[1])
 	}
 	if s.Classes[2].Effect != control.Unsafe {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -136,9 +136,10 @@
 	}
 }
 
-// closeIfDone closes a connection that takes no more work once its work has ended.
+// closeIfDone closes a connection that takes no more work once its work has ended, and the store has told that it has
+// read the DROPs or has had the time for it.
 func (c *conn) closeIfDone() {
-	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && !c.broken {
+	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && len(c.proofs) == 0 && !c.broken {
 		c.net.Close() // the reader takes it off the peer
 	}
 }
@@ -153,6 +154,8 @@
 		take := c.out
 		c.out, c.queued = nil, 0
 		var drops []core.Key
+		var ended []core.Event
+		take, ended = p.inTime(take)
 		for _, k := range take {
 			if !k.of.writing {
 				k.of.writing, k.of.written = true, p.now()
@@ -164,6 +167,9 @@
 		proof := c.prove(drops)
 		broken := c.broken
 		p.mu.Unlock()
+		for _, ev := range ended {
+			p.post(ev)
+		}
 		if broken {
 			return
 		}
@@ -188,7 +194,7 @@
 		if cap(buf) > 1<<20 {
 			buf = nil
 		}
-		var ended []core.Event
+		ended = nil
 		p.mu.Lock()
 		for _, k := range take {
 			if k.drop && !k.of.over { // the DROP is out: from now on another attempt may leave
@@ -205,6 +211,21 @@
 	}
 }
 
+// inTime takes out what must not leave any more, as a dial or a full connection has held it up beyond its time.
+func (p *Pool) inTime(take []chunk) (left []chunk, ended []core.Event) {
+	left = take[:0]
+	for _, k := range take {
+		if a := k.of; !k.drop && a.NotAfter > 0 && p.now() >= a.NotAfter {
+			if ev := p.end(a, control.Unsent); ev != nil {
+				ended = append(ended, ev)
+			}
+			continue
+		}
+		left = append(left, k)
+	}
+	return left, ended
+}
+
 // pieces reads a connection on which answers may come in pieces of any size. Guards against an answer that stops short
 // and leaves everything else on the connection waiting behind it: from its first byte on each piece has so long, and
 // all of it until a time, while an idle connection has no limit.
@@ -291,6 +312,7 @@
 	// That a store reads does not count as work done: a connection on which work comes to nothing is left all the same.
 	if proven = c.proofs[a.id]; proven != nil {
 		delete(c.proofs, a.id)
+		c.closeIfDone()
 		return nil, proven, nil
 	}
 	c.heard, c.silentSince = p.now(), 0
@@ -364,6 +386,10 @@
 	case s.HeldOnly:
 		f = append(f, ",opts=h"...)
 	}
+	if s.Dedupe != "" {
+		f = append(f, ",dedupe="...)
+		f = append(f, s.Dedupe...)
+	}
 	if s.Known != "" {
 		f = append(f, ",known="...)
 		f = append(f, s.Known...)
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -35,6 +35,7 @@
 	silentWork   = 500.0           // ms without a byte since work was written, for its end to count as silence
 	silentMost   = 1000.0          // ms of silence from then on, until a connection is left
 	sweepEvery   = 250 * time.Millisecond
+	proofFor     = 2000.0 // ms since its last use for which a connection that is left stays for the answer to a PING
 	connsPerPeer = 8
 	spareConns   = 8                      // kept for stores without one
 	dialAgain    = 1000.0                 // ms after a failed dial until a further connection is tried beside others
@@ -518,6 +519,9 @@
 				if idle {
 					c.leaving = true
 				}
+				if c.leaving && now-c.lastUse > proofFor { // silent: what its DROPs did stays in doubt
+					clear(c.proofs)
+				}
 				c.closeIfDone()
 			}
 			if q.gone && len(q.conns) == 0 && !q.dialing {
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// until waits for what must come; only a hung program meets its limit.
+func (b *bed) until(what string, ok func() bool) {
+	b.t.Helper()
+	for limit := time.Now().Add(30 * time.Second); ; time.Sleep(time.Millisecond) {
+		b.mu.Lock()
+		done := ok()
+		b.mu.Unlock()
+		if done {
+			return
+		}
+		if time.Now().After(limit) {
+			b.t.Fatalf("never: %s", what)
+		}
+	}
+}
+
 func send(id, n int, to uint32) core.Send {
 	return core.Send{
 		Key: core.Key{ID: control.RequestID(id), N: n}, To: to, Source: to, Txn: strings.Repeat("0", 15) + string(rune('a'+id)),
@@ -457,6 +473,26 @@
 	}
 }
 
+// The connection of what must not run twice stays until the store has told that it knows of the DROP.
+func TestWordComesForWhatGoesAlone(t *testing.T) {
+	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "", "", nil, false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t, s.Addr())
+	a := send(1, 0, 1)
+	a.Once = true
+	b.pool.Send(a)
+	b.until("at the store", func() bool { return len(s.Calls("GET")) == 1 })
+	b.pool.Drop(a.Key, control.TimedOut)
+	if e := b.ended(a.Key); !e.Doubt {
+		t.Errorf("%+v", e)
+	}
+	b.until("the store's word", func() bool { return len(b.sure) == 1 && b.sure[0] == a.Key })
+	b.until("closed", func() bool { b.pool.mu.Lock(); defer b.pool.mu.Unlock(); return b.pool.conns == 0 })
+}
+
 // partConn takes a number of bytes and then fails, as a connection that is reset while a write is under way.
 type partConn struct {
 	net.Conn
@@ -614,6 +650,36 @@
 	}
 }
 
+// What a dial has held up beyond its time does not leave, which proves that it has not run.
+func TestNothingLeavesBeyondItsTime(t *testing.T) {
+	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i, once := range []bool{false, true} {
+		b := newBed(t, s.Addr())
+		b.pool.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			b.clock.Advance(300)
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}
+		for n, most := range []float64{301, 300} { // from now on; the second shares a connection or dials again
+			a := send(i, n, 1)
+			a.Once, a.NotAfter, a.Dedupe = once, b.clock.Now()+most, "5c0f"
+			if n == 1 && !once {
+				a.NotAfter = b.clock.Now()
+			}
+			b.pool.Send(a)
+			if e, want := b.ended(a.Key), []control.Result{control.OK, control.Unsent}[n]; e.Result != want || e.Doubt {
+				t.Errorf("once %v, %v ms: %+v, want %v", once, most, e, want)
+			}
+		}
+	}
+	if calls := s.Calls("GET"); len(calls) != 2 || calls[0].Fields["dedupe"] != "5c0f" {
+		t.Errorf("%d requests at the store: %+v", len(calls), calls)
+	}
+}
+
 // The options of an attempt travel as words joined by a plus; a store refuses what it does not know.
 func TestOptionsAreWords(t *testing.T) {
 	for _, x := range []struct {
