Take the link's use from own fills over its told size, and learn sending times

Lines at fault: linkMeter.fill divided a rate by the highest rate seen, so U was never over 1 while the window closes at 1.1: where the link is not reported (probes do not count as such), the window never closed by U at all, on either deployment. And an answer straight from a parent was counted as no fill, so neither window nor meter moved.

Change: a part's sending time is the least that an answer took, where sizes are not told (sentIn). U is a front's own fills over its part of what link-in-kb-per-s lets the link fit, counted by the part of their time that brings bytes and by how often an unproven miss turns out one (linkUse), once fills are slowed: the slope of their times over their sending times, which a slow source does not change. What a parent sends past the caches counts.

--- a/control/api.go
+++ b/control/api.go
@@ -77,6 +77,7 @@
 	OriginKind     int
 	Classes        []Class
 	Quantum        time.Duration // batches of events come at most this often
+	LinkKBps       []float64     // what each zone's one link for fills carries; 0: not told
 	ClientKBps     float64       // pace of one transfer to a client; a weight counts such transfers
 	WeightsTold    bool          // member weights mean something
 	AskList        bool          // the list of members comes only when asked for
--- a/control/control.go
+++ b/control/control.go
@@ -50,9 +50,7 @@
 	coldFill    = 1.2             // share of what a cold member can do at least that all fronts together send it
 	coldBurst   = 0.25            // share of the fall span whose budget may be saved up
 	purgeMargin = 20 * time.Millisecond
-	meterSpan   = 500 * time.Millisecond
 	slowFill    = 1.5     // fills take this many times their sending time on average: the link is full
-	meterFade   = 1.02    // a capacity once learned is tried anew, so much more each interval
 	objectsKept = 1 << 14 // objects remembered in each of two generations
 	idsKept     = 1 << 13 // ids of members, likewise
 	forever     = math.MaxInt64 * time.Nanosecond
@@ -76,7 +74,7 @@
 		c.fillLate = append(c.fillLate, spread{})
 		c.queue.add(class.Worth)
 	}
-	c.window = window{max: 1, fast: true}
+	c.window, c.link.fits = window{max: 1, fast: true}, s.fits()
 	return c, nil
 }
 
@@ -452,13 +450,30 @@
 // open tells whether a fill may leave: a slot is free or the link is shown to have room.
 func (w *window) open(u float64) bool { return w.w < w.max || u >= 0 && u < linkFull }
 
+// linkUse is U: as reported, else this front's fills over its part of what fits, once they are slowed: others
+// may leave theirs. One counts by the part of its time that brings bytes, and by how often it is no hit.
+func (c *Controller) linkUse() (use float64) {
+	if c.link.told || c.link.fits == 0 || c.link.fills.slope() < linkFull {
+		return c.link.u
+	}
+	for _, a := range c.fills {
+		sending := max(a.of.sending.Seconds(), 1e-3)
+		part := sending / (sending + c.waited)
+		if !a.of.looked && c.isCache(a.to) {
+			part *= c.misses
+		}
+		use += part
+	}
+	return use * float64(c.zoneSharers()) / c.link.fits
+}
+
 // fillMayLeave asks the window, which must have a free slot where fills under way run late: then the
 // link shows room only because their sources are slow, and more fills would pile onto those.
 func (c *Controller) fillMayLeave() bool {
 	if c.fillsLate() {
 		return c.window.open(-1)
 	}
-	return c.window.open(c.link.u)
+	return c.window.open(c.linkUse())
 }
 
 // fillsLate leaves out the fills at a cache that is slowed, as its own link holds them up, or that loses its
@@ -505,24 +520,6 @@
 	}
 }
 
-func (l *linkMeter) fill(now time.Duration, sending, took time.Duration) {
-	l.amount += sending.Seconds()
-	l.fills++
-	l.slow += took.Seconds() / max(sending.Seconds(), 1e-3)
-	if span := now - l.since; !l.told && span >= meterSpan && l.fills >= fillsPerStep {
-		rate := l.amount / span.Seconds()
-		if l.slow/l.fills > slowFill {
-			l.capacity = max(rate, 1)
-		} else if l.capacity > 0 {
-			l.capacity = max(l.capacity*meterFade, rate)
-		}
-		if l.u = 0; l.capacity > 0 {
-			l.u = rate / l.capacity
-		}
-		l.amount, l.fills, l.slow, l.since = 0, 0, 0, now
-	}
-}
-
 // ---- Attempts ----
 
 func (c *Controller) arrive(q Request) {
@@ -534,10 +531,12 @@
 	}
 	r := &request{Request: q, class: &c.set.Classes[q.Class], arrived: c.now}
 	r.Write = q.Write || r.class.Write
-	sending := c.work[q.Class]
+	p, sending := c.remember(objectKey{object: q.Object, part: q.Part}), c.work[q.Class]
 	if q.SizeKB > 0 && c.set.ClientKBps > 0 {
 		sending = q.SizeKB / c.set.ClientKBps
 		c.work[q.Class] += smooth * (sending - c.work[q.Class])
+	} else if p.took > 0 {
+		sending = p.took.Seconds()
 	}
 	r.sending = time.Duration(sending * float64(time.Second))
 	r.deadline = c.now + q.Left - 3*c.set.Quantum
@@ -561,9 +560,7 @@
 	c.probes = min(c.probes+probeShare/float64(c.zoneSharers()), probesSaved)
 	o := c.remember(objectKey{object: q.Object, part: q.Part, whole: true})
 	o.demand = o.demand*math.Exp(-(c.now-o.at).Seconds()/hotOver.Seconds()) + sending
-	o.at = c.now
-	o.seen++
-	c.remember(objectKey{object: q.Object, part: q.Part}).seen++
+	o.at, o.seen, p.seen = c.now, o.seen+1, p.seen+1
 	c.wake(r.deadline, r.ID, timerDeadline)
 	c.admit(r)
 }
@@ -616,7 +613,7 @@
 	}
 	known, source := c.known(r, to), c.pickSource(r, to)
 	if !known && !c.fillMayLeave() {
-		if c.isOrigin(source) || !c.window.open(c.link.u) {
+		if c.isOrigin(source) || !c.window.open(c.linkUse()) {
 			source = to
 		}
 		return !r.looked && c.send(r, to, source, false, true)
@@ -661,12 +658,16 @@
 	a.mayHaveRun = ev.Result != Miss && ev.Result != Full && ev.Result != Unreached && ev.Result != Unsent
 	r.out--
 	a.to.open = slices.DeleteFunc(a.to.open, func(x *attempt) bool { return x == a })
-	filled := ev.Result == OK && ev.Note != Hit && ev.Note != StaleCopy && a.source != a.to
+	far := ev.Note != Hit && ev.Note != StaleCopy && a.source != a.to || a.slot && !c.isCache(a.to)
+	filled := ev.Result == OK && far // it came through the location's link
 	c.learn(r, a, ev, filled)
 	if a.slot {
+		if ev.Result == OK && !r.looked && c.isCache(a.to) {
+			c.misses += smooth * (share(filled) - c.misses)
+		}
 		failing := c.fillsLate() || ev.Result == OK && c.now > a.sent+lostAims*r.aim() // it was no lost one
 		c.fills = slices.DeleteFunc(c.fills, func(x *attempt) bool { return x == a })
-		c.window.back(filled, c.link.u)
+		c.window.back(filled, c.linkUse())
 		if failing && (c.now > a.sent+r.aim() || ev.Note == SourceRefused || ev.Note == OriginFailed) {
 			c.window.max = max(1, c.window.max-1) // as a whole interval above Umax: fills pile up behind the link
 		}
@@ -690,12 +691,15 @@
 			c.strained(ev.Latency > r.aim())
 		}
 		if filled {
+			c.waited += smooth * (ev.FirstByte.Seconds() - c.waited)
+			c.link.fills.add(r.sending.Seconds(), ev.Latency.Seconds())
 			c.backOff -= c.backOff / 8
 			c.fillLate[r.Class].add(max(0, ev.Latency-r.sending).Seconds())
 		}
 		if !filled && ev.Note != Joined && c.work[r.Class] > 0 {
 			c.pace(a.to, ev.Latency.Seconds()/r.sending.Seconds())
 		}
+		o.sentIn(ev.Latency - ev.FirstByte)
 		if r.SizeKB <= 0 && ev.Note == Hit {
 			c.work[r.Class] += smooth * (ev.Latency.Seconds() - c.work[r.Class])
 		}
@@ -704,8 +708,7 @@
 		if filled {
 			o.copied = c.now - ev.Latency
 			// Weights follow worth per sending time: a class of small requests earns more with each byte.
-			c.queue.charge(r.Class, max(r.SizeKB, 1)*c.work[r.Class])
-			c.link.fill(c.now, r.sending, ev.Latency-ev.FirstByte)
+			c.queue.charge(r.Class, max(r.SizeKB, r.sending.Seconds()*c.set.ClientKBps, 1)*c.work[r.Class])
 			a.source.alive(c.now)
 			a.source.passed = max(a.source.passed, a.sent)
 		} else if a.cost > 0 { // a hit asked nothing of the parent
@@ -742,9 +745,7 @@
 
 // strained learns what share of the fills by way of the origin is late or fails: whether hubs pool.
 func (c *Controller) strained(late bool) {
-	if c.strain -= strainGain * c.strain; late {
-		c.strain += strainGain
-	}
+	c.strain += strainGain * (share(late) - c.strain)
 	c.pooled = c.strain > poolFrom
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -77,6 +77,8 @@
 	lateness []spread        // by class: how much later than its sending time an answer comes
 	work     []float64       // by class: mean sending time, seconds
 	longest  []time.Duration // by class: the most time that a client gave a try
+	misses   float64         // share of the answers to unproven misses that came through the link
+	waited   float64         // mean time that fills wait for their source, seconds
 	strain   float64         // share of late fills by way of the origin
 	pooled   bool            // fills hash over all hubs' parents
 	ticking  bool
@@ -134,6 +136,7 @@
 	seen   int
 	heldBy MemberID
 	heldAt time.Duration
+	took   time.Duration // the least that sending it has taken, where sizes are not told; 0: not seen
 	copied time.Duration // no copy older than this is known to be held
 }
 
@@ -360,17 +363,56 @@
 	filled int  // completed fills in this interval
 }
 
-// linkMeter gives U. Where caches report how full the link is, that is U. Else it is the paper's
-// own (3.3.1): the amount received over the interval, in seconds of sending, against what the link
-// was seen to carry when fills ran slower than clients are sent.
+// linkMeter is what is known of the location's link.
 type linkMeter struct {
-	told     bool
-	amount   float64 // received in this interval
-	since    time.Duration
-	slow     float64 // sum of transfer time over sending time of its fills
-	fills    float64
-	capacity float64 // transfers that the link carries; 0: never seen full
-	u        float64
+	told  bool    // caches report it with their answers
+	u     float64 // as they last did
+	fits  float64 // transfers at a client's pace that it fits, by the settings; 0: not told
+	fills trend   // what fills took over their sending times, seconds
+}
+
+// trend is the straight line through the latest samples. Of fills it tells how many times longer each second of
+// sending takes on a full link, whatever they wait for their sources beside that.
+type trend struct{ n, x, y, xx, xy float64 }
+
+func (l *trend) add(x, y float64) {
+	l.n++
+	gain := max(smooth, 1/l.n)
+	l.x += gain * (x - l.x)
+	l.y += gain * (y - l.y)
+	l.xx += gain * (x*x - l.xx)
+	l.xy += gain * (x*y - l.xy)
+}
+
+// slope is 1 as long as the samples don't tell it.
+func (l *trend) slope() float64 {
+	if spread := l.xx - l.x*l.x; spread > 1e-9 {
+		return (l.xy - l.x*l.y) / spread
+	}
+	return 1
+}
+
+// fits gives the transfers at a client's pace that the link of this front's zone fits; 0: not told.
+func (s *Settings) fits() float64 {
+	if s.Zone >= len(s.LinkKBps) || s.ClientKBps == 0 {
+		return 0
+	}
+	return max(0, s.LinkKBps[s.Zone]) / s.ClientKBps
+}
+
+// share is 1 where something holds, as a sample of how often it does.
+func share(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
+// sentIn learns a part's sending time where sizes are not told: the least that an answer took shows it best.
+func (o *object) sentIn(took time.Duration) {
+	if o.took == 0 || took < o.took {
+		o.took = max(took, time.Millisecond)
+	}
 }
 
 // zoneSharers is the number of processes of all fronts in this front's zone, which probe the same caches.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -42,11 +42,12 @@
 		ClientKBps  float64   `json:"client-kb-per-s"`
 		GoesThrough []bool    `json:"goes-through"`
 		Joins       bool
-		NoticeTime  float64 `json:"notice-time"`
-		OriginKind  *int    `json:"origin-kind"`
-		ColdFrom    float64 `json:"parent-starts-at"`
-		ColdFor     float64 `json:"parent-warms-in"`
-		PurgeDone   float64 `json:"purge-done"`
+		LinkKBps    []float64 `json:"link-in-kb-per-s"`
+		NoticeTime  float64   `json:"notice-time"`
+		OriginKind  *int      `json:"origin-kind"`
+		ColdFrom    float64   `json:"parent-starts-at"`
+		ColdFor     float64   `json:"parent-warms-in"`
+		PurgeDone   float64   `json:"purge-done"`
 		Says        string
 		Seats       []int `json:"seats-by-zone"`
 		ShieldKind  *int  `json:"shield-kind"`
@@ -75,7 +76,7 @@
 	}
 	s := control.Settings{
 		Front: e.Me, Fronts: e.Balancers, Zone: e.AZ, FrontsByZone: e.Info.Seats, ZoneHub: e.Info.ZoneHub,
-		Kinds: len(e.Kinds), ParentKind: or(e.Info.ShieldKind, -1), OriginKind: or(e.Info.OriginKind, -1),
+		Kinds: len(e.Kinds), LinkKBps: e.Info.LinkKBps, ParentKind: or(e.Info.ShieldKind, -1), OriginKind: or(e.Info.OriginKind, -1),
 		Quantum: secs(e.Quantum), ClientKBps: e.Info.ClientKBps, WeightsTold: e.Weights != "silent",
 		AskList: e.Discovery == "ask", MaxAttempts: e.Allowed.MaxAttempts, CanCancel: e.Allowed.Cancel,
 		CanProbe: e.Allowed.Probes, MarksRepeat: e.Clients.MarksRetry, CanRunTwo: e.Allowed.Parallel, CanRetryAfter: e.Allowed.RetryAfter,
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -133,7 +133,7 @@
 	s, loads, err := Settings([]byte(`{"az":3,"balancers":2,"not-known":[1],"quantum":0.002,"weights":"silent",
 		"classes":[{"aim":0.4,"deadline":6,"repeat":"free","worth":2},{"deadline":1,"repeat":"guarded","group":"cell","key-ttl":2},
 		{"deadline":1,"repeat":"something new"}],"allowed":{"max-attempts":6,"parallel-tries":true},
-		"clients":{"marks-retry":true},"family-info":{"class-fresh":[0,5],"sideways":"any","says":"all","shield-kind":2},
+		"clients":{"marks-retry":true},"family-info":{"link-in-kb-per-s":[0,17871],"class-fresh":[0,5],"sideways":"any","says":"all","shield-kind":2},
 		"report":{"fields":["x1"]}}`))
 	if err != nil {
 		t.Fatal(err)
@@ -142,7 +142,7 @@
 		t.Errorf("settings %+v", s)
 	}
 	if s.Classes[1].Fresh != 5*time.Second || s.Classes[1].Effect != control.Keyed || s.Classes[1].Group != control.GroupCell ||
-		s.Classes[1].KeyFor != 2*time.Second || !s.MarksRepeat {
+		s.Classes[1].KeyFor != 2*time.Second || !s.MarksRepeat || len(s.LinkKBps) != 2 || s.LinkKBps[1] != 17871 {
 		t.Errorf("class 1 %+v", s.Classes[1])
 	}
 	if s.Classes[2].Effect != control.Unsafe {
