Pass a full cache by, and let reports show how much of a location the others use

Lines at fault: pickCache took the second cache only for what had been asked for four times; linkUse divided by the fronts of the zone that there are, not by those that send; report() took caches that tell only their use (util) for holding nothing, so room() gave each front 0.85 of their links.

Change: a request whose cache is full goes to the next in rank with room, as long as fills may leave. What a cache holds is its use times its link where it does not tell. U counts by the fronts that the reports show to send alike, no more than there are. On sockets the bytes of an answer and flow_bytes_per_s tell its sending time, where the request did not tell it.

--- a/config/config.go
+++ b/config/config.go
@@ -23,6 +23,7 @@
 	Cores        float64
 	MemoryMB     int
 	Sockets      int
+	Flow         float64 // bytes a second that one client is sent at most; 0: not told
 	Changelog    string
 	Seq          uint64
 	Known        []core.Event
@@ -87,6 +88,7 @@
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
+		Flow      float64 `json:"flow_bytes_per_s"`
 		Changelog string
 		Known     json.RawMessage
 		Settings  json.RawMessage
@@ -96,7 +98,7 @@
 	}
 	n = Node{
 		Name: raw.Name, Listen: raw.Listen, Cores: raw.Limits.Cores, MemoryMB: raw.Limits.MemoryMB,
-		Sockets: raw.Limits.Sockets, Changelog: raw.Changelog, Console: raw.Console,
+		Sockets: raw.Limits.Sockets, Changelog: raw.Changelog, Console: raw.Console, Flow: raw.Flow,
 	}
 	if name != "" {
 		n.Name = name
@@ -122,6 +124,9 @@
 			return n, fmt.Errorf("config: seed: %q is not a hexadecimal number", raw.Seed)
 		}
 	}
+	if !(n.Flow >= 0) {
+		return n, fmt.Errorf("config: flow_bytes_per_s: negative")
+	}
 	if n.Cores < 0 || n.MemoryMB < 0 || n.Sockets < 0 {
 		return n, fmt.Errorf("config: limits: negative")
 	}
--- a/control/api.go
+++ b/control/api.go
@@ -198,6 +198,7 @@
 	Result    Result
 	Note      Note
 	Latency   time.Duration
+	Sending   time.Duration // what its bytes take at a client's pace; 0: not told
 	FirstByte time.Duration // of a fill: time to the source's first byte or to its failure; 0: not told
 	Closed    bool          // the request is over
 	Load      *Load
--- a/control/control.go
+++ b/control/control.go
@@ -306,11 +306,7 @@
 				return m
 			}
 		}
-		seen := o.seen // here; every second other front of the location has asked for it about once
-		if !c.pooled {
-			seen += (c.sharers(best) - 1) / 2
-		}
-		if len(ranks) > 1 && c.room(ranks[1]) && seen > 3 && c.fillMayLeave() && c.late == 0 {
+		if len(ranks) > 1 && c.room(ranks[1]) && c.fillMayLeave() && c.late == 0 {
 			return ranks[1]
 		}
 	}
@@ -464,7 +460,7 @@
 		}
 		use += part
 	}
-	return use * float64(c.zoneSharers()) / c.link.fits
+	return use * c.fronts() / c.link.fits
 }
 
 // fillMayLeave asks the window, which must have a free slot where fills under way run late: then the
@@ -560,7 +556,7 @@
 	c.probes = min(c.probes+probeShare/float64(c.zoneSharers()), probesSaved)
 	o := c.remember(objectKey{object: q.Object, part: q.Part, whole: true})
 	o.demand = o.demand*math.Exp(-(c.now-o.at).Seconds()/hotOver.Seconds()) + sending
-	o.at, o.seen, p.seen = c.now, o.seen+1, p.seen+1
+	o.at, p.seen = c.now, p.seen+1
 	c.wake(r.deadline, r.ID, timerDeadline)
 	c.admit(r)
 }
@@ -685,6 +681,8 @@
 	o := c.remember(objectKey{object: r.Object, part: r.Part})
 	switch ev.Result {
 	case OK:
+		took := r.took(ev)
+		o.sentIn(took)
 		a.to.alive(c.now)
 		a.to.answered(a)
 		if ev.Note == FilledByOrigin {
@@ -699,9 +697,8 @@
 		if !filled && ev.Note != Joined && c.work[r.Class] > 0 {
 			c.pace(a.to, ev.Latency.Seconds()/r.sending.Seconds())
 		}
-		o.sentIn(ev.Latency - ev.FirstByte)
 		if r.SizeKB <= 0 && ev.Note == Hit {
-			c.work[r.Class] += smooth * (ev.Latency.Seconds() - c.work[r.Class])
+			c.work[r.Class] += smooth * (took.Seconds() - c.work[r.Class])
 		}
 		c.lateness[r.Class].add(max(0, ev.Latency-r.sending).Seconds())
 		o.heldBy, o.heldAt = a.to.ID, a.sent
--- a/control/link_test.go
+++ b/control/link_test.go
@@ -126,3 +126,46 @@
 		t.Errorf("slope %v of samples at one place", got)
 	}
 }
+
+// A front has the location's traffic alone when its neighbours send nothing, as the caches' reports show, told as
+// requests in hand or as use; without reports it has no more than its even part.
+func TestNeighboursShowInReports(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		load     *Load
+		from, to float64
+	}{
+		{"no report", nil, 2, 2},
+		{"the neighbour is idle", &Load{Held: 2, Busy: -1}, 1, 1.3},
+		{"the neighbour sends as much", &Load{Held: 4, Busy: -1}, 1.6, 2},
+		{"idle, by use alone", &Load{Held: -1, Busy: 0.5}, 1, 1.3},
+		{"as much, by use alone", &Load{Held: -1, Busy: 1}, 1.6, 2},
+		{"more than all", &Load{Held: 40, Busy: -1}, 2, 2},
+	} {
+		set := testSettings()
+		b := newBook(t, set, testMembers()) // weights of 4, two fronts
+		for _, m := range b.c.members {
+			if !b.c.isCache(m) {
+				continue
+			}
+			m.open = []*attempt{{}, {}}
+			for range 8 {
+				m.report(x.load, b.now)
+			}
+		}
+		if got := b.c.fronts(); got < x.from || got > x.to {
+			t.Errorf("%s: shared by %.2f fronts, want %v to %v", x.name, got, x.from, x.to)
+		}
+	}
+}
+
+// Where an answer's bytes tell its size, that is the part's sending time, not how long it took.
+func TestBytesTellTheSendingTime(t *testing.T) {
+	b := newBook(t, testSettings(), testMembers())
+	b.ask(Request{ID: 1, Object: 7, Left: 3 * time.Second})
+	b.do(Outcome{ID: 1, Member: b.attempts[1][0].To, Result: OK, Note: Hit, Latency: 900 * ms, Sending: 250 * ms, Closed: true})
+	b.ask(Request{ID: 2, Object: 7, Left: 3 * time.Second})
+	if got := b.c.requests[2].sending; got != 250*ms {
+		t.Errorf("sending takes %v, want 250ms", got)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -317,15 +317,18 @@
 	}
 }
 
-// report takes a load report and tells whether there was one. What a member holds beyond our own attempts is that
-// of the other fronts.
+// report takes a load report and tells whether there was one. What a member holds is, where it does not tell, what its
+// use makes of the transfers that it can send; beyond our own attempts it is that of the other fronts.
 func (m *member) report(l *Load, now time.Duration) bool {
 	if l == nil {
 		return false
 	}
 	m.load, m.reported = *l, now
-	if l.Held >= 0 {
-		m.others += othersGain * (max(0, l.Held-float64(len(m.open))) - m.others)
+	if l.Held < 0 && l.Busy >= 0 {
+		m.load.Held = l.Busy * m.Weight
+	}
+	if m.load.Held >= 0 {
+		m.others += othersGain * (max(0, m.load.Held-float64(len(m.open))) - m.others)
 	}
 	return true
 }
@@ -384,10 +387,10 @@
 	l.xy += gain * (x*y - l.xy)
 }
 
-// slope is 1 as long as the samples don't tell it.
+// slope is 1 as long as the samples don't tell it, and no less: nothing is sent faster than at a client's pace.
 func (l *trend) slope() float64 {
 	if spread := l.xx - l.x*l.x; spread > 1e-9 {
-		return (l.xy - l.x*l.y) / spread
+		return max(1, (l.xy-l.x*l.y)/spread)
 	}
 	return 1
 }
@@ -408,6 +411,28 @@
 	return 0
 }
 
+// took is the time that sending an answer took: as its bytes tell, else from its first byte on. Where the size was not
+// told, the request's sending time is known with the bytes.
+func (r *request) took(ev Outcome) time.Duration {
+	if ev.Sending > 0 && r.SizeKB <= 0 {
+		r.sending = ev.Sending
+		return ev.Sending
+	}
+	return ev.Latency - ev.FirstByte
+}
+
+// fronts tells by how many fronts alike, this one among them, the location's traffic is sent: no more than there are.
+func (c *Controller) fronts() float64 {
+	own, all := 1.0, float64(c.zoneSharers())
+	for _, m := range c.members {
+		if c.isCache(m) && c.now < m.reported+reportFor {
+			own += float64(len(m.open))
+			all += float64(len(m.open)) + m.others
+		}
+	}
+	return min(float64(c.zoneSharers()), all/own)
+}
+
 // sentIn learns a part's sending time where sizes are not told: the least that an answer took shows it best.
 func (o *object) sentIn(took time.Duration) {
 	if o.took == 0 || took < o.took {
--- a/core/book.go
+++ b/core/book.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
@@ -31,10 +33,18 @@
 	c.tell(control.Outcome{
 		ID: e.ID, Attempt: e.N, Member: control.MemberID(t.to), Result: e.Result, Note: e.Note,
 		Latency: clock.Duration(max(0, c.now()-t.sent)), FirstByte: clock.Duration(e.Lag),
-		Closed: r.answered, Load: e.Load,
+		Closed: r.answered, Load: e.Load, Sending: c.sending(e),
 	})
 }
 
+// sending gives what an answer's bytes take to send at a client's pace, where both are known.
+func (c *Core) sending(e Ended) time.Duration {
+	if c.opt.Flow <= 0 || e.Same {
+		return 0
+	}
+	return time.Duration(float64(len(e.Body)) / c.opt.Flow * float64(time.Second))
+}
+
 func (c *Core) bookProbe(p Probed) {
 	sent, ok := c.probes[p.Member]
 	if !ok {
--- a/core/core.go
+++ b/core/core.go
@@ -29,6 +29,7 @@
 	Classes  []string // names, in the settings' order
 	Seed     uint64
 	MaxOpen  int     // requests in hand; more are refused; 0: 4096
+	Flow     float64 // bytes a second that one client is sent at most; 0: not told
 	Settle   float64 // ms that a store may take to notice the end of an attempt; 0: 40
 	Clock    *clock.Clock
 	Log      zerolog.Logger
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -183,6 +183,22 @@
 	}
 }
 
+// The bytes of an answer tell how long a client is sent them, where the settings tell the pace.
+func TestBytesTellTheSendingTime(t *testing.T) {
+	for _, x := range []struct {
+		flow float64
+		e    Ended
+		want time.Duration
+	}{
+		{1e5, Ended{Body: make([]byte, 5000)}, 50 * time.Millisecond}, {0, Ended{Body: make([]byte, 5000)}, 0},
+		{1e5, Ended{Same: true}, 0},
+	} {
+		if got := (&Core{opt: Options{Flow: x.flow}}).sending(x.e); got != x.want {
+			t.Errorf("%d bytes at %v a second: %v, want %v", len(x.e.Body), x.flow, got, x.want)
+		}
+	}
+}
+
 // No attempt starts once a request's leave has run out; the client hears of it at once.
 func TestNoAttemptAfterLeave(t *testing.T) {
 	c, w, clk := newCore(t)
--- a/turnfork.go
+++ b/turnfork.go
@@ -126,7 +126,7 @@
 	// The upstreams post to the core and the core sends by the upstreams: the core is made first.
 	up := &struct{ core.Upstream }{}
 	c, err := core.New(core.Options{
-		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: cfg.Clock,
+		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: cfg.Clock, Flow: node.Flow,
 		Log: cfg.Log,
 	}, up)
 	if err != nil {
