--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -106,14 +106,18 @@
 	return New(Options{Post: post, Clock: clock.Manual(1e12), Log: zerolog.Nop()})
 }
 
-func TestRequestAndAnswer(t *testing.T) {
+// asking gives a client and what its front asks of the core.
+func asking() (*client, <-chan core.Ask) {
 	asks := make(chan core.Ask, 1)
-	f := newFront(func(ev core.Event) {
+	return dial(newFront(func(ev core.Event) {
 		if a, ok := ev.(core.Ask); ok {
 			asks <- a
 		}
-	})
-	c := dial(f)
+	})), asks
+}
+
+func TestRequestAndAnswer(t *testing.T) {
+	c, asks := asking()
 	defer c.Close()
 	c.Write(append(begin(1), whole(1, "/v1/firmware", "9b1f03aa5c7e2d41")...))
 	a := <-asks
@@ -155,13 +159,7 @@
 
 // A key goes on as it came or is refused; so does the mark of a later try.
 func TestKeysAreNotAltered(t *testing.T) {
-	asks := make(chan core.Ask, 1)
-	f := newFront(func(ev core.Event) {
-		if a, ok := ev.(core.Ask); ok {
-			asks <- a
-		}
-	})
-	c := dial(f)
+	c, asks := asking()
 	defer c.Close()
 	for i, x := range []struct {
 		key string
