Check what waits once more just before it is written, for target, source, client and purge

Need: what was decided before a drain, a new start, a purge or a withdrawal could still leave after the grace counted from the telling, where it waited for a dial, behind a full socket, or for the end of the attempt before it.

Seen by reading: the writer took all that waited in one batch, so a store that reads late held it in the write itself, beyond any word; a purge told while an attempt waited for a dial or was held never reached its fresh field; a held attempt was let go to a draining target, or with a draining source, as Send looked at bans alone; the writer looked at the key's time alone.

Change: the writer waits until the socket takes bytes, takes a batch of 16 KB at most, and looks at each attempt again right before the write (mayLeave): target and source take new work, somebody waits for it, its key is remembered. What a full socket leaves unsent goes back to the queue as not sent. A purge has what waits ask for no older copy, by the module's own rule; a list has the core take back what is held for a store that drains, is gone or has started anew. Requests carry a flag that ends every wait once nobody waits for them.

--- a/control/explain.go
+++ b/control/explain.go
@@ -33,3 +33,11 @@
 }
 
 func stateName(s State) string { return [...]string{"gone", "ready", "draining"}[min(int(s), 2)] }
+
+// OldestCopy gives the age of the oldest copy that will do now for a request in hand; 0: the class's own limit.
+func (c *Controller) OldestCopy(id RequestID) time.Duration {
+	if r := c.requests[id]; r != nil {
+		return c.maxAge(r)
+	}
+	return 0
+}
--- a/core/core.go
+++ b/core/core.go
@@ -169,9 +169,11 @@
 			list.List = append(list.List, s.Member)
 		}
 		c.tell(list)
+		c.retractHeld(ev)
 	case Purge:
 		ago := max(0, c.opt.Clock.Unix()-ev.At)
 		c.tell(control.Purged{Object: control.ObjectID(ev.Object), Group: ev.Group, Ago: clock.Duration(ago)})
+		c.renew(ev)
 	case Bar:
 		c.bar(ev)
 	case Share:
@@ -189,6 +191,48 @@
 	}
 }
 
+// retractHeld takes back what waits for an attempt before it and was decided on a word of its store or source that no
+// longer holds: one that takes nothing new any more, or that has started anew and bears less. The module decides again.
+func (c *Core) retractHeld(list Stores) {
+	named := map[uint32]control.Member{}
+	for _, s := range list.List {
+		named[uint32(s.Member.ID)] = s.Member
+	}
+	for _, r := range c.requests {
+		if len(r.attempts) == 0 || r.attempts[len(r.attempts)-1].held == nil {
+			continue
+		}
+		t := r.attempts[len(r.attempts)-1]
+		for _, id := range []uint32{t.held.To, t.held.Source} {
+			m, told := named[id]
+			if told && (m.State != control.Ready || clock.Ms(m.Started) > t.sent) || !told && list.Whole {
+				c.unsent(t)
+				break
+			}
+		}
+	}
+}
+
+// renew has what was decided before a purge and has not left yet ask for no older copy: what a dial, a full connection
+// or the attempt before holds up would else leave after the purge's grace with the age that did before it.
+func (c *Core) renew(p Purge) {
+	for _, r := range c.requests {
+		if r.answered || r.open == 0 || p.Object != 0 && r.Object != p.Object || p.Object == 0 && r.Group != p.Group {
+			continue
+		}
+		age := clock.Ms(c.module.OldestCopy(r.id))
+		for _, t := range r.attempts {
+			switch {
+			case t.over || age <= 0:
+			case t.held != nil:
+				t.held.MaxAge = age
+			default:
+				c.up.Renew(t.key, age)
+			}
+		}
+	}
+}
+
 // bar takes a store out or lets it serve again. The module decides what that means for requests; the upstream
 // takes back what has not left yet.
 func (c *Core) bar(b Bar) {
--- a/core/core_test.go
+++ b/core/core_test.go
@@ -28,6 +28,7 @@
 func (w *wires) Answer(tag uint64, a Answer) { w.answers[tag] = append(w.answers[tag], a) }
 func (w *wires) Probe(uint32)                {}
 func (w *wires) Update(Stores)               {}
+func (w *wires) Renew(Key, float64)          {}
 func (w *wires) Bar(uint32, bool)            { w.barredAt = append(w.barredAt, len(w.sends)) }
 func (w *wires) Drop(k Key, as control.Result) {
 	w.drops = append(w.drops, k)
--- a/core/send.go
+++ b/core/send.go
@@ -17,14 +17,12 @@
 	t := &attempt{of: r, key: Key{r.id, len(r.attempts)}, to: uint32(a.To), sent: c.now()}
 	r.attempts = append(r.attempts, t)
 	r.open++
-	// Guards the promise that a request whose leave has run out starts no new attempt: the module
-	// hears that nothing was sent, and the client gets its answer now.
-	if r.expired(c.opt.Clock.Unix()) || r.answered {
+	// Guards the promise that a request whose leave has run out, or whose client has left, starts no new attempt: the
+	// module hears that nothing was sent, and a client that waits gets its answer now.
+	if r.Over.Load() || r.expired(c.opt.Clock.Unix()) {
 		t.over = true
 		r.open--
-		if !r.answered {
-			c.answer(r, Answer{Verdict: Failed, Reason: Expired})
-		}
+		c.endUnsent(r)
 		c.tell(control.Outcome{ID: r.id, Attempt: t.key.N, Member: a.To, Result: control.Unsent, Closed: true})
 		return
 	}
@@ -36,11 +34,22 @@
 		Key: t.key, To: t.to, Source: uint32(a.Source), Fill: a.Source != a.To, Txn: r.Txn, Class: r.Class,
 		Name: r.Name, Part: r.Part, Keep: a.Keep, Join: a.Join, HeldOnly: a.HeldOnly, Timeout: clock.Ms(a.Timeout),
 		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, Write: r.write, Once: r.once,
-		Dedupe: r.Dedupe, NotAfter: clock.Ms(a.Until),
+		Dedupe: r.Dedupe, NotAfter: clock.Ms(a.Until), Over: r.Over,
 	})
 	c.traceSend(r, t, a)
 }
 
+// endUnsent ends a request that must not be sent on.
+func (c *Core) endUnsent(r *request) {
+	switch {
+	case r.answered:
+	case r.Over.Load():
+		c.depart(r)
+	default:
+		c.answer(r, Answer{Verdict: Failed, Reason: Expired})
+	}
+}
+
 // cancel gives one attempt up as the module asked.
 func (c *Core) cancel(a control.Cancel) {
 	if r := c.requests[a.ID]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
--- a/core/settle.go
+++ b/core/settle.go
@@ -80,10 +80,8 @@
 	switch {
 	case t.held == nil:
 		c.forget(t.of)
-	case t.of.answered:
-		c.unsent(t)
-	case t.of.expired(c.opt.Clock.Unix()):
-		c.answer(t.of, Answer{Verdict: Failed, Reason: Expired})
+	case t.of.Over.Load() || t.of.expired(c.opt.Clock.Unix()):
+		c.endUnsent(t.of)
 		c.unsent(t)
 	default:
 		s := *t.held
--- a/core/takein.go
+++ b/core/takein.go
@@ -1,10 +1,21 @@
 package core
 
-import "turnfork.dev/turnfork/control"
+import (
+	"sync/atomic"
+
+	"turnfork.dev/turnfork/control"
+)
 
 // takeIn is the first stage: a request gets its place in the table, or its answer at once.
 func (c *Core) takeIn(a Ask) {
 	c.stats.Taken++
+	if a.Over == nil {
+		a.Over = new(atomic.Bool)
+	}
+	if a.Over.Load() { // its client left while it waited for the core
+		c.stats.Left++
+		return
+	}
 	key := tagKey{a.From, a.Tag}
 	if c.byTag[key] != nil {
 		// A front that names two open requests alike is broken; the first stays as it is.
@@ -56,6 +67,11 @@
 	if r == nil {
 		return // its answer crossed the withdrawal
 	}
+	c.depart(r)
+}
+
+// depart ends a request whose client no longer waits.
+func (c *Core) depart(r *request) {
 	c.stats.Left++
 	c.finish(r)
 	c.tell(control.Left{ID: r.id})
@@ -64,6 +80,7 @@
 // finish marks a request as answered; its entry stays until its attempts have ended.
 func (c *Core) finish(r *request) {
 	r.answered = true
+	r.Over.Store(true)
 	r.Body = nil
 	delete(c.byTag, tagKey{r.From, r.Tag})
 	c.forget(r)
--- a/core/types.go
+++ b/core/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 
 	"turnfork.dev/turnfork/control"
 )
@@ -60,6 +61,8 @@
 	// connection closed. Such an end is in Doubt, as the store may read that later than it reads another
 	// connection.
 	Drop(k Key, as control.Result)
+	// Renew has an attempt that has not left ask for no copy older than maxAge ms, as its object was purged since.
+	Renew(k Key, maxAge float64)
 	// Probe asks a store for its report; exactly one Probed follows.
 	Probe(member uint32)
 	// Update tells of the stores. What has not left for one that takes no new work any more does not leave.
@@ -89,10 +92,11 @@
 	MaxAge     float64 // ms; 0: the class's fresh time
 	Known      string  // tag of the client's copy
 	Body       []byte
-	Write      bool    // it runs at the origin and is not kept
-	Once       bool    // it must not run twice, so a connection that breaks under it costs it
-	Dedupe     string  // the client's idempotency key, where the class has one
-	NotAfter   float64 // clock ms after which it must not leave, as its key may be forgotten; 0: none
+	Write      bool         // it runs at the origin and is not kept
+	Once       bool         // it must not run twice, so a connection that breaks under it costs it
+	Dedupe     string       // the client's idempotency key, where the class has one
+	NotAfter   float64      // clock ms after which it must not leave, as its key may be forgotten; 0: none
+	Over       *atomic.Bool // true once nobody waits for the request: it must not leave any more
 }
 
 // Store is one entry of the list.
@@ -121,6 +125,10 @@
 	Dedupe   string // the client's idempotency key
 	Body     []byte
 	NotAfter float64 // Unix ms after which no new attempt starts; 0: none
+
+	// Over is set by the front as soon as the client has withdrawn, ahead of the Leave that follows: whatever the
+	// request waits for, it is not sent on. The core sets it with the final answer. Nil: the core makes one.
+	Over *atomic.Bool
 }
 
 // Leave tells that the client no longer waits.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -24,6 +24,7 @@
 	// Handle words the answer to a GET; ok false leaves it unanswered. It may block: each GET has a
 	// goroutine of its own.
 	Handle func(c Call) (word, fields string, body []byte, ok bool)
+	reading func(r *bufio.Reader)
 
 	server // Close: GETs that Handle holds must have been let go
 	mu     sync.Mutex
@@ -32,7 +33,13 @@
 
 // Listen starts a store on an address.
 func Listen(addr string, handle func(Call) (string, string, []byte, bool)) (*Store, error) {
-	s := &Store{Handle: handle}
+	return ListenLate(addr, nil, handle)
+}
+
+// ListenLate starts a store that calls reading with each connection before it reads it; that may block. Nil: it reads
+// at once.
+func ListenLate(addr string, reading func(*bufio.Reader), handle func(Call) (string, string, []byte, bool)) (*Store, error) {
+	s := &Store{Handle: handle, reading: reading}
 	_, err := s.listen(addr, s.serve)
 	return s, err
 }
@@ -54,6 +61,9 @@
 
 func (s *Store) serve(c net.Conn) {
 	r := bufio.NewReader(c)
+	if s.reading != nil {
+		s.reading(r)
+	}
 	var out sync.Mutex
 	for {
 		words, err := read(r)
--- a/upstream/both/both.go
+++ b/upstream/both/both.go
@@ -50,6 +50,18 @@
 	u.Rest.Drop(k, as)
 }
 
+// Renew has an attempt that has not left ask for no older copy.
+func (u *Upstream) Renew(k core.Key, maxAge float64) {
+	u.mu.Lock()
+	_, first := u.first[k]
+	u.mu.Unlock()
+	if first {
+		u.First.Renew(k, maxAge)
+		return
+	}
+	u.Rest.Renew(k, maxAge)
+}
+
 // Probe asks a store.
 func (u *Upstream) Probe(member uint32) {
 	if u.First.Has(member) {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
+	"syscall"
 	"time"
 
 	"turnfork.dev/turnfork/control"
@@ -16,6 +18,7 @@
 	pool    *Pool
 	peer    *peer
 	net     net.Conn
+	raw     syscall.RawConn       // nil: net has none
 	open    map[string]*attempt   // by ID
 	stale   map[string]float64    // IDs that an answer may still come for, and since when
 	proofs  map[string][]core.Key // by the tag of a PING behind their DROPs
@@ -30,24 +33,32 @@
 	silentSince float64 // when work was given up here with nothing heard since it was written; 0: not
 }
 
-// chunk is what one attempt has to write.
+// chunk is what one attempt has to write, or a PING.
 type chunk struct {
 	of    *attempt
-	bytes []byte
+	bytes []byte // of a GET those that the attempt has when it leaves
+	size  int    // as counted in queued
 	drop  bool
+	proof string // the tag of a PING behind DROPs; else ""
 }
 
 const (
 	staleMost = 4096    // IDs remembered; a connection with more takes no new work
 	staleFor  = 10000.0 // ms for which they are: longer than any request lasts
 
+	batchMost = 16 << 10 // bytes written at once, and the last chunk's beyond that
+
 	proofsMost = 4 // PINGs behind DROPs that may be open on a connection
 )
 
 func newConn(p *Pool, q *peer, nc net.Conn) *conn {
 	now := p.now()
+	var raw syscall.RawConn
+	if sc, ok := nc.(syscall.Conn); ok {
+		raw, _ = sc.SyscallConn()
+	}
 	return &conn{
-		pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]float64{}, proofs: map[string][]core.Key{},
+		raw: raw, pool: p, peer: q, net: nc, open: map[string]*attempt{}, stale: map[string]float64{}, proofs: map[string][]core.Key{},
 		wake: make(chan struct{}, 1), heard: now, lastUse: now,
 	}
 }
@@ -85,8 +96,9 @@
 	c.queue(a, a.bytes)
 }
 
+// queue has bytes written for an attempt: its GET, or its DROP once it is dropped.
 func (c *conn) queue(a *attempt, b []byte) {
-	c.out = append(c.out, chunk{of: a, bytes: b, drop: a.dropped})
+	c.out = append(c.out, chunk{of: a, bytes: b, size: len(b), drop: a.dropped})
 	c.queued += len(b)
 	c.lastUse = c.pool.now()
 	select {
@@ -98,24 +110,24 @@
 func (c *conn) unqueue(a *attempt) {
 	for i, k := range c.out {
 		if k.of == a {
-			c.queued -= len(k.bytes)
+			c.queued -= k.size
 			c.out = append(c.out[:i], c.out[i+1:]...)
 			return
 		}
 	}
 }
 
-// prove gives a PING to write behind DROPs: a store reads a connection in order, so the answer proves that it has
-// read them. A store that takes nothing new is not asked, nor one that leaves several such questions open.
-func (c *conn) prove(drops []core.Key) []byte {
+// prove gives the tag of a PING to write behind DROPs: a store reads a connection in order, so the answer
+// proves that it has read them. A store that takes nothing new is not asked, nor one that leaves several such questions open.
+func (c *conn) prove(drops []core.Key) (tag string) {
 	_, barred := c.pool.bars[c.peer.id]
 	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= proofsMost {
-		return nil
+		return ""
 	}
 	c.pool.probes++
-	tag := probeName(c.pool.probes)
+	tag = probeName(c.pool.probes)
 	c.proofs[tag] = drops
-	return appendCommand(nil, "PING", tag)
+	return tag
 }
 
 // suspect notes that an attempt is given up; it counts as silence if nothing was heard since it was
@@ -146,84 +158,158 @@
 
 // write is the writer goroutine.
 func (c *conn) write(wake <-chan struct{}) {
-	p := c.pool
-	defer p.wg.Done()
-	var buf []byte
+	defer c.pool.wg.Done()
 	for range wake {
-		p.mu.Lock()
-		take := c.out
-		c.out, c.queued = nil, 0
-		var drops []core.Key
-		var ended []core.Event
-		take, ended = p.inTime(take)
-		for _, k := range take {
-			if !k.of.writing {
-				k.of.writing, k.of.written = true, p.now()
-			}
-			if k.drop && !k.of.over {
-				drops = append(drops, k.of.Key)
+		for more := true; more; {
+			var err error
+			if more, err = c.flush(); err != nil {
+				c.net.Close() // abandons all that is open on it; the reader tells
+				return
 			}
 		}
-		proof := c.prove(drops)
-		broken := c.broken
+	}
+}
+
+// flush writes a batch of what waits, and tells whether there may be more. Guards against a store that reads late: what
+// its full socket holds up is looked at again once the socket takes bytes, so that nothing leaves that has been taken
+// back, or that its target or source takes no more, while it waited.
+func (c *conn) flush() (more bool, err error) {
+	p := c.pool
+	var batch []chunk
+	var n int
+	var failed error
+	c.net.SetWriteDeadline(time.Now().Add(writeLimit))
+	err = c.whenWritable(func(write func([]byte) (int, error)) (done bool) {
+		p.mu.Lock()
+		var ended []core.Event
+		batch, ended = c.nextBatch()
 		p.mu.Unlock()
 		for _, ev := range ended {
 			p.post(ev)
 		}
-		if broken {
-			return
-		}
-		buf = buf[:0]
-		for _, k := range take {
+		var buf []byte
+		for _, k := range batch {
 			buf = append(buf, k.bytes...)
 		}
-		buf = append(buf, proof...)
-		c.net.SetWriteDeadline(time.Now().Add(writeLimit))
-		if n, err := c.net.Write(buf); err != nil {
-			// What did not leave whole can't have arrived whole, so it is proven not to have run.
-			p.mu.Lock()
-			for _, k := range take {
-				if n -= len(k.bytes); n < 0 && !k.drop {
-					k.of.writing = false
-				}
-			}
-			p.mu.Unlock()
-			c.net.Close() // abandons all that is open on it; the reader tells
-			return
+		if n, failed = 0, nil; len(buf) > 0 {
+			n, failed = write(buf)
 		}
-		if cap(buf) > 1<<20 {
-			buf = nil
+		if !errors.Is(failed, syscall.EAGAIN) {
+			return true
 		}
-		ended = nil
 		p.mu.Lock()
-		for _, k := range take {
-			if k.drop && !k.of.over { // the DROP is out: from now on another attempt may leave
-				c.retire(k.of.wire)
-				if ev := p.end(k.of, k.of.as); ev != nil {
-					ended = append(ended, ev)
+		c.putBack(batch)
+		p.mu.Unlock()
+		batch, n, failed = nil, 0, nil
+		return false
+	})
+	if err == nil {
+		err = failed
+	}
+	whole, cut := 0, max(0, n)
+	for ; whole < len(batch) && cut >= len(batch[whole].bytes); whole++ {
+		cut -= len(batch[whole].bytes)
+	}
+	if err == nil && cut > 0 { // the socket is full in the middle of a chunk
+		if _, err = c.net.Write(batch[whole].bytes[cut:]); err == nil {
+			whole++
+		}
+	}
+	p.mu.Lock()
+	ended := c.wrote(batch[:whole], batch[whole:], err)
+	more = len(c.out) > 0 && !c.broken
+	p.mu.Unlock()
+	for _, ev := range ended {
+		p.post(ev)
+	}
+	return more, err
+}
+
+// whenWritable calls try with a write that does not wait, and again when the socket takes bytes until it is done. A
+// connection that can't tell, such as a recorded one, waits in the write itself.
+func (c *conn) whenWritable(try func(write func([]byte) (int, error)) (done bool)) error {
+	if c.raw == nil {
+		try(c.net.Write)
+		return nil
+	}
+	return c.raw.Write(func(fd uintptr) bool {
+		return try(func(b []byte) (n int, err error) {
+			for {
+				if n, err = syscall.Write(int(fd), b); err != syscall.EINTR {
+					return n, err
 				}
 			}
+		})
+	})
+}
+
+// nextBatch gives what to write next, with a PING behind its DROPs, and ends what may not leave any more.
+func (c *conn) nextBatch() (batch []chunk, ended []core.Event) {
+	if c.broken {
+		return nil, nil
+	}
+	var drops []core.Key
+	size, next := 0, 0
+	for ; next < len(c.out) && size < batchMost; next++ {
+		k := c.out[next]
+		c.queued -= k.size
+		switch a := k.of; {
+		case a.over: // its end came another way
+			continue
+		case k.drop:
+			drops = append(drops, a.Key)
+		case a.dropped || !c.pool.mayLeave(a):
+			if ev := c.pool.end(a, control.Unsent); ev != nil {
+				ended = append(ended, ev)
+			}
+			continue
+		default:
+			a.writing, a.written = true, c.pool.now()
+			k.bytes = a.bytes
 		}
-		p.mu.Unlock()
-		for _, ev := range ended {
-			p.post(ev)
+		batch, size = append(batch, k), size+len(k.bytes)
+	}
+	if c.out = c.out[next:]; len(c.out) == 0 {
+		c.out = nil
+	}
+	if tag := c.prove(drops); tag != "" {
+		batch = append(batch, chunk{proof: tag, bytes: appendCommand(nil, "PING", tag)})
+	}
+	return batch, ended
+}
+
+// putBack has chunks of which no byte has left wait on.
+func (c *conn) putBack(batch []chunk) {
+	var back []chunk
+	for _, k := range batch {
+		if k.proof != "" { // asked for anew with its DROPs
+			delete(c.proofs, k.proof)
+			continue
+		}
+		if !k.drop {
+			k.of.writing = false
 		}
+		c.queued += k.size
+		back = append(back, k)
 	}
+	c.out = append(back, c.out...)
 }
 
-// inTime takes out what must not leave any more, as a dial or a full connection has held it up beyond its time.
-func (p *Pool) inTime(take []chunk) (left []chunk, ended []core.Event) {
-	left = take[:0]
-	for _, k := range take {
-		if a := k.of; !k.drop && a.NotAfter > 0 && p.now() >= a.NotAfter {
-			if ev := p.end(a, control.Unsent); ev != nil {
+// wrote books what has left whole and puts the rest back. What a failed write has not sent whole can't have arrived
+// whole, so it is proven not to have run.
+func (c *conn) wrote(whole, rest []chunk, err error) (ended []core.Event) {
+	for _, k := range whole {
+		if k.drop && !k.of.over { // the DROP is out: from now on another attempt may leave
+			c.retire(k.of.wire)
+			if ev := c.pool.end(k.of, k.of.as); ev != nil {
 				ended = append(ended, ev)
 			}
-			continue
 		}
-		left = append(left, k)
 	}
-	return left, ended
+	if c.putBack(rest); err == nil {
+		c.closeIfDone()
+	}
+	return ended
 }
 
 // pieces reads a connection on which answers may come in pieces of any size. Guards against an answer that stops short
--- /dev/null
+++ b/upstream/resp/last_test.go
@@ -0,0 +1,95 @@
+package resp
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// What is told while an attempt waits, wherever it does, holds for it: the last check stands before the write. The
+// places are the wait for a dial, and the one behind a request that fills the socket of a store which reads late.
+func TestLastCheckStandsBeforeTheWrite(t *testing.T) {
+	const target, source, other = 1, 2, 3
+	type told struct {
+		name string
+		tell func(b *bed, addr string, s core.Send)
+		left bool // it leaves all the same
+	}
+	events := []told{
+		{"nothing", func(*bed, string, core.Send) {}, true},
+		{"another store drains", func(b *bed, addr string, _ core.Send) { b.tell(other, addr, control.Draining) }, true},
+		{"the target drains", func(b *bed, addr string, _ core.Send) { b.tell(target, addr, control.Draining) }, false},
+		{"the target is gone", func(b *bed, addr string, _ core.Send) { b.tell(target, addr, control.Gone) }, false},
+		{"the source drains", func(b *bed, addr string, _ core.Send) { b.tell(source, addr, control.Draining) }, false},
+		{"the source is gone", func(b *bed, addr string, _ core.Send) { b.tell(source, addr, control.Gone) }, false},
+		{"a whole list lacks the source", func(b *bed, addr string, _ core.Send) {
+			b.pool.Update(core.Stores{Whole: true, List: []core.Store{{Addr: addr, Member: control.Member{ID: target, State: control.Ready}}}})
+		}, false},
+		{"the target is taken out", func(b *bed, _ string, _ core.Send) { b.pool.Bar(target, true) }, false},
+		{"the source is taken out", func(b *bed, _ string, _ core.Send) { b.pool.Bar(source, true) }, false},
+		{"the client leaves", func(_ *bed, _ string, s core.Send) { s.Over.Store(true) }, false},
+		{"the key's time ends", func(b *bed, _ string, _ core.Send) { b.clock.Advance(1000) }, false},
+		{"the object is purged", func(b *bed, _ string, s core.Send) { b.pool.Renew(s.Key, 77) }, true},
+	}
+	for _, place := range []string{"dial", "full socket"} {
+		for _, ev := range events {
+			t.Run(place+"/"+ev.name, func(t *testing.T) {
+				begun, goOn := make(chan struct{}), make(chan struct{})
+				s, err := standin.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
+					r.Peek(1)
+					close(begun)
+					<-goOn
+				}, func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+				dial := make(chan struct{})
+				b := newBed(t)
+				b.pool.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					<-dial
+					c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+					if err == nil {
+						c.(*net.TCPConn).SetWriteBuffer(8 << 10)
+					}
+					return c, err
+				}
+				b.list(s.Addr(), s.Addr(), s.Addr())
+				first, waits := send(1, 0, target), send(2, 0, target)
+				first.Body = make([]byte, 1<<20) // more than the sockets take
+				waits.Fill, waits.Source, waits.MaxAge, waits.NotAfter = true, source, 0, b.clock.Now()+500
+				waits.Over = new(atomic.Bool)
+				b.pool.Send(first)
+				b.pool.Send(waits)
+				if place == "full socket" { // the first fills it, and the other one has found its connection
+					close(dial)
+					<-begun
+				}
+				ev.tell(b, s.Addr(), waits)
+				if place == "dial" {
+					close(dial)
+				}
+				close(goOn)
+				e := b.ended(waits.Key)
+				if want := map[bool]control.Result{true: control.OK, false: control.Unsent}[ev.left]; e.Result != want || e.Doubt {
+					t.Errorf("ended as %+v, want %v and no doubt", e, want)
+				}
+				for _, c := range s.Calls("GET") {
+					switch {
+					case c.ID != waits.Txn:
+					case !ev.left:
+						t.Error("it reached the store all the same")
+					case ev.name == "the object is purged" && c.Fields["fresh"] != "77":
+						t.Errorf("it asks for a copy of %q ms at the most, want 77", c.Fields["fresh"])
+					}
+				}
+			})
+		}
+	}
+}
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -69,7 +69,8 @@
 	id      uint32
 	addr    string
 	gone    bool
-	ready   bool // it may be asked something new
+	ready   bool          // it may be asked something new
+	started time.Duration // the clock time of its last start; 0: long ago
 	conns   []*conn
 	dialing bool
 	failed  float64    // when a dial last failed
@@ -233,9 +234,11 @@
 			q.addr = e.Addr
 		}
 		q.gone, q.ready = e.Member.State == control.Gone, e.Member.State == control.Ready
-		if e.Member.State != control.Ready {
+		// What was decided before a new start was told is decided again: a cold store bears less.
+		if !q.ready || e.Member.Started > q.started {
 			ended = append(ended, p.retract(id)...)
 		}
+		q.started = e.Member.Started
 	}
 	for id, q := range p.peers {
 		if q.gone {
@@ -256,11 +259,7 @@
 	a := &attempt{Send: s, wire: s.Txn, member: s.To}
 	p.mu.Lock()
 	q := p.peers[s.To]
-	_, barred := p.bars[s.To]
-	if s.Fill && !barred {
-		_, barred = p.bars[s.Source]
-	}
-	if q == nil || barred || p.attempts[s.Key] != nil {
+	if p.attempts[s.Key] != nil || !p.mayLeave(a) {
 		p.mu.Unlock()
 		p.soon(core.Ended{Key: s.Key, Result: control.Unsent})
 		return
@@ -274,6 +273,28 @@
 	}
 }
 
+// mayLeave is the last check before an attempt is written, whatever it waited for since it was decided: its target and
+// the source of its fill take new work, somebody waits for it, and its key is remembered.
+func (p *Pool) mayLeave(a *attempt) bool {
+	takes := func(id uint32) bool {
+		_, barred := p.bars[id]
+		q := p.peers[id]
+		return q != nil && q.ready && !barred
+	}
+	return takes(a.member) && (!a.Fill || takes(a.Source)) && (a.Over == nil || !a.Over.Load()) &&
+		(a.NotAfter <= 0 || p.now() < a.NotAfter)
+}
+
+// Renew has an attempt that has not left ask for no older copy.
+func (p *Pool) Renew(k core.Key, maxAge float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a := p.attempts[k]; a != nil { // where it has left already, nothing reads its bytes any more
+		a.MaxAge = maxAge
+		a.bytes = encode(a.Send)
+	}
+}
+
 // Probe asks a store for its report.
 func (p *Pool) Probe(member uint32) {
 	p.mu.Lock()
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -58,6 +58,11 @@
 	b.pool.Update(s)
 }
 
+// tell tells of one store.
+func (b *bed) tell(id uint32, addr string, state control.State) {
+	b.pool.Update(core.Stores{List: []core.Store{{Addr: addr, Member: control.Member{ID: control.MemberID(id), State: state}}}})
+}
+
 // ended waits for the end of an attempt.
 func (b *bed) ended(k core.Key) core.Ended {
 	b.t.Helper()
@@ -113,6 +118,7 @@
 	b := newBed(t, s.Addr())
 	a := send(1, 0, 1)
 	a.Fill, a.Source, a.Keep, a.Join, a.Known = true, 0x2c9011f2, 2, true, "0a"
+	b.tell(0x2c9011f2, s.Addr(), control.Ready) // no source is named that no list has
 	b.pool.Send(a)
 	e := b.ended(a.Key)
 	if e.Result != control.Miss || e.Note != control.Joined || e.Lag != 12.5 || e.Load == nil || e.Load.Held != 7 || e.Load.Link != -1 {
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -140,6 +140,15 @@
 	}
 }
 
+// Renew takes back what has no connection yet, as its terms are worded already: it is decided on again.
+func (u *Upstream) Renew(k core.Key, _ float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if a := u.open[k]; a != nil && !a.left {
+		a.cancel()
+	}
+}
+
 // Bar keeps what has no connection yet from leaving for a store, and all that comes later.
 func (u *Upstream) Bar(member uint32, on bool) {
 	u.mu.Lock()
@@ -162,11 +171,17 @@
 		return end
 	}
 	var wrote atomic.Bool // some byte may have left
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		wrote.Store(true)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
 		u.mu.Lock()
+		defer u.mu.Unlock()
+		// The last moment before bytes leave: a client that has left meanwhile, and a store taken out, get none.
+		if ctx.Err() != nil || s.Over != nil && s.Over.Load() {
+			a.cancel()
+			got.Conn.Close() // the transport writes to a connection it has, whatever the context says
+			return
+		}
 		a.left = true
-		u.mu.Unlock()
+		wrote.Store(true)
 	}})
 	method := http.MethodGet
 	if len(s.Body) > 0 || s.Write {
