Test that what is held for an attempt's end is looked at again, whatever is told

Change: a table-driven test over sockets, with a store that notices nothing and a clock that stands, so that the attempt waits until all has been told.

Measured: with the core's second look and its renewal taken out, the cases of a new start and of both purges fail; drains and lists are also caught by the pool's check before the write.

--- /dev/null
+++ b/core/waiting_test.go
@@ -0,0 +1,91 @@
+package core_test
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// stores tells of some of the rig's stores as change alters them.
+func (r *rig) stores(change func(*control.Member), which ...int) {
+	list := core.Stores{}
+	for _, i := range which {
+		s := r.list.List[i]
+		change(&s.Member)
+		list.List = append(list.List, s)
+	}
+	r.core.Post(list)
+}
+
+// What is told while an attempt is held for the end of the one before it holds for it. The store notices nothing
+// meanwhile, and the clock stands, so the attempt waits until all has been told.
+func TestWhatIsHeldIsLookedAtAgain(t *testing.T) {
+	drains := func(m *control.Member) { m.State = control.Draining }
+	for _, c := range []struct {
+		name  string
+		tell  func(r *rig, over *atomic.Bool)
+		holds func(r *rig, second []standin.Call) bool // of the GETs that came after the first
+	}{
+		{"nothing", func(*rig, *atomic.Bool) {}, func(_ *rig, second []standin.Call) bool { return len(second) > 0 }},
+		{"all stores drain", func(r *rig, _ *atomic.Bool) { r.stores(drains, 0, 1, 2, 3, 4) },
+			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+		{"all stores are gone", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Stores{Whole: true}) },
+			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+		{"the sources drain", func(r *rig, _ *atomic.Bool) { r.stores(drains, 3, 4) },
+			func(_ *rig, second []standin.Call) bool {
+				for _, c := range second {
+					if c.Fields["via"] != "" {
+						return false
+					}
+				}
+				return len(second) > 0
+			}},
+		{"the caches have started anew", func(r *rig, _ *atomic.Bool) {
+			r.clock.Advance(1)
+			r.stores(func(m *control.Member) { m.Started = clock.Duration(r.clock.Now()) }, 0, 1, 2)
+		}, func(r *rig, _ []standin.Call) bool { return r.stats().Attempts > 2 }}, // decided again
+		{"the object is purged", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Purge{Object: 7, At: r.clock.Unix()}) },
+			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+		{"its group is purged", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Purge{Group: 3, At: r.clock.Unix()}) },
+			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+		{"the client leaves", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Leave{From: r, Tag: 1}) },
+			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+		{"the client leaves, which the core does not hear yet", func(_ *rig, over *atomic.Bool) { over.Store(true) },
+			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.lag.Hold()
+			var over atomic.Bool
+			txn := string(rune('a'+standin.ResetReading)) + "000000000000001"
+			r.core.Post(core.Ask{
+				From: r, Tag: 1, Txn: txn, Class: "tile", Object: 7, Name: "0000000000000007", Group: 3, SizeKB: 40,
+				At: r.clock.Now(), Left: 2500, Over: &over,
+			})
+			r.until("an attempt that waits", func() bool { return r.stats().Held == 1 })
+			c.tell(r, &over)
+			r.stats() // all that was told has been taken
+			r.lag.Notice()
+			r.until("the first given up", func() bool { return r.lag.Out(txn) == 0 })
+			idle := make(chan struct{})
+			r.core.Post(core.WhenIdle{Tell: idle})
+			r.until("end", func() bool {
+				r.clock.Advance(41)
+				r.stats()
+				select {
+				case <-idle:
+					return true
+				default:
+					return false
+				}
+			})
+			if second := r.lag.Calls()[1:]; !c.holds(r, second) {
+				t.Errorf("after the first these came: %+v; %+v", second, r.stats())
+			}
+		})
+	}
+}
