Let a client's withdrawal overtake what waits for the core on the FastCGI front

Need: a request whose client left while it waited is not sent on 0.3 s later; a withdrawal must not wait behind unread bytes of the same connection.

Seen by reading: the reader of a connection handed each request to the core itself and waited while the core's queue was full, so ABORT_REQUEST, a close or a reset behind it were read only once there was room; and what lay in that queue was sent on before the withdrawal behind it was taken.

Change: a mailbox hands requests to the core, and the reader never waits. A withdrawal takes a request back that has not been handed on, and marks one that has, so that the core passes it over.

--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -51,6 +52,7 @@
 	server front.Server
 	budget front.Budget
 	intake front.Budget
+	box    front.Mailbox[core.Event] // to the core
 	heir   atomic.Pointer[func() (*net.UnixConn, error)]
 	open   atomic.Int64 // requests without an answer, and answers not yet written
 }
@@ -73,6 +75,7 @@
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: opt.MaxTaken},
+		box: front.Mailbox[core.Event]{Post: opt.Post},
 	}
 }
 
@@ -140,8 +143,10 @@
 type request struct {
 	params []byte
 	body   []byte
-	ready  bool // its parameters are whole
-	asked  bool // the core has it
+	ready  bool          // its parameters are whole
+	asked  bool          // it is whole
+	over   *atomic.Bool  // of one that is: true once nobody waits for it
+	way    *list.Element // and its place on the way to the core
 	keep   bool
 	held   int // bytes booked with the front's intake
 	tag    uint64
@@ -212,12 +217,9 @@
 	}
 	f.open.Add(-int64(len(c.theirs)))
 	c.theirs = nil
-	var left []uint64
 	for _, q := range c.open {
 		f.intake.Give(q.held)
-		if q.asked {
-			left = append(left, q.tag)
-		}
+		c.withdraw(q)
 	}
 	f.open.Add(-int64(len(c.open) + len(c.out)))
 	c.open = map[uint16]*request{}
@@ -227,8 +229,16 @@
 	c.out = nil
 	c.mu.Unlock()
 	close(c.ended)
-	for _, tag := range left {
-		f.opt.Post(core.Leave{From: c, Tag: tag})
+}
+
+// withdraw tells that nobody waits for a request any more. It is not sent on from this moment, wherever it waits.
+func (c *conn) withdraw(q *request) {
+	if !q.asked {
+		return
+	}
+	q.over.Store(true)
+	if !c.front.box.Take(q.way) {
+		c.front.box.Put(core.Leave{From: c, Tag: q.tag})
 	}
 }
 
@@ -267,11 +277,7 @@
 		}
 		if q != nil {
 			c.forget(rec.id)
-			if q.asked {
-				c.mu.Unlock()
-				c.front.opt.Post(core.Leave{From: c, Tag: q.tag})
-				c.mu.Lock()
-			}
+			c.withdraw(q)
 			c.send(appendEnd(nil, rec.id, 1, protoComplete))
 		}
 	case typeParams:
@@ -415,10 +421,9 @@
 	case refuse:
 		c.reply(id, "503 Service Unavailable", throttle(c.front.opt.RetryAfter), nil)
 	default:
-		q.asked, q.body = true, nil
-		c.mu.Unlock()
-		c.front.opt.Post(a)
-		c.mu.Lock()
+		q.asked, q.body, q.over = true, nil, new(atomic.Bool)
+		a.Over = q.over
+		q.way = c.front.box.Put(a)
 	}
 	return nil
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,7 +23,7 @@
 type Store struct {
 	// Handle words the answer to a GET; ok false leaves it unanswered. It may block: each GET has a
 	// goroutine of its own.
-	Handle func(c Call) (word, fields string, body []byte, ok bool)
+	Handle  func(c Call) (word, fields string, body []byte, ok bool)
 	reading func(r *bufio.Reader)
 
 	server // Close: GETs that Handle holds must have been let go
