See a client's withdrawal on the signed front while a claim, a pipeline or a pause waits

Seen by reading: the reader of a connection made the claim of a single-use token itself, up to a second, and sent the request on behind it though the client had left; with four answers owed it read nothing, so a close behind them was never seen; behind 'Connection: close' a reset did not count as leaving; and a claimed request whose client had left before anything was sent was sent all the same.

Change: claims are made beside the reader; while a pipeline or a pause keeps it from reading it asks the socket whether the other side has hung up; every end but the linger's counts as leaving. A claimed request is owed an end (Ask.Owed): one that was not sent on ends as deserted and its claim is given back; one that was goes to its end, and no further attempt leaves. An answer's Ran counts attempts that may have reached a store, no longer those proven not to have.

--- a/core/relay.go
+++ b/core/relay.go
@@ -21,7 +21,7 @@
 
 // answer is the one place from which final answers leave.
 func (c *Core) answer(r *request, a Answer) {
-	a.Ran = len(r.attempts) > 0
+	a.Ran = r.sent()
 	switch a.Verdict {
 	case Served:
 		c.stats.Served++
--- a/core/send.go
+++ b/core/send.go
@@ -20,7 +20,7 @@
 	// Guards the promise that a request whose leave has run out, or whose client has left, starts no new attempt: the
 	// module hears that nothing was sent, and a client that waits gets its answer now.
 	if r.Over.Load() || r.expired(c.opt.Clock.Unix()) {
-		t.over = true
+		t.over, t.idle = true, true
 		r.open--
 		c.endUnsent(r)
 		c.tell(control.Outcome{ID: r.id, Attempt: t.key.N, Member: a.To, Result: control.Unsent, Closed: true})
--- a/core/takein.go
+++ b/core/takein.go
@@ -14,6 +14,9 @@
 	}
 	if a.Over.Load() { // its client left while it waited for the core
 		c.stats.Left++
+		if a.Owed {
+			a.From.Answer(a.Tag, Answer{Verdict: Failed, Reason: Deserted})
+		}
 		return
 	}
 	key := tagKey{a.From, a.Tag}
@@ -67,13 +70,21 @@
 	if r == nil {
 		return // its answer crossed the withdrawal
 	}
+	r.Over.Store(true)
+	if r.Owed && r.sent() {
+		return // what is under way goes on to its end, and no further attempt leaves
+	}
 	c.depart(r)
 }
 
 // depart ends a request whose client no longer waits.
 func (c *Core) depart(r *request) {
 	c.stats.Left++
-	c.finish(r)
+	if r.Owed {
+		c.answer(r, Answer{Verdict: Failed, Reason: Deserted})
+	} else {
+		c.finish(r)
+	}
 	c.tell(control.Left{ID: r.id})
 }
 
--- a/core/types.go
+++ b/core/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync/atomic"
 
 	"turnfork.dev/turnfork/control"
@@ -38,6 +39,7 @@
 	Expired             // its leave to be sent on ran out
 	NoKey               // its class is keyed, and it has no key
 	NoStore             // its last attempt failed
+	Deserted            // its client left before it was sent on
 )
 
 // Answer is a request's final answer.
@@ -129,6 +131,9 @@
 	// Over is set by the front as soon as the client has withdrawn, ahead of the Leave that follows: whatever the
 	// request waits for, it is not sent on. The core sets it with the final answer. Nil: the core makes one.
 	Over *atomic.Bool
+
+	// Owed says that the front is told the end also where its client has left, as it keeps account of what ran.
+	Owed bool
 }
 
 // Leave tells that the client no longer waits.
@@ -229,6 +234,11 @@
 // expired tells whether a request's leave to be sent on has run out.
 func (r *request) expired(unix float64) bool { return r.NotAfter > 0 && unix > r.NotAfter }
 
+// sent tells whether an attempt may have reached a store.
+func (r *request) sent() bool {
+	return slices.ContainsFunc(r.attempts, func(t *attempt) bool { return !t.idle && t.held == nil })
+}
+
 type attempt struct {
 	of    *request
 	key   Key
@@ -236,5 +246,6 @@
 	sent  float64
 	over  bool
 	asked bool  // its drop is under way
+	idle  bool  // it is proven that nothing of it reached a store
 	held  *Send // it waits for the attempt before it to settle
 }
--- a/front/signed/guard.go
+++ b/front/signed/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/front"
 	"turnfork.dev/turnfork/limits"
 	"turnfork.dev/turnfork/token"
 )
@@ -38,18 +39,27 @@
 }
 
 // slow keeps a connection whose source fails unread for a moment. All that it asked is answered by then: what waits is
-// what it has not been asked yet.
-func (c *conn) slow() {
+// what it has not been asked yet. It tells whether the client is still there.
+func (c *conn) slow() (stays bool) {
 	f := c.front
 	pause := f.guard.Pause(c.source, f.opt.Clock.Now())
 	if pause <= 0 {
-		return
+		return true
 	}
-	t := time.NewTimer(clock.Duration(pause))
+	t, look := time.NewTimer(clock.Duration(pause)), time.NewTicker(hungUpLook)
 	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-c.ended:
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+			if front.HungUp(c.net) {
+				return false
+			}
+		case <-t.C:
+			return true
+		case <-c.ended:
+			return true
+		}
 	}
 }
 
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -78,6 +78,7 @@
 	firstMost    = 12000.0          // ms that a new connection may say nothing
 	idleMost     = 60000.0          // ms without a request
 	writeLimit   = 5 * time.Second
+	hungUpLook   = 100 * time.Millisecond // at whether a client has left whose requests are not read for now
 	pipelineMost = 4
 	intakeMost   = 8 << 20     // bodies of requests without an answer, on all connections
 	claimMargin  = 60000       // ms that a claim outlives expiry and leeway
@@ -96,6 +97,7 @@
 	ring    atomic.Pointer[ring.Ring]
 	policy  atomic.Pointer[Policy]
 	open    atomic.Int64
+	box     front.Mailbox[core.Event] // to the core
 	release chan struct{}
 	dates   atomic.Pointer[dateText]
 	guard   *limits.Guard
@@ -131,6 +133,7 @@
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
 		guard: limits.NewGuard(guardOf(opt.Guard)), limits: limits.New(opt.Limits), sampler: limits.NewSampler(limits.Rate{PerSecond: logsMost, Burst: logsMost}),
 	}
+	f.box.Post = func(ev core.Event) { f.opt.Post(ev) }
 	for _, c := range opt.Classes {
 		f.classes[c.Name] = c
 	}
@@ -183,6 +186,7 @@
 	owner  string       // under which that use is claimed; "": it is not
 	held   int          // bytes of its body booked with the front's intake
 	asked  bool
+	over   *atomic.Bool // true once nobody waits for it
 	done   bool
 	ready  chan struct{}
 	answer []byte
@@ -201,6 +205,7 @@
 	unwritten atomic.Int64 // whole requests, or unreadable ones, whose answer is not yet written
 
 	mu   sync.Mutex
+	left bool    // the client no longer reads
 	half float64 // when the request under way must be whole; 0: none is
 	open map[uint64]*slot
 	tags uint64
@@ -266,7 +271,10 @@
 			c.drain(r)
 			return
 		}
-		c.slow()
+		if !c.slow() {
+			c.gone(nil)
+			return
+		}
 	}
 }
 
@@ -301,11 +309,11 @@
 	}
 }
 
-// drain waits for the client to close after the last answer, and tells of one that leaves before it.
+// drain waits for the client to close after the last answer, passing over what it still sends, and tells of one that
+// leaves before it.
 func (c *conn) drain(r *bufio.Reader) {
 	c.net.SetReadDeadline(time.Now().Add(lingerMost))
-	_, err := r.Peek(1)
-	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+	if _, err := io.Copy(io.Discard, r); !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gone(err)
 	}
 }
@@ -317,28 +325,39 @@
 	}
 	c.net.Close()
 	c.mu.Lock()
+	c.left = true
 	var left []uint64
 	for tag, s := range c.open {
 		s.finish(nil)
-		if s.owner != "" { // it may have run: its end is waited for, so that a replay learns of it
-			continue
-		}
+		s.over.Store(true)
 		if s.asked {
 			left = append(left, tag)
 		}
-		delete(c.open, tag)
+		if s.owner == "" { // else its end is waited for, as it may have run and a replay has to learn of it
+			delete(c.open, tag)
+		}
 	}
 	c.mu.Unlock()
 	for _, tag := range left {
-		c.front.opt.Post(core.Leave{From: c, Tag: tag})
+		c.front.box.Put(core.Leave{From: c, Tag: tag})
 	}
 }
 
+// push gives a request its place in the order of answers, or tells that its client has left. Guards against a client
+// that asks ahead and leaves: its close lies behind what is not read while its answers wait.
 func (c *conn) push(s *slot) bool {
-	select {
-	case c.queue <- s:
-		return true
-	case <-c.ended:
+	look := time.NewTicker(hungUpLook)
+	defer look.Stop()
+	for {
+		select {
+		case c.queue <- s:
+			return true
+		case <-look.C:
+			if !front.HungUp(c.net) {
+				continue
+			}
+		case <-c.ended:
+		}
 		c.front.open.Add(-1)
 		return false
 	}
@@ -487,16 +506,45 @@
 	}
 	// Validity was judged above, once; this only keeps new attempts from starting too late.
 	ask.NotAfter = grant.Until*1000 + f.policy.Load().LeewayMs
-	if (class.Write || grant.Uses == 1) && !c.claim(s, ask.Left) {
-		return
-	}
 	c.mu.Lock()
 	c.tags++
-	s.tag = c.tags
-	ask.Tag, s.asked = s.tag, true
+	s.tag, s.over = c.tags, new(atomic.Bool)
+	ask.Tag, ask.Over = s.tag, s.over
 	c.open[s.tag] = s
 	c.mu.Unlock()
-	f.opt.Post(ask)
+	if !class.Write && grant.Uses != 1 {
+		c.hand(s, ask)
+		return
+	}
+	// Guards against a client that leaves while its claim waits: the reader has to see that.
+	ask.Owed = true
+	f.open.Add(1) // who ends the process waits for the claim's end as well
+	go func() {
+		defer f.open.Add(-1)
+		if c.claim(s, ask.Left) {
+			c.hand(s, ask)
+			return
+		}
+		c.mu.Lock()
+		delete(c.open, s.tag)
+		c.mu.Unlock()
+	}()
+}
+
+// hand gives a request to the core, unless its client has left meanwhile: then its claim is given back.
+func (c *conn) hand(s *slot, ask core.Ask) {
+	c.mu.Lock()
+	s.asked = !c.left
+	if !s.asked {
+		delete(c.open, s.tag)
+	}
+	owner, asked := s.owner, s.asked
+	c.mu.Unlock()
+	if asked {
+		c.front.box.Put(ask)
+	} else if owner != "" {
+		c.front.settle(s.use, claims.Step{Op: claims.Release, Owner: owner})
+	}
 }
 
 // claim makes a write's token used before anything is sent. Without an answer from the store nothing
@@ -507,7 +555,9 @@
 		c.fail(s, 403, "bad_claim", "this class needs a token of a single use, with a jti", "")
 		return false
 	}
+	c.mu.Lock()
 	s.owner = rand.Text()
+	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(left, f.opt.ClaimMost)))
 	defer cancel()
 	until := s.until*1000 + 2*f.policy.Load().LeewayMs + claimMargin
--- /dev/null
+++ b/front/signed/withdraw_test.go
@@ -0,0 +1,94 @@
+package signed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/core"
+)
+
+// gated holds each claim up until it may go on.
+type gated struct {
+	*book
+	came, goOn chan struct{}
+}
+
+func (g *gated) Step(ctx context.Context, name string, step claims.Step) (claims.Record, bool, error) {
+	if step.Op == claims.Hold {
+		g.came <- struct{}{}
+		<-g.goOn
+	}
+	return g.book.Step(context.Background(), name, step) // granted, however late
+}
+
+// A client that leaves is seen wherever its request waits: for its claim, behind answers that are not written yet, and
+// after its last request. What was not sent on by then is not, and its claim is given back.
+func TestWithdrawalIsSeenWhereverARequestWaits(t *testing.T) {
+	ways := map[string]func(c *net.TCPConn){
+		"close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	}
+	for way, leave := range ways {
+		for _, place := range []string{"claim", "pipeline", "last request"} {
+			t.Run(place+"/"+way, func(t *testing.T) {
+				d := newDepot(t)
+				f := d.fronts[0]
+				gate := &gated{book: d.book, came: make(chan struct{}, 16), goOn: make(chan struct{})}
+				f.opt.Claims = gate
+				asked := make(chan core.Ask, 16)
+				f.opt.Post = func(ev core.Event) {
+					if a, ok := ev.(core.Ask); ok {
+						asked <- a
+					}
+				}
+				nc, err := net.Dial("tcp", d.addrs[0])
+				if err != nil {
+					t.Fatal(err)
+				}
+				more, requests := "", 1
+				switch place {
+				case "last request":
+					more = "Connection: close\r\n"
+				case "pipeline":
+					requests = pipelineMost + 4
+				}
+				fmt.Fprint(nc, strings.Repeat(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s\r\n", d.url, more), requests))
+				<-gate.came
+				var ask core.Ask
+				if place != "claim" {
+					close(gate.goOn)
+					ask = <-asked
+				}
+				leave(nc.(*net.TCPConn))
+				until := func(what string, ok func() bool) {
+					for limit := time.Now().Add(20 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+						if time.Now().After(limit) {
+							t.Fatalf("never: %s", what)
+						}
+					}
+				}
+				until("the end of the connection", func() bool { return f.Conns() == 0 })
+				if place == "claim" {
+					close(gate.goOn)
+				} else {
+					until("the mark", ask.Over.Load)
+					ask.From.Answer(ask.Tag, core.Answer{Verdict: core.Failed, Reason: core.Deserted}) // as the core does
+				}
+				until("all settled", func() bool { return f.Open() == 0 })
+				if stage := d.book.stage(d.name); stage != "" {
+					t.Errorf("the claim of what was never sent stands at %q", stage)
+				}
+				select {
+				case a := <-asked:
+					t.Errorf("handed on though its client had left: %+v", a)
+				default:
+				}
+			})
+		}
+	}
+}
--- a/front/unread.go
+++ b/front/unread.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // unread tells whether bytes wait in the machine for this side to read them. A connection that can't tell, such
@@ -23,3 +25,22 @@
 	})
 	return waits
 }
+
+// HungUp tells whether the other side has closed or reset a connection, also behind bytes that are not read yet. A
+// connection that can't tell counts as open.
+func HungUp(c net.Conn) (gone bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		gone = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return gone || err != nil
+}
