Answer whatever is in hand before the platform kills a process that ends

Need: what a process took is answered before SIGKILL, which comes 0.7 s after the longest deadline, a longer one than 3 s counting as 3 s.

Seen by reading: the time to end was counted from the longer of the two, so a process with deadlines of 5 s waited until 1.85 s after the kill, and one with 0.5 s until 2.35 s after it. When its time was up it closed the connections under whatever was still in hand.

Change: the time follows the protocol (the longest deadline, 3 s at most, and 0.55 s), and when it is up the core has the module give up every request in hand, refused or failed as its class allows, and refuses what still comes; then the process ends. TestIDInHandIsRefused read its answers beside their writer, which the race detector found once: it takes the lock.

Measured: TestStopAnswersWhatIsInHand, eight cases with real processes (an attempt out at a store that hangs, safe and unsafe; after a reset; half a request; a connection accepted and unread; one that comes afterwards; asked twice; with SIGHUP).

--- /dev/null
+++ b/cmd/turnfork/stop_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// oneStore is a configuration with one store in a list that no change log alters. Clients wait ten times as long as the
+// deadline of their class, by which the platform counts the time that a process has to end. Nothing may be cancelled, so
+// what is out at a store that hangs stays out.
+const oneStore = `{"name":"n1","listen":"127.0.0.1:0","seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+"known":{"seq":1,"results":[{"seq":1,"fleet":{"version":1,"full":true,"servers":[{"id":"s-00000007","addr":%q,"zone":"edge",
+"kind":"box","cell":0,"state":"Ready","weight":100,"started_ms":0}]}}]},"settings":{"az":1,"balancers":1,"zones":["hub","edge"],
+"kinds":["box","parent","origin"],"quantum":0.002,"classes":[{"name":"firmware","aim":0.4,"deadline":0.5,"repeat":"free","worth":1},
+{"name":"ride-end","aim":0.4,"deadline":0.5,"repeat":"never","worth":1}],
+"allowed":{"max-attempts":8,"cancel":false,"dial-timeout":0.4,"idle-close":15,"max-open":1000},
+"family-info":{"origin-kind":2,"shield-kind":1,"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all"}}}`
+
+// Whatever is in hand when a process is asked to end gets its answer, and the process ends by itself.
+func TestStopAnswersWhatIsInHand(t *testing.T) {
+	bin := build(t)
+	type session struct {
+		p *program
+		c net.Conn
+		s *standin.Laggard
+	}
+	came := func(t *testing.T, s *standin.Laggard, id uint16, n int) {
+		for limit := time.Now().Add(20 * time.Second); s.Gets(fmt.Sprintf("%016x", id)) < n; time.Sleep(time.Millisecond) {
+			if time.Now().After(limit) {
+				t.Fatal("no attempt came")
+			}
+		}
+	}
+	hang := func(standin.Call, int) standin.Way { return standin.Hang }
+	good := func(standin.Call, int) standin.Way { return standin.Good }
+	term := func(s session) { s.p.cmd.Process.Signal(syscall.SIGTERM) }
+	for _, c := range []struct {
+		name string
+		way  func(standin.Call, int) standin.Way
+		act  func(t *testing.T, s session) net.Conn // asks for request 1, and for the end; where its answer comes
+		want string
+	}{
+		{"an attempt is out at a store that hangs", hang, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("firmware", 1))
+			came(t, s.s, 1, 1)
+			term(s)
+			return s.c
+		}, "503"},
+		{"what must not run twice is out", hang, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("ride-end", 1))
+			came(t, s.s, 1, 1)
+			term(s)
+			return s.c
+		}, "50"}, // failed, with no promise: 502 or 504
+		{"an attempt follows one whose connection broke", func(_ standin.Call, n int) standin.Way {
+			if n == 0 {
+				return standin.ResetReading
+			}
+			return standin.Hang
+		}, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("firmware", 1))
+			came(t, s.s, 1, 1)
+			term(s) // the next one is held or out by now
+			return s.c
+		}, "503"},
+		{"half a request is read", good, func(t *testing.T, s session) net.Conn {
+			whole := get("firmware", 1)
+			s.c.Write(whole[:len(whole)/2])
+			term(s)
+			s.p.await(t, "asked to stop")
+			s.c.Write(whole[len(whole)/2:])
+			return s.c
+		}, "200"},
+		{"a connection is accepted and unread", good, func(t *testing.T, s session) net.Conn {
+			term(s)
+			s.p.await(t, "asked to stop")
+			s.c.Write(get("firmware", 1))
+			return s.c
+		}, "200"},
+		{"a new connection comes afterwards", good, func(t *testing.T, s session) net.Conn {
+			term(s)
+			s.p.await(t, "asked to stop")
+			c, err := net.Dial("tcp", s.p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write(get("firmware", 1))
+			return c
+		}, "200"},
+		{"it is asked twice", hang, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("firmware", 1))
+			came(t, s.s, 1, 1)
+			term(s)
+			s.p.await(t, "asked to stop")
+			term(s)
+			return s.c
+		}, "503"},
+		{"a configuration is to be read as well", hang, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("firmware", 1))
+			came(t, s.s, 1, 1)
+			s.p.cmd.Process.Signal(syscall.SIGHUP)
+			term(s)
+			s.p.cmd.Process.Signal(syscall.SIGHUP)
+			return s.c
+		}, "503"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			lag, err := standin.NewLaggard(1, c.way)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer lag.Close()
+			conf := filepath.Join(t.TempDir(), "config.json")
+			os.WriteFile(conf, fmt.Appendf(nil, oneStore, lag.Addrs[0]), 0o600)
+			p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"})
+			nc, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer nc.Close()
+			from := c.act(t, session{p, nc, lag})
+			from.SetDeadline(time.Now().Add(20 * time.Second))
+			id, text := answer(t, bufio.NewReader(from))
+			if id != 1 || !strings.HasPrefix(text, "Status: "+c.want) || c.want == "50" && strings.HasPrefix(text, "Status: 503") {
+				t.Errorf("%d %q, want %s\n%s", id, text, c.want, p.lines())
+			}
+			if err := <-p.done; err != nil {
+				t.Errorf("exit: %v\n%s", err, p.lines())
+			}
+		})
+	}
+}
--- a/control/explain.go
+++ b/control/explain.go
@@ -41,3 +41,6 @@
 	}
 	return 0
 }
+
+// TimeUp is the event that a request's time has run out, which gives it up at once.
+func TimeUp(id RequestID) Woken { return Woken{Token: uint64(id)<<8 | timerDeadline} }
--- a/core/core.go
+++ b/core/core.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,6 +60,7 @@
 	probes   map[uint32]float64 // member to the time its probe left
 	stats    Stats
 	idle     []chan<- struct{} // told once no request is in hand
+	ending   bool              // nothing more is taken
 }
 
 // Stats counts what the core has done since its start.
@@ -178,6 +181,13 @@
 		c.bar(ev)
 	case Share:
 		c.tell(control.Shared{Processes: ev.Processes})
+	case GiveUp:
+		c.ending = true
+		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+			if !c.requests[id].answered {
+				c.tell(control.TimeUp(id))
+			}
+		}
 	case WhenIdle:
 		c.idle = append(c.idle, ev.Tell)
 	case Query:
--- a/core/overlap_test.go
+++ b/core/overlap_test.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// answerTo gives the answer to a request that has one.
+func (r *rig) answerTo(tag uint64) core.Answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answers[tag][0]
+}
+
 func (r *rig) answered(tag uint64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -220,7 +227,7 @@
 	served := 0
 	for i := uint64(2); i < tag; i++ {
 		r.until("answer", func() bool { return r.answered(i) == 1 })
-		switch a := r.answers[i][0]; {
+		switch a := r.answerTo(i); {
 		case a.Verdict == core.Served:
 			served++
 		case a.Verdict != core.Refused || a.Reason != core.Taken || a.RetryAfter <= 0:
--- a/core/takein.go
+++ b/core/takein.go
@@ -32,6 +32,11 @@
 		a.From.Answer(a.Tag, Answer{Verdict: Refused, Reason: Taken, RetryAfter: takenAgain})
 		return
 	}
+	if c.ending {
+		c.stats.Refused++
+		a.From.Answer(a.Tag, Answer{Verdict: Refused, Reason: Ending, RetryAfter: takenAgain})
+		return
+	}
 	class, ok := c.classes[a.Class]
 	if !ok {
 		c.stats.Failed++
--- a/core/trace.go
+++ b/core/trace.go
@@ -11,7 +11,7 @@
 
 var (
 	verdictNames = [...]string{"served", "same", "refused", "failed"}
-	reasonNames  = [...]string{"", "given-up", "deadline", "unknown-class", "crowded", "taken", "expired", "no-key", "no-store", "deserted"}
+	reasonNames  = [...]string{"", "given-up", "deadline", "unknown-class", "crowded", "taken", "expired", "no-key", "no-store", "deserted", "ending"}
 )
 
 func (v Verdict) String() string {
--- a/core/types.go
+++ b/core/types.go
@@ -40,6 +40,7 @@
 	NoKey               // its class is keyed, and it has no key
 	NoStore             // its last attempt failed
 	Deserted            // its client left before it was sent on
+	Ending              // the process ends
 )
 
 // Answer is a request's final answer.
@@ -195,6 +196,10 @@
 // ErrUnknown says that no list has named a store.
 var ErrUnknown = errors.New("core: no list has named this store")
 
+// GiveUp has every request in hand given up at once, each with its final answer, and all that comes later refused: the
+// process ends.
+type GiveUp struct{}
+
 // WhenIdle has Tell closed once no request is in hand.
 type WhenIdle struct{ Tell chan<- struct{} }
 
@@ -210,6 +215,7 @@
 func (Purge) event()    {}
 func (Bar) event()      {}
 func (Share) event()    {}
+func (GiveUp) event()   {}
 func (WhenIdle) event() {}
 func (Query) event()    {}
 
--- a/turnfork.go
+++ b/turnfork.go
@@ -60,7 +60,9 @@
 const (
 	probeTimeout  = 240.0                   // ms
 	stopAccepting = 1000 * time.Millisecond // after the signal; connections keep coming for a while
-	stopSlack     = 550 * time.Millisecond  // beyond the longest deadline, before the platform kills
+	killLongest   = 3 * time.Second         // for which the platform takes a longer deadline when it asks a process to end
+	stopSlack     = 550 * time.Millisecond  // beyond that; the platform kills 0.7 s beyond it
+	stopWritten   = 100 * time.Millisecond  // for the answers to what is given up then
 	memoryPart    = 0.6                     // of the memory limit, for the collector to aim at
 	ownSockets    = 16                      // descriptors for all but callers, clients and stores
 	callerPart    = 1.0 / 16                // of the descriptors, for operators' calls
@@ -326,10 +328,11 @@
 		case <-ctx.Done():
 		case <-cfg.Stop:
 			if own.stop() {
-				leave(ctx, cfg, listeners, fronts, relatives.Heir(), longest(node))
+				leave(ctx, cfg, listeners, fronts, relatives.Heir(), stopWithin(node))
 			} else {
-				drain(ctx, cfg, listeners, addrs.Fronts.Open, longest(node))
+				drain(ctx, cfg, listeners, addrs.Fronts.Open, stopWithin(node))
 			}
+			giveUp(ctx, c, addrs.Fronts.Open)
 			end()
 		}
 		return nil
@@ -404,7 +407,7 @@
 // long as the platform allows.
 func drain(ctx context.Context, cfg Config, listeners []net.Listener, open func() int, most time.Duration) {
 	cfg.Log.Info().Msg("asked to stop")
-	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	wait(ctx, stopAccepting)
 	for _, l := range listeners {
@@ -416,6 +419,22 @@
 	wait(ctx, 20*time.Millisecond) // the last answer's way out
 }
 
+// giveUp answers what is still in hand when the time of a process that ends is up: who waits longer than the platform
+// lets it live hears at once that it may come again, and not the end of its connection.
+func giveUp(ctx context.Context, c *core.Core, open func() int) {
+	if open() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stopWritten)
+	defer cancel()
+	if c.Order(ctx, core.GiveUp{}) != nil {
+		return
+	}
+	for ctx.Err() == nil && open() > 0 {
+		wait(ctx, 2*time.Millisecond)
+	}
+}
+
 // inherit takes the connections that another process hands over, until ctx ends.
 func inherit(ctx context.Context, l *net.UnixListener, adopt func(*net.UnixConn)) {
 	defer context.AfterFunc(ctx, func() { l.Close() })()
@@ -438,7 +457,7 @@
 	ctx context.Context, cfg Config, listeners []net.Listener, fronts []serving, heir func() (*net.UnixConn, error), most time.Duration,
 ) {
 	cfg.Log.Info().Msg("asked to stop; another process serves")
-	ctx, cancel := context.WithTimeout(ctx, most+stopSlack)
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	for _, l := range listeners {
 		l.Close()
@@ -505,9 +524,10 @@
 	return clock.Ms(n.Settings.MaxRetryAfter)
 }
 
-func longest(n config.Node) (most time.Duration) {
+// stopWithin is the time that a process has to answer what it took once it is asked to end.
+func stopWithin(n config.Node) (most time.Duration) {
 	for _, c := range n.Settings.Classes {
 		most = max(most, c.Deadline)
 	}
-	return max(most, 3*time.Second)
+	return min(most, killLongest) + stopSlack
 }
