Test a change log's rare moments, and name the feed's address once for each try

Need: open watches fall silent, break off, repeat, go back, leave numbers out or move in the middle of a frame.

Found by the test under the race detector: the goroutine of a try read the feed's address and number while the move set or logged them, so that a try could start at the new address before the old one had ended. A change log that says something and closes at once was dialled again without any pause.

Change: a try has its address from the start and the log line names no number; only a connection that stood for the least pause is dialled again at once. Feed.Silent lets tests wait less than 1.8 s.

--- a/changelog/changelog.go
+++ b/changelog/changelog.go
@@ -2,6 +2,7 @@
 package changelog
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -219,6 +220,8 @@
 	Log   zerolog.Logger
 	// Caught is told each time the change log says that it has nothing new; nil: nobody asks.
 	Caught func()
+	// Silent is how long the change log may say nothing until it is asked anew; 0: 1.8 s, as it speaks every second.
+	Silent time.Duration
 
 	gap uint64 // the first number that was left out when the feed was last asked for it
 }
@@ -234,9 +237,10 @@
 			done = make(chan struct{})
 		)
 		try, stop := context.WithCancel(ctx)
+		since, addr := time.Now(), f.Addr // which until sets anew meanwhile
 		go func() {
 			defer close(done)
-			got, err = f.follow(try, f.Addr)
+			got, err = f.follow(try, addr)
 		}()
 		moved := f.until(ctx, done, nil)
 		stop()
@@ -249,7 +253,7 @@
 		}
 		if !moved {
 			f.Log.Warn().Err(err).Uint64("seq", f.Seq).Msg("change log broke off")
-			if got {
+			if got && time.Since(since) >= redialMin {
 				continue // it was there a moment ago: ask again at once
 			}
 			moved = f.until(ctx, nil, time.After(pause/2+rand.N(pause)))
@@ -274,7 +278,7 @@
 			return false
 		case m := <-f.Moves:
 			if m.Addr != f.Addr {
-				f.Log.Info().Str("from", f.Addr).Str("to", m.Addr).Uint64("seq", f.Seq).Msg("change log moves")
+				f.Log.Info().Str("from", f.Addr).Str("to", m.Addr).Msg("change log moves")
 				f.Addr = m.Addr
 				return true
 			}
@@ -283,10 +287,13 @@
 }
 
 // pieces reads a connection on which frames may come in pieces of any size: silence ends it, not a slow frame.
-type pieces struct{ net.Conn }
+type pieces struct {
+	net.Conn
+	silent time.Duration
+}
 
 func (p pieces) Read(b []byte) (int, error) {
-	p.SetReadDeadline(time.Now().Add(silentMost))
+	p.SetReadDeadline(time.Now().Add(p.silent))
 	return p.Conn.Read(b)
 }
 
@@ -302,7 +309,7 @@
 		return false, err
 	}
 	for {
-		fr, err := ReadFrame(pieces{c})
+		fr, err := ReadFrame(pieces{c, cmp.Or(f.Silent, silentMost)})
 		if err != nil {
 			return got, err
 		}
--- a/changelog/changelog_test.go
+++ b/changelog/changelog_test.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"io"
 	"net"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/control"
@@ -167,6 +169,110 @@
 	}
 }
 
+// Whatever a change log does between two events, each one arrives, once and in order, and it is asked for what follows
+// the last one held. A connection that a row leaves open falls silent at the end of it.
+func TestEachEventOnce(t *testing.T) {
+	purge := func(n byte) []byte { return frame(uint64(n), kindGroup, []byte{0, n, 0, 0, 0, 0, 0, 0, 0, 8}) }
+	list := func(n byte, kind byte) []byte { return frame(uint64(n), kind, storeRecord) }
+	type try struct {
+		says  []byte
+		close bool
+	}
+	for _, c := range []struct {
+		name  string
+		tries []try
+		moves bool // to another address after the first, which then says the rest of its frame
+		asked []uint64
+		want  int // events from 6 on
+	}{
+		{"silent from the start", []try{{}, {says: purge(6)}}, false, []uint64{5, 5}, 1},
+		{"silent just before a drain", []try{{says: purge(6)}, {says: list(7, kindChanges)}}, false, []uint64{5, 6}, 2},
+		{"silent in the middle of a frame", []try{{says: purge(6)[:11]}, {says: purge(6)}}, false, []uint64{5, 5}, 1},
+		{"silent, and the next ones close at once", []try{{}, {close: true}, {close: true}, {close: true}, {says: purge(6)}}, false,
+			[]uint64{5, 5, 5, 5, 5}, 1},
+		{"cut in the middle of a frame, and a drain comes first", []try{{says: purge(6)[:11], close: true}, {says: append(list(6, kindChanges), purge(7)...)}},
+			false, []uint64{5, 5}, 2},
+		{"it repeats and goes back", []try{{says: slices.Concat(purge(6), purge(6), purge(4), purge(7), purge(6), purge(8))}}, false, []uint64{5}, 3},
+		{"it goes back on a new connection", []try{{says: purge(6), close: true}, {says: slices.Concat(purge(5), purge(6), purge(7))}}, false, []uint64{5, 6}, 2},
+		{"a whole list after changes", []try{{says: slices.Concat(list(6, kindChanges), list(7, kindWhole))}}, false, []uint64{5}, 2},
+		{"a number is left out, and told when asked again", []try{{says: slices.Concat(purge(6), purge(8))}, {says: slices.Concat(purge(7), purge(8))}},
+			false, []uint64{5, 6}, 3},
+		{"it moves in the middle of a frame", []try{{says: purge(6)[:11]}, {says: slices.Concat(purge(6), purge(7))}}, true, []uint64{5, 5}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			asked, first := make(chan uint64, 64), make(chan net.Conn, 1)
+			serve := func(tries []try) string {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { l.Close() })
+				go func() {
+					for i := 0; ; i++ {
+						conn, err := l.Accept()
+						if err != nil {
+							return
+						}
+						t.Cleanup(func() { conn.Close() })
+						var b [8]byte
+						io.ReadFull(conn, b[:])
+						asked <- binary.BigEndian.Uint64(b[:])
+						if i >= len(tries) {
+							continue // silent for good
+						}
+						if conn.Write(tries[i].says); tries[i].close {
+							conn.Close()
+						}
+						select {
+						case first <- conn:
+						default:
+						}
+					}
+				}()
+				return l.Addr().String()
+			}
+			got, moves := make(chan core.Event, 64), make(chan Move)
+			f := &Feed{Seq: 5, Moves: moves, Silent: 100 * time.Millisecond, Post: func(ev core.Event) { got <- ev }, Log: zerolog.Nop()}
+			next := ""
+			if c.moves {
+				f.Silent = time.Minute
+				f.Addr, next = serve(c.tries[:1]), serve(c.tries[1:])
+			} else {
+				f.Addr = serve(c.tries)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			t.Cleanup(func() { cancel(); <-done })
+			go func() { defer close(done); f.Run(ctx) }()
+			if c.moves {
+				old := <-first
+				moves <- Move{next}
+				old.Write(purge(6)[11:])
+			}
+			for i := range c.want {
+				ev := <-got
+				if p, ok := ev.(core.Purge); ok && int(p.Group) != 6+i {
+					t.Errorf("event %d is %+v", 6+i, ev)
+				}
+			}
+			for i, want := range c.asked {
+				// What the old address said in the moment of the move may have been heard or not.
+				if n := <-asked; n != want && !(c.moves && i == 1 && n == want+1) {
+					t.Errorf("time %d asked from %d, not %d", i, n, want)
+				}
+			}
+			if !c.moves {
+				if n := <-asked; n != uint64(5+c.want) { // once it is silent again
+					t.Errorf("asked from %d at last", n)
+				}
+			}
+			if len(got) > 0 {
+				t.Errorf("more events came: %+v", <-got)
+			}
+		})
+	}
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add(frame(41, kindWhole, storeRecord))
 	f.Add(frame(1, kindGroup, []byte{1}))
