Name every setting that makes no sense, and remember IDs for as long as requests last

Seen by reading: negative graces, spans, aims, worths and key times were taken; a class without a name or with another's was never asked for or asked for wrongly; an ID given up was used again on its connection after 10 s whatever the longest deadline is, when an answer to the earlier attempt may still come.

Change: each is refused by name; IDs are remembered for the longest deadline of the settings, 10 s at least. The claims test waits for a member's port, which this machine may have lent to another connection (seen once: address already in use).

--- a/claims_test.go
+++ b/claims_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -117,7 +118,12 @@
 
 func (c *trio) listen(addr string) net.Listener {
 	c.Helper()
+	// The port of a member that has ended may be lent to another connection of this machine for a while.
 	l, err := net.Listen("tcp", addr)
+	for limit := time.Now().Add(20 * time.Second); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(limit); {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp", addr)
+	}
 	if err != nil {
 		c.Fatal(err)
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
 	"turnfork.dev/turnfork/changelog"
@@ -149,9 +150,15 @@
 	if err := json.Unmarshal(raw.Settings, &more); err != nil {
 		return n, fmt.Errorf("config: settings: %w", err)
 	}
-	for _, c := range more.Classes {
+	for i, c := range more.Classes {
+		if c.Name == "" || slices.Contains(n.Classes, c.Name) { // requests name their class
+			return n, fmt.Errorf("config: settings: classes[%d].name: %q is empty or another class's", i, c.Name)
+		}
 		n.Classes = append(n.Classes, c.Name)
 	}
+	if more.Allowed.DialTimeout < 0 || more.Allowed.IdleClose < 0 || more.Allowed.MaxOpen < 0 || more.Allowed.Streams < 0 {
+		return n, fmt.Errorf("config: settings: allowed: dial-timeout, idle-close, max-open or streams-per-conn is negative")
+	}
 	n.MaxOpen, n.Streams = more.Allowed.MaxOpen, more.Allowed.Streams
 	n.DialTimeout, n.IdleClose = more.Allowed.DialTimeout*1000, more.Allowed.IdleClose*1000
 	if n.DialTimeout <= 0 {
--- a/control/state.go
+++ b/control/state.go
@@ -249,11 +249,41 @@
 	case !finite(s.ClientKBps):
 		return fmt.Errorf("control: ClientKBps: %v is not 0 or more", s.ClientKBps)
 	}
-	for i, class := range s.Classes {
-		if class.Deadline <= 0 {
-			return fmt.Errorf("control: Classes[%d].Deadline: %v is not positive", i, class.Deadline)
+	for _, t := range []struct {
+		field string
+		value time.Duration
+	}{
+		{"Quantum", s.Quantum}, {"MaxRetryAfter", s.MaxRetryAfter}, {"DrainGrace", s.DrainGrace}, {"ColdFor", s.ColdFor},
+		{"FallFor", s.FallFor}, {"ParentColdFor", s.ParentColdFor}, {"PurgeGrace", s.PurgeGrace}, {"PurgeDone", s.PurgeDone},
+	} {
+		if t.value < 0 {
+			return fmt.Errorf("control: %s: %v is negative", t.field, t.value)
 		}
 	}
+	for i := range s.Classes {
+		if err := s.Classes[i].check(); err != nil {
+			return fmt.Errorf("control: Classes[%d].%w", i, err)
+		}
+	}
+	return nil
+}
+
+// check names the first value of a class that makes no sense.
+func (k *Class) check() error {
+	for _, v := range []struct {
+		field string
+		value float64
+	}{
+		{"Aim", k.Aim.Seconds()}, {"AimStretch", k.AimStretch}, {"Worth", k.Worth}, {"LateWorth", k.LateWorth},
+		{"KeyFor", k.KeyFor.Seconds()}, {"Fresh", k.Fresh.Seconds()}, {"StaleFor", k.StaleFor.Seconds()}, {"StaleWorth", k.StaleWorth},
+	} {
+		if !finite(v.value) {
+			return fmt.Errorf("%s: %v is not 0 or more", v.field, v.value)
+		}
+	}
+	if k.Deadline <= 0 {
+		return fmt.Errorf("Deadline: %v is not positive", k.Deadline)
+	}
 	return nil
 }
 
--- a/turnfork.go
+++ b/turnfork.go
@@ -141,7 +141,7 @@
 	}
 	pool := resp.New(resp.Options{
 		DialTimeout: node.DialTimeout, IdleClose: node.IdleClose, ProbeTimeout: probeTimeout, Streams: node.Streams,
-		MaxConns: room.upstream, Clock: cfg.Clock, Log: cfg.Log,
+		MaxConns: room.upstream, Longest: clock.Ms(longest(node)), Clock: cfg.Clock, Log: cfg.Log,
 	}, post)
 	defer pool.Close()
 	up.Upstream = pool
@@ -525,9 +525,12 @@
 }
 
 // stopWithin is the time that a process has to answer what it took once it is asked to end.
-func stopWithin(n config.Node) (most time.Duration) {
+func stopWithin(n config.Node) time.Duration { return min(longest(n), killLongest) + stopSlack }
+
+// longest is the longest deadline of the classes.
+func longest(n config.Node) (most time.Duration) {
 	for _, c := range n.Settings.Classes {
 		most = max(most, c.Deadline)
 	}
-	return min(most, killLongest) + stopSlack
+	return most
 }
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -44,7 +44,7 @@
 
 const (
 	staleMost = 4096    // IDs remembered; a connection with more takes no new work
-	staleFor  = 10000.0 // ms for which they are: longer than any request lasts
+	staleFor  = 10000.0 // ms for which they are, unless requests last longer
 
 	batchMost = 16 << 10 // bytes written at once, and the last chunk's beyond that
 
@@ -83,7 +83,7 @@
 // forget drops the IDs for which no answer can still come.
 func (c *conn) forget(now float64) {
 	for id, at := range c.stale {
-		if now-at > staleFor {
+		if now-at > max(staleFor, c.pool.opt.Longest) {
 			delete(c.stale, id)
 		}
 	}
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -93,3 +93,23 @@
 		}
 	}
 }
+
+// An ID is not used again on a connection as long as an answer to an earlier attempt may still come, which the longest
+// deadline of the settings bounds.
+func TestIDsAreRememberedForTheLongestRequest(t *testing.T) {
+	for _, c := range []struct {
+		longest, after float64
+		used           bool
+	}{{500, 9999, true}, {500, 10001, false}, {60000, 10001, true}, {60000, 59999, true}, {60000, 60001, false}} {
+		b := newBed(t)
+		b.pool.opt.Longest = c.longest
+		near, far := net.Pipe()
+		defer far.Close()
+		conn := newConn(b.pool, &peer{}, near)
+		conn.retire("a")
+		conn.forget(b.clock.Now() + c.after)
+		if conn.used("a") != c.used {
+			t.Errorf("longest %v, after %v: in use %t", c.longest, c.after, !c.used)
+		}
+	}
+}
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -23,6 +23,7 @@
 	ProbeTimeout float64 // ms
 	Streams      int     // attempts on one connection
 	MaxConns     int     // connections in all
+	Longest      float64 // ms that a request lasts at the most
 	Clock        *clock.Clock
 	Log          zerolog.Logger
 	Dial         func(ctx context.Context, network, addr string) (net.Conn, error) // nil: net.Dialer
