Test what becomes of a request whose client has left, and of all in hand when a process ends

Change: tests alone. A request that was marked before the core took it in is not sent; what failed after its client left is not sent again; a front that keeps account is told the end, and whether something may have run. Giving up answers each request in hand once, refused or failed as its class allows, with advice, and nothing more is taken.

--- a/core/core_test.go
+++ b/core/core_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -319,3 +320,67 @@
 		}
 	})
 }
+
+// A client that leaves before its request is sent on is not served by any store; where the front keeps account of what ran
+// it is told the end, which says whether something may have.
+func TestEndOfWhatIsDeserted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		owed   bool
+		before bool            // the client has left before the core takes the request in
+		result *control.Result // of the attempt that was out when it left
+		sends  int
+		want   []Answer
+	}{
+		{"left before it was taken in", false, true, nil, 0, nil},
+		{"left before it was taken in, owed", true, true, nil, 0, []Answer{{Verdict: Failed, Reason: Deserted}}},
+		{"left, then served", false, false, new(control.OK), 1, nil},
+		{"left, then served, owed", true, false, new(control.OK), 1, []Answer{{Verdict: Served, Ran: true}}},
+		{"left, then full", false, false, new(control.Full), 1, nil},
+		{"left, then full, owed", true, false, new(control.Full), 1, []Answer{{Verdict: Failed, Reason: Deserted, Ran: true}}},
+		{"left, then never sent, owed", true, false, new(control.Unsent), 1, []Answer{{Verdict: Failed, Reason: Deserted}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core, w, clk := newCore(t)
+			a := ask(w, 1, "tile", clk.Now())
+			a.Owed, a.Over = c.owed, new(atomic.Bool)
+			a.Over.Store(c.before)
+			core.Handle(a)
+			core.Handle(Leave{From: w, Tag: 1})
+			if c.result != nil {
+				delete(w.out[w.sends[0].ID], 0)
+				core.Handle(Ended{Key: w.sends[0].Key, Result: *c.result})
+			}
+			for range 100 {
+				clk.Advance(10)
+				core.Tick()
+			}
+			got := w.answers[1]
+			same := len(got) == len(c.want)
+			for i := range got {
+				same = same && got[i].Verdict == c.want[i].Verdict && got[i].Reason == c.want[i].Reason && got[i].Ran == c.want[i].Ran
+			}
+			if len(w.sends) != c.sends || !same {
+				t.Errorf("%d attempts, answers %+v, want %d and %+v", len(w.sends), got, c.sends, c.want)
+			}
+		})
+	}
+}
+
+// Where the process ends, each request in hand has its answer at once, as its class allows, and nothing more is taken.
+func TestGiveUpAnswersAllInHand(t *testing.T) {
+	c, w, clk := newCore(t)
+	for tag, class := range map[uint64]string{1: "tile", 2: "ride-end", 3: "tile"} {
+		c.Handle(ask(w, tag, class, clk.Now()))
+	}
+	c.Handle(GiveUp{})
+	c.Handle(ask(w, 4, "tile", clk.Now()))
+	for tag, want := range map[uint64]Verdict{1: Refused, 2: Failed, 3: Refused, 4: Refused} {
+		if got := w.answers[tag]; len(got) != 1 || got[0].Verdict != want || want == Refused && got[0].RetryAfter <= 0 {
+			t.Errorf("%d: %+v", tag, got)
+		}
+	}
+	if w.answers[4][0].Reason != Ending || len(w.sends) != 3 {
+		t.Errorf("%+v, %d attempts", w.answers[4], len(w.sends))
+	}
+}
