--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -71,6 +71,12 @@
 	return stale || c.open[wire] != nil
 }
 
+// idle tells whether the connection has been unused for so long that its store may close it. Guards against a request
+// that meets that close, also between two sweeps.
+func (c *conn) idle() bool {
+	return c.pool.opt.IdleClose > 0 && c.pool.now()-c.lastUse > idlePart*c.pool.opt.IdleClose
+}
+
 // retire keeps an ID from being used here again for a while.
 func (c *conn) retire(wire string) {
 	if len(c.stale) < staleMost {
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -113,3 +113,27 @@
 		}
 	}
 }
+
+// A connection that its store may be closing gets nothing more, however soon after that moment it is asked for.
+func TestNothingMeetsTheIdleClose(t *testing.T) {
+	conns := make(chan struct{}, 8)
+	s, err := standin.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
+		func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t)
+	b.pool.opt.IdleClose, b.pool.opt.MaxConns = 1000, 10 // two to a store
+	b.list(s.Addr())
+	for i, wait := range []float64{0, 799, 801} { // since the answer before
+		b.clock.Advance(wait)
+		b.pool.Send(send(i+1, 0, 1))
+		if e := b.ended(core.Key{ID: control.RequestID(i + 1)}); e.Result != control.OK {
+			t.Fatalf("%+v", e)
+		}
+	}
+	if n := len(conns); n != 2 {
+		t.Errorf("%d connections for a first request, one within the time and one past it, want 2", n)
+	}
+}
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -414,7 +414,7 @@
 	}
 	c := q.pick(a.wire, p.opt.Streams)
 	more := c == nil || len(c.open) >= fewOpen && p.now() > q.failed+dialAgain
-	if more && !q.dialing && p.conns < p.opt.MaxConns && len(q.conns) < p.perPeer() {
+	if more && !q.dialing && p.conns < p.opt.MaxConns && q.kept() < p.perPeer() {
 		q.dialing = true
 		p.conns++
 		p.wg.Add(1)
@@ -448,7 +448,7 @@
 		return len(a.open) < len(b.open)
 	}
 	for _, c := range q.conns {
-		if !c.leaving && !c.broken && len(c.open) < streams && c.queued < queuedMost && !c.used(wire) &&
+		if !c.leaving && !c.broken && !c.idle() && len(c.open) < streams && c.queued < queuedMost && !c.used(wire) &&
 			(best == nil || better(c, best)) {
 			best = c
 		}
@@ -456,6 +456,16 @@
 	return best
 }
 
+// kept counts a store's connections, but for those that close as soon as their reader has seen it.
+func (q *peer) kept() (n int) {
+	for _, c := range q.conns {
+		if !c.leaving && !c.idle() || len(c.open) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // dial brings a connection up: for all that waits for one, or for one attempt alone.
 func (p *Pool) dial(q *peer, addr string, alone *attempt) {
 	defer p.wg.Done()
@@ -531,14 +541,13 @@
 		for id, q := range p.peers {
 			for _, c := range q.conns {
 				c.forget(now)
-				idle := p.opt.IdleClose > 0 && now-c.lastUse > idlePart*p.opt.IdleClose
 				// A connection on which work was given up and nothing has come since may lead to a
 				// machine that vanished: new work asks with a new connection, whose failure proves that
 				// nothing ran.
 				if c.silentSince > 0 && now-c.silentSince > silentMost {
 					c.leaving = true
 				}
-				if idle {
+				if c.idle() {
 					c.leaving = true
 				}
 				if c.leaving && now-c.lastUse > proofFor { // silent: what its DROPs did stays in doubt
