--- a/front/unread.go
+++ b/front/unread.go
@@ -7,9 +7,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// unread tells whether bytes wait in the machine for this side to read them. A connection that can't tell, such
-// as a stand-in or one that is recorded, counts as read.
-func unread(c net.Conn) (waits bool) {
+// control calls f with a connection's descriptor, or tells that it has none, such as a stand-in or one that is recorded.
+func control(c net.Conn, f func(fd int)) (ok bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -18,9 +17,14 @@
 	if err != nil {
 		return false
 	}
-	raw.Control(func(fd uintptr) {
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
+}
+
+// unread tells whether bytes wait in the machine for this side to read them. A connection that can't tell counts as read.
+func unread(c net.Conn) (waits bool) {
+	control(c, func(fd int) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waits = err == nil && n > 0
 	})
 	return waits
@@ -29,18 +33,10 @@
 // HungUp tells whether the other side has closed or reset a connection, also behind bytes that are not read yet. A
 // connection that can't tell counts as open.
 func HungUp(c net.Conn) (gone bool) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) {
+	control(c, func(fd int) {
 		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(p, 0)
 		gone = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return gone || err != nil
+	return gone
 }
--- a/upstream/both/both.go
+++ b/upstream/both/both.go
@@ -38,29 +38,21 @@
 	u.Rest.Send(s)
 }
 
-// Drop gives an attempt up.
-func (u *Upstream) Drop(k core.Key, as control.Result) {
+// of gives the upstream that has an attempt.
+func (u *Upstream) of(k core.Key) core.Upstream {
 	u.mu.Lock()
-	_, first := u.first[k]
-	u.mu.Unlock()
-	if first {
-		u.First.Drop(k, as)
-		return
+	defer u.mu.Unlock()
+	if _, first := u.first[k]; first {
+		return u.First
 	}
-	u.Rest.Drop(k, as)
+	return u.Rest
 }
 
+// Drop gives an attempt up.
+func (u *Upstream) Drop(k core.Key, as control.Result) { u.of(k).Drop(k, as) }
+
 // Renew has an attempt that has not left ask for no older copy.
-func (u *Upstream) Renew(k core.Key, maxAge float64) {
-	u.mu.Lock()
-	_, first := u.first[k]
-	u.mu.Unlock()
-	if first {
-		u.First.Renew(k, maxAge)
-		return
-	}
-	u.Rest.Renew(k, maxAge)
-}
+func (u *Upstream) Renew(k core.Key, maxAge float64) { u.of(k).Renew(k, maxAge) }
 
 // Probe asks a store.
 func (u *Upstream) Probe(member uint32) {
