Test that what waits for a connection to an HTTP store is looked at again

Need: the other upstream's place among those where a request waits.

Change: a test over HTTP with one connection, which another request has until all is told: the client leaves, the store is taken out, the object is purged.

Measured: -race -count=10 in 1.2 s; with the check at the connection and the renewal taken out on a scratch copy the cases of the client and of the purge fail or panic.

--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -215,3 +215,51 @@
 		t.Errorf("%d more requests came", len(came))
 	}
 }
+
+// What is told while an attempt waits for a connection holds for it. The store has one connection, which another request
+// has until all is told.
+func TestWhatWaitsForAConnectionIsLookedAtAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		tell func(u *Upstream, s core.Send)
+		left bool
+	}{
+		"nothing":              {func(*Upstream, core.Send) {}, true},
+		"the client leaves":    {func(_ *Upstream, s core.Send) { s.Over.Store(true) }, false},
+		"the store is out":     {func(u *Upstream, s core.Send) { u.Bar(s.To, true) }, false},
+		"the object is purged": {func(u *Upstream, s core.Send) { u.Renew(s.Key, 77) }, false}, // decided on again
+		"another is purged":    {func(u *Upstream, s core.Send) { u.Renew(core.Key{ID: 9}, 77) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var waits atomic.Int64
+			came, goOn := make(chan struct{}, 2), make(chan struct{})
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.Contains(r.URL.Path, "/second/") {
+					waits.Add(1)
+					return
+				}
+				came <- struct{}{}
+				<-goOn
+			}))
+			defer srv.Close()
+			ended := make(chan core.Ended, 2)
+			u := New(Options{Stores: map[uint32]Store{1: {Base: srv.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
+				Clock: clock.Manual(1e12), Log: zerolog.Nop()}, func(ev core.Event) { ended <- ev.(core.Ended) })
+			defer u.Close()
+			u.Send(core.Send{Key: core.Key{ID: 1}, To: 1, Class: "first", Name: "a"})
+			<-came
+			second := core.Send{Key: core.Key{ID: 2}, To: 1, Class: "second", Name: "a", Over: new(atomic.Bool)}
+			u.Send(second)
+			c.tell(u, second)
+			close(goOn)
+			for range 2 {
+				e := <-ended
+				if want := map[bool]control.Result{true: control.OK, false: control.Unsent}[c.left || e.ID == 1]; e.Result != want || e.Doubt {
+					t.Errorf("%d ended as %+v, want %v", e.ID, e, want)
+				}
+			}
+			if got := waits.Load() == 1; got != c.left {
+				t.Errorf("it reached the store: %t", got)
+			}
+		})
+	}
+}
