Reuse the writer's buffer, and go through the requests in hand in one order

The new writer made a buffer for every write, where the old one kept one; giving up and taking back held attempts each went through the requests by a loop of its own, the second in a random order, so that the module could decide differently on the same events.

Change: a connection keeps its writer's buffer up to 1 MB as before; core.inHand gives both loops the requests in the order in which they came.

Measured: -race of core, both upstreams, cmd/turnfork and the root passes. Behaviour stays.

--- a/core/core.go
+++ b/core/core.go
@@ -6,6 +6,7 @@
 package core
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"errors"
@@ -183,9 +184,9 @@
 		c.tell(control.Shared{Processes: ev.Processes})
 	case GiveUp:
 		c.ending = true
-		for _, id := range slices.Sorted(maps.Keys(c.requests)) {
-			if !c.requests[id].answered {
-				c.tell(control.TimeUp(id))
+		for _, r := range c.inHand() {
+			if !r.answered {
+				c.tell(control.TimeUp(r.id))
 			}
 		}
 	case WhenIdle:
@@ -201,6 +202,11 @@
 	}
 }
 
+// inHand gives the requests in the order in which they came, so that the module hears of them in the same one each time.
+func (c *Core) inHand() []*request {
+	return slices.SortedFunc(maps.Values(c.requests), func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+}
+
 // retractHeld takes back what waits for an attempt before it and was decided on a word of its store or source that no
 // longer holds: one that takes nothing new any more, or that has started anew and bears less. The module decides again.
 func (c *Core) retractHeld(list Stores) {
@@ -208,11 +214,14 @@
 	for _, s := range list.List {
 		named[uint32(s.Member.ID)] = s.Member
 	}
-	for _, r := range c.requests {
-		if len(r.attempts) == 0 || r.attempts[len(r.attempts)-1].held == nil {
+	for _, r := range c.inHand() {
+		if len(r.attempts) == 0 {
 			continue
 		}
 		t := r.attempts[len(r.attempts)-1]
+		if t.held == nil {
+			continue
+		}
 		for _, id := range []uint32{t.held.To, t.held.Source} {
 			m, told := named[id]
 			if told && (m.State != control.Ready || clock.Ms(m.Started) > t.sent) || !told && list.Whole {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -23,6 +23,7 @@
 	stale   map[string]float64    // IDs that an answer may still come for, and since when
 	proofs  map[string][]core.Key // by the tag of a PING behind their DROPs
 	out     []chunk
+	buf     []byte // the writer's own
 	queued  int
 	wake    chan struct{}
 	leaving bool // takes no new work
@@ -46,7 +47,8 @@
 	staleMost = 4096    // IDs remembered; a connection with more takes no new work
 	staleFor  = 10000.0 // ms for which they are, unless requests last longer
 
-	batchMost = 16 << 10 // bytes written at once, and the last chunk's beyond that
+	batchMost  = 16 << 10 // bytes written at once, and the last chunk's beyond that
+	bufferMost = 1 << 20  // bytes that a writer keeps room for
 
 	proofsMost = 4 // PINGs behind DROPs that may be open on a connection
 )
@@ -193,12 +195,12 @@
 		for _, ev := range ended {
 			p.post(ev)
 		}
-		var buf []byte
+		c.buf = c.buf[:0]
 		for _, k := range batch {
-			buf = append(buf, k.bytes...)
+			c.buf = append(c.buf, k.bytes...)
 		}
-		if n, failed = 0, nil; len(buf) > 0 {
-			n, failed = write(buf)
+		if n, failed = 0, nil; len(c.buf) > 0 {
+			n, failed = write(c.buf)
 		}
 		if !errors.Is(failed, syscall.EAGAIN) {
 			return true
@@ -209,6 +211,9 @@
 		batch, n, failed = nil, 0, nil
 		return false
 	})
+	if cap(c.buf) > bufferMost {
+		c.buf = nil
+	}
 	if err == nil {
 		err = failed
 	}
