Hold no pool while a connection to a store closes, as its writer may wait for the pool

Cause: since the writer looks at what waits once more inside the connection's descriptor (whenWritable), it takes the pool's lock while it has hold of the descriptor. A close waits until nobody has, and closeIfDone, Update and Pool.Close closed under that same lock: the close waited for the writer and the writer for the lock, and with the lock every send, answer and list of the gateway stood still for good. It needs a writer that was woken with nothing left to write (what waited was taken back, or left with the batch before) in the moment in which its connection is done.

Seen: a new test hung under the race detector about every second run; its dump showed FD.Close waiting in Pool.Close and the writer in nextBatch. Ruled out: the test's own store (the dump has it waiting in accept and read alone), and the same shape elsewhere: front and fastcgi ask a descriptor under Control, whose callbacks take no lock.

Change: what is done closes in a goroutine of its own, once; Pool.Close collects under the lock and closes without it.

--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -27,6 +27,7 @@
 	queued  int
 	wake    chan struct{}
 	leaving bool // takes no new work
+	closing bool // its close is under way
 	broken  bool
 	heard   float64 // last answer
 	lastUse float64
@@ -157,10 +158,12 @@
 }
 
 // closeIfDone closes a connection that takes no more work once its work has ended, and the store has told that it has
-// read the DROPs or has had the time for it.
+// read the DROPs or has had the time for it. Guards against the close and the writer waiting for each other: a close ends
+// once nobody has hold of the descriptor, and a writer that has may be waiting for the pool, which the caller holds.
 func (c *conn) closeIfDone() {
-	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && len(c.proofs) == 0 && !c.broken {
-		c.net.Close() // the reader takes it off the peer
+	if c.leaving && len(c.open) == 0 && len(c.out) == 0 && len(c.proofs) == 0 && !c.broken && !c.closing {
+		c.closing = true
+		c.pool.wg.Go(func() { c.net.Close() }) // the reader takes it off the peer
 	}
 }
 
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -5,8 +5,12 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/standin"
@@ -137,3 +141,84 @@
 		t.Errorf("%d connections for a first request, one within the time and one past it, want 2", n)
 	}
 }
+
+// watched is a connection that holds its writer up where it has hold of the descriptor, and tells of its close.
+type watched struct {
+	*net.TCPConn
+	armed               atomic.Bool
+	taken, goOn, closes chan struct{}
+}
+
+func (w *watched) Close() error {
+	select {
+	case w.closes <- struct{}{}:
+	default:
+	}
+	return w.TCPConn.Close()
+}
+
+func (w *watched) SyscallConn() (syscall.RawConn, error) {
+	raw, err := w.TCPConn.SyscallConn()
+	return watchedRaw{raw, w}, err
+}
+
+type watchedRaw struct {
+	syscall.RawConn
+	of *watched
+}
+
+func (w watchedRaw) Write(f func(fd uintptr) bool) error {
+	return w.RawConn.Write(func(fd uintptr) bool {
+		if w.of.armed.CompareAndSwap(true, false) {
+			close(w.of.taken)
+			<-w.of.goOn
+		}
+		return f(fd)
+	})
+}
+
+// A close waits for who has hold of the descriptor, and that may be a writer that waits for the pool: so the pool must
+// not be held meanwhile.
+func TestCloseHoldsNoPool(t *testing.T) {
+	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for how, shut := range map[string]func(p *Pool){
+		"a connection is done": func(p *Pool) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.peers[1].conns[0].leaving = true
+			p.peers[1].conns[0].closeIfDone()
+		},
+		"the store is gone": func(p *Pool) { p.Update(core.Stores{Whole: true}) },
+		"the pool ends":     (*Pool).Close,
+	} {
+		w := &watched{taken: make(chan struct{}), goOn: make(chan struct{}), closes: make(chan struct{}, 1)}
+		ended := make(chan core.Event, 8)
+		p := New(Options{DialTimeout: 5000, Streams: 100, MaxConns: 40, Clock: clock.Manual(1e12), Log: zerolog.Nop(),
+			Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+				w.TCPConn, _ = c.(*net.TCPConn)
+				return w, err
+			}}, func(ev core.Event) { ended <- ev })
+		p.Update(core.Stores{Whole: true, List: []core.Store{{Addr: s.Addr(), Member: control.Member{ID: 1, State: control.Ready}}}})
+		p.Send(send(1, 0, 1))
+		<-ended
+		p.mu.Lock()
+		w.armed.Store(true)
+		p.peers[1].conns[0].wake <- struct{}{} // with nothing to write, as after what was taken back
+		p.mu.Unlock()
+		<-w.taken
+		done := make(chan struct{})
+		go func() { shut(p); p.Close(); close(done) }()
+		<-w.closes
+		close(w.goOn)
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second): // only a hung program meets it
+			t.Errorf("%s: the close and the writer wait for each other", how)
+		}
+	}
+}
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -124,13 +124,15 @@
 // Close closes every connection and waits for the pool's goroutines.
 func (p *Pool) Close() {
 	p.stop()
+	var open []*conn
 	p.mu.Lock()
 	for _, q := range p.peers {
-		for _, c := range q.conns {
-			c.net.Close()
-		}
+		open = append(open, q.conns...)
 	}
 	p.mu.Unlock()
+	for _, c := range open {
+		c.net.Close()
+	}
 	p.wg.Wait()
 }
 
