Follow to a store in doubt only once it reads; no PING or DROP where forbidden

Cause 1: after a DROP or a close the next attempt left after 40 ms, proven or not, also for the store of the attempt before (core/settle.go, leaveOrHold and late). A store that has stopped finds both once it goes on, in any order.

Cause 2: PINGs behind DROPs were written whatever the settings allow. Where giving up is not allowed, an attempt that ran out of time still had a DROP written.

Change: an end in doubt stays so for its own store until that store has answered something written afterwards: the PING behind the DROP, or one that core.Upstream's Confirm asks for, shared by all that wait for it to leave. Without an answer the held attempt ends as unsent and the module decides again, which goes elsewhere. Other stores are as before. PINGs and DROPs follow allowed.probes and allowed.cancel; without probes, and for HTTP stores, time has to do as before.

--- a/core/core.go
+++ b/core/core.go
@@ -164,6 +164,8 @@
 		c.book(ev)
 	case Settled:
 		c.settled(ev)
+	case Confirmed:
+		c.confirmed(ev)
 	case Probed:
 		c.bookProbe(ev)
 	case Stores:
--- a/core/settle.go
+++ b/core/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"turnfork.dev/turnfork/control"
 )
@@ -11,7 +12,9 @@
 // take up what was written to another a moment later first, and then it has the same request twice. So the end of an
 // attempt is in doubt until a word from the store, written behind the DROP, proves that it was read, or until this
 // time has passed. The module hears of the end and decides at once; only the send of a further attempt waits, so
-// neither a refusal nor a failure is held back by it.
+// neither a refusal nor a failure is held back by it. At the store of that end itself no time is enough, as a store
+// that has stopped finds all that was written to it once it goes on, in any order: there the next attempt leaves only
+// once the store has shown that it reads.
 const settleMost = 40.0
 
 // doubt is an attempt's end of which its store may not know yet.
@@ -27,13 +30,19 @@
 // itself made by closing the connection has given up all that was open there, and there time is for the way.
 func (c *Core) doubt(r *request, t *attempt, e Ended) {
 	word := r.keyed && e.Result != control.Broken
+	t.doubt = true
 	r.doubt = doubt{key: e.Key, from: c.now(), until: c.now() + c.opt.Settle, word: word}
 	heap.Push(&c.timers, timer{at: r.doubt.until, of: t, free: true})
 }
 
 // leaveOrHold has an attempt leave once the one before it has settled.
 func (c *Core) leaveOrHold(t *attempt, s Send) {
-	if d := t.of.doubt; d.until <= c.now() && !d.word {
+	for _, x := range t.of.attempts {
+		if x.doubt && x.to == s.To && !c.up.Confirm(x.key, x.to) {
+			x.doubt = false // time has to do
+		}
+	}
+	if c.mayFollow(t.of, s.To) {
 		c.up.Send(s)
 		return
 	}
@@ -44,12 +53,41 @@
 	}
 }
 
+// mayFollow tells whether the next attempt of a request may leave for a store.
+func (c *Core) mayFollow(r *request, to uint32) bool {
+	return r.doubt.until <= c.now() && !r.doubt.word &&
+		!slices.ContainsFunc(r.attempts, func(x *attempt) bool { return x.doubt && x.to == to })
+}
+
+// confirmed takes a store's word that it reads what is written to it now, or that none is to be had: then what waits
+// for it never leaves, and the module decides again.
+func (c *Core) confirmed(ev Confirmed) {
+	for _, k := range ev.Keys {
+		r := c.requests[k.ID]
+		if r == nil || k.N >= len(r.attempts) || !r.attempts[k.N].doubt {
+			continue
+		}
+		x, last := r.attempts[k.N], r.attempts[len(r.attempts)-1]
+		c.traceConfirm(r, k, ev.Silent)
+		switch {
+		case !ev.Silent:
+			x.doubt = false
+			c.release(last)
+		case last.held != nil && last.to == x.to:
+			c.unsent(last)
+		}
+	}
+}
+
 // settled takes a store's word that it knows of an attempt's end.
 func (c *Core) settled(s Settled) {
 	r := c.requests[s.ID]
 	if r == nil {
 		return
 	}
+	if s.N < len(r.attempts) {
+		r.attempts[s.N].doubt = false
+	}
 	if last := r.attempts[len(r.attempts)-1]; last.held != nil && r.doubt.key == s.Key {
 		c.stats.Settled++
 	}
@@ -67,11 +105,10 @@
 
 // settle ends the doubt in an attempt's end, by a store's word or by time.
 func (c *Core) settle(r *request, k Key) {
-	if r.doubt.until == 0 || r.doubt.key != k {
-		return
+	if r.doubt.until != 0 && r.doubt.key == k {
+		c.traceSettle(r, k)
+		r.doubt = doubt{}
 	}
-	c.traceSettle(r, k)
-	r.doubt = doubt{}
 	c.release(r.attempts[len(r.attempts)-1])
 }
 
@@ -83,6 +120,7 @@
 	case t.of.Over.Load() || t.of.expired(c.opt.Clock.Unix()):
 		c.endUnsent(t.of)
 		c.unsent(t)
+	case !c.mayFollow(t.of, t.to):
 	default:
 		s := *t.held
 		t.held = nil
--- a/core/takein.go
+++ b/core/takein.go
@@ -77,6 +77,7 @@
 	}
 	r.Over.Store(true)
 	if r.Owed && r.sent() {
+		c.traceLeave(r)
 		return // what is under way goes on to its end, and no further attempt leaves
 	}
 	c.depart(r)
@@ -85,6 +86,7 @@
 // depart ends a request whose client no longer waits.
 func (c *Core) depart(r *request) {
 	c.stats.Left++
+	c.traceLeave(r)
 	if r.Owed {
 		c.answer(r, Answer{Verdict: Failed, Reason: Deserted})
 	} else {
--- a/core/trace.go
+++ b/core/trace.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// traceConfirm tells what a store that an attempt ended at has shown since, for a further attempt there.
+func (c *Core) traceConfirm(r *request, k Key, silent bool) {
+	if c.tracing() {
+		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Bool("silent", silent).Msg("confirmed")
+	}
+}
+
+// traceLeave tells how long a request whose client has left waited, in ms, and whether one of its attempts may have
+// reached a store by then. An "attempt" of the same Txn later on would be a request sent on for nobody.
+func (c *Core) traceLeave(r *request) {
+	if c.tracing() {
+		c.opt.Log.Debug().Str("txn", r.Txn).Int("attempts", len(r.attempts)).Bool("sent", r.sent()).
+			Float64("ms", c.now()-r.At).Msg("left")
+	}
+}
+
 func (c *Core) traceProbe(p Probed, ms float64) {
 	if c.tracing() {
 		c.opt.Log.Debug().Uint32("member", p.Member).Stringer("result", p.Result).Float64("ms", ms).Msg("probed")
--- a/core/types.go
+++ b/core/types.go
@@ -66,6 +66,9 @@
 	Drop(k Key, as control.Result)
 	// Renew has an attempt that has not left ask for no copy older than maxAge ms, as its object was purged since.
 	Renew(k Key, maxAge float64)
+	// Confirm has a store show that it reads what is written to it now, once an attempt there has ended in doubt; a
+	// Settled or a Confirmed follows. False: stores of this kind can't be asked.
+	Confirm(k Key, member uint32) bool
 	// Probe asks a store for its report; exactly one Probed follows.
 	Probe(member uint32)
 	// Update tells of the stores. What has not left for one that takes no new work any more does not leave.
@@ -161,6 +164,13 @@
 // Settled tells that the store has noticed the end of an attempt that ended in doubt.
 type Settled struct{ Key }
 
+// Confirmed tells that a store has answered what was written to it after the ends of attempts, though not on their
+// connection, or with Silent that no answer is to be had.
+type Confirmed struct {
+	Keys   []Key
+	Silent bool
+}
+
 // Probed tells how a probe ended.
 type Probed struct {
 	Member uint32
@@ -206,18 +216,19 @@
 // Query asks for the counts; Reply must have room for one.
 type Query struct{ Reply chan<- Stats }
 
-func (Ask) event()      {}
-func (Leave) event()    {}
-func (Ended) event()    {}
-func (Settled) event()  {}
-func (Probed) event()   {}
-func (Stores) event()   {}
-func (Purge) event()    {}
-func (Bar) event()      {}
-func (Share) event()    {}
-func (GiveUp) event()   {}
-func (WhenIdle) event() {}
-func (Query) event()    {}
+func (Ask) event()       {}
+func (Leave) event()     {}
+func (Ended) event()     {}
+func (Settled) event()   {}
+func (Confirmed) event() {}
+func (Probed) event()    {}
+func (Stores) event()    {}
+func (Purge) event()     {}
+func (Bar) event()       {}
+func (Share) event()     {}
+func (GiveUp) event()    {}
+func (WhenIdle) event()  {}
+func (Query) event()     {}
 
 type tagKey struct {
 	from Front
@@ -254,4 +265,5 @@
 	asked bool  // its drop is under way
 	idle  bool  // it is proven that nothing of it reached a store
 	held  *Send // it waits for the attempt before it to settle
+	doubt bool  // it has ended, and its store has shown nothing since: no further attempt leaves for there
 }
--- a/internal/standin/laggard.go
+++ b/internal/standin/laggard.go
@@ -35,15 +35,19 @@
 	mu    sync.Mutex
 	gate  *sync.Cond
 	held  bool
+	deaf  bool           // PINGs wait as well, until all ends that have come are noticed
+	ends  int            // that have come and are not noticed
 	out   map[string]int // attempts that are out, by ID
 	gets  map[string]int // GETs that came
 	calls []Call         // the same, in the order in which they came
 	twice int
+	same  int // of them, those at the store that had the other
+	at    map[[2]string]int
 }
 
 // NewLaggard starts so many stores. way tells how the GET number n of an ID ends, from 0.
 func NewLaggard(stores int, way func(c Call, n int) Way) (*Laggard, error) {
-	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}}
+	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}, at: map[[2]string]int{}}
 	s.gate = sync.NewCond(&s.mu)
 	for range stores {
 		l, err := s.listen("127.0.0.1:0", s.serve)
@@ -59,7 +63,16 @@
 // Hold has the stores notice nothing until Notice.
 func (s *Laggard) Hold() { s.set(true) }
 
-// Notice ends Hold.
+// Stop is Hold for stores that are asked in vain whether they read: PINGs have no answer either until Notice. What comes
+// behind a DROP or a PING on their connections is taken up meanwhile.
+func (s *Laggard) Stop() {
+	s.mu.Lock()
+	s.deaf = true
+	s.mu.Unlock()
+	s.Hold()
+}
+
+// Notice ends Hold and Stop.
 func (s *Laggard) Notice() { s.set(false) }
 
 func (s *Laggard) set(held bool) {
@@ -69,6 +82,13 @@
 	s.gate.Broadcast()
 }
 
+// Unnoticed counts the DROPs and ends of connections that have come and wait for Notice.
+func (s *Laggard) Unnoticed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ends
+}
+
 // Twice counts the GETs that came for a request of which another was out.
 func (s *Laggard) Twice() int {
 	s.mu.Lock()
@@ -76,6 +96,13 @@
 	return s.twice
 }
 
+// TwiceAtOne counts those that came to the store that had the other.
+func (s *Laggard) TwiceAtOne() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.same
+}
+
 // Out counts the attempts of an ID that are out.
 func (s *Laggard) Out(id string) int {
 	s.mu.Lock()
@@ -105,10 +132,12 @@
 
 func (s *Laggard) serve(c net.Conn) {
 	mine := map[string]int{} // attempts out on this connection
+	here := func(id string) [2]string { return [2]string{c.LocalAddr().String(), id} }
 	end := func(id string) {
 		if mine[id] > 0 {
 			mine[id]--
 			s.out[id]--
+			s.at[here(id)]--
 		}
 	}
 	defer func() { // the end of the connection, noticed late
@@ -131,13 +160,26 @@
 		s.mu.Lock()
 		switch call.Verb {
 		case "DROP":
-			s.wait()
-			end(call.ID)
+			if !s.deaf {
+				s.wait()
+				end(call.ID)
+				break
+			}
+			s.wg.Go(func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.wait()
+				end(call.ID)
+			})
 		case "GET":
 			if s.out[call.ID] > 0 {
 				s.twice++
 			}
+			if s.at[here(call.ID)] > 0 {
+				s.same++
+			}
 			s.out[call.ID]++
+			s.at[here(call.ID)]++
 			mine[call.ID]++
 			way := s.way(call, s.gets[call.ID])
 			s.gets[call.ID]++
@@ -149,8 +191,13 @@
 			act(c, call.ID, way)
 			s.mu.Lock()
 		default:
+			deaf := s.deaf
 			s.mu.Unlock()
-			write(c, call.ID, "READY")
+			if deaf {
+				s.wg.Go(func() { s.noticed(); write(c, call.ID, "READY") })
+			} else {
+				write(c, call.ID, "READY")
+			}
 			s.mu.Lock()
 		}
 		s.mu.Unlock()
@@ -159,9 +206,21 @@
 
 // wait holds until the store may notice; the lock is held on entry and return.
 func (s *Laggard) wait() {
+	s.ends++
 	for s.held {
 		s.gate.Wait()
 	}
+	s.ends--
+	s.gate.Broadcast()
+}
+
+// noticed returns once no end that has come waits to be noticed.
+func (s *Laggard) noticed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.held || s.ends > 0 {
+		s.gate.Wait()
+	}
 }
 
 func write(c net.Conn, id, word string) {
--- a/turnfork.go
+++ b/turnfork.go
@@ -141,7 +141,8 @@
 	}
 	pool := resp.New(resp.Options{
 		DialTimeout: node.DialTimeout, IdleClose: node.IdleClose, ProbeTimeout: probeTimeout, Streams: node.Streams,
-		MaxConns: room.upstream, Longest: clock.Ms(longest(node)), Clock: cfg.Clock, Log: cfg.Log,
+		MaxConns: room.upstream, Longest: clock.Ms(longest(node)), NoProbes: !node.Settings.CanProbe,
+		NoDrops: !node.Settings.CanCancel, Clock: cfg.Clock, Log: cfg.Log,
 	}, post)
 	defer pool.Close()
 	up.Upstream = pool
--- a/upstream/both/both.go
+++ b/upstream/both/both.go
@@ -54,15 +54,20 @@
 // Renew has an attempt that has not left ask for no older copy.
 func (u *Upstream) Renew(k core.Key, maxAge float64) { u.of(k).Renew(k, maxAge) }
 
-// Probe asks a store.
-func (u *Upstream) Probe(member uint32) {
+// at gives the upstream that reaches a store.
+func (u *Upstream) at(member uint32) core.Upstream {
 	if u.First.Has(member) {
-		u.First.Probe(member)
-		return
+		return u.First
 	}
-	u.Rest.Probe(member)
+	return u.Rest
 }
 
+// Confirm has a store show that it reads.
+func (u *Upstream) Confirm(k core.Key, member uint32) bool { return u.at(member).Confirm(k, member) }
+
+// Probe asks a store.
+func (u *Upstream) Probe(member uint32) { u.at(member).Probe(member) }
+
 // Update tells both of the stores.
 func (u *Upstream) Update(s core.Stores) {
 	u.First.Update(s)
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -130,7 +130,7 @@
 // proves that it has read them. A store that takes nothing new is not asked, nor one that leaves several such questions open.
 func (c *conn) prove(drops []core.Key) (tag string) {
 	_, barred := c.pool.bars[c.peer.id]
-	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= proofsMost {
+	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= proofsMost || c.pool.opt.NoProbes {
 		return ""
 	}
 	c.pool.probes++
@@ -139,6 +139,15 @@
 	return tag
 }
 
+// unproven gives up the PINGs behind DROPs that have no answer yet.
+func (c *conn) unproven() (ended []core.Event) {
+	for _, keys := range c.proofs {
+		ended = append(ended, core.Confirmed{Keys: keys, Silent: true})
+	}
+	clear(c.proofs)
+	return ended
+}
+
 // suspect notes that an attempt is given up; it counts as silence if nothing was heard since it was
 // written, a good while ago. Where the store has answered on another connection since, it is this one that
 // serves no further use.
@@ -392,6 +401,7 @@
 			ended = append(ended, ev)
 		}
 	}
+	ended = append(ended, c.unproven()...)
 	expected := c.leaving || p.ctx.Err() != nil
 	close(c.wake)
 	c.wake = nil
@@ -422,6 +432,9 @@
 		// is whole and harms nothing. Guards against one of them costing every request on the connection.
 		return nil, nil, nil
 	}
+	if t.confirms != nil {
+		return p.end(t, control.OK), nil, nil
+	}
 	if t.probe {
 		ev := p.end(t, control.Errored)
 		if got, ok := ev.(core.Probed); ok {
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -142,6 +142,104 @@
 	}
 }
 
+// Nothing is written that the settings do not allow: no PING, which is a probe, and no DROP, which gives up.
+func TestOnlyWhatSettingsAllowIsWritten(t *testing.T) {
+	for _, x := range []struct {
+		noProbes, noDrops bool
+		pings, drops      int
+	}{{false, false, 1, 1}, {true, false, 0, 1}, {false, true, 0, 0}, {true, true, 0, 0}} {
+		hold := make(chan struct{})
+		s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+			if c.ID == send(1, 0, 1).Txn {
+				<-hold
+			}
+			return "ACK", "tag=0a,minted=1", nil, true
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b := newBed(t, s.Addr())
+		b.pool.opt.NoProbes, b.pool.opt.NoDrops, b.pool.opt.MaxConns = x.noProbes, x.noDrops, 1
+		k := send(1, 0, 1).Key
+		b.pool.Send(send(1, 0, 1))
+		b.until("attempt", func() bool { return len(s.Calls("GET")) == 1 })
+		b.pool.Drop(k, control.TimedOut)
+		if e := b.ended(k); e.Result != control.TimedOut || !e.Doubt {
+			t.Errorf("%+v: %+v", x, e)
+		}
+		b.pool.Send(send(1, 1, 1)) // the same ID: an answer that comes now may be the first one's
+		if e := b.ended(send(1, 1, 1).Key); e.Result != control.Unsent {
+			t.Errorf("%+v: the next attempt ended as %v on the connection of the first", x, e.Result)
+		}
+		close(hold)
+		b.pool.Send(send(2, 0, 1)) // the store reads it behind all that was written before
+		if e := b.ended(send(2, 0, 1).Key); e.Result != control.OK {
+			t.Errorf("%+v: %+v", x, e)
+		}
+		if p, d := len(s.Calls("PING")), len(s.Calls("DROP")); p != x.pings || d != x.drops {
+			t.Errorf("%+v: %d PINGs and %d DROPs", x, p, d)
+		}
+		if got := b.pool.Confirm(core.Key{ID: 9}, 1); got == x.noProbes {
+			t.Errorf("%+v: a store can be asked whether it reads: %t", x, got)
+		}
+		b.pool.Close()
+		s.Close()
+	}
+}
+
+// Whether a store reads is asked once for all that wait for the question to leave, and each of them is told.
+func TestConfirmTellsEachWhoWaits(t *testing.T) {
+	answers := func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true }
+	for name, silent := range map[string]bool{"it answers": false, "its machine refuses": true, "it drains": true, "it is not listed": true} {
+		t.Run(name, func(t *testing.T) {
+			s, err := standin.Listen("127.0.0.1:0", answers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			b, up := newBed(t), make(chan struct{})
+			b.pool.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				<-up
+				return (&net.Dialer{}).DialContext(ctx, network, addr)
+			}
+			if name != "it is not listed" {
+				b.list(s.Addr())
+			}
+			for id := range control.RequestID(3) {
+				if !b.pool.Confirm(core.Key{ID: id}, 1) {
+					t.Fatal("it can't be asked")
+				}
+			}
+			switch name {
+			case "its machine refuses":
+				s.Close()
+			case "it drains":
+				b.tell(1, s.Addr(), control.Draining)
+			}
+			close(up)
+			told := map[core.Key]bool{}
+			b.until("word for each", func() bool {
+				for _, ev := range b.got {
+					if c, ok := ev.(core.Confirmed); ok {
+						for _, k := range c.Keys {
+							told[k] = c.Silent
+						}
+					}
+				}
+				return len(told) == 3
+			})
+			for k, got := range told {
+				if got != silent {
+					t.Errorf("%v: silent %t, want %t", k, got, silent)
+				}
+			}
+			if n := len(s.Calls("PING")); n > 1 || n == 0 && !silent {
+				t.Errorf("%d PINGs", n)
+			}
+		})
+	}
+}
+
 // watched is a connection that holds its writer up where it has hold of the descriptor, and tells of its close.
 type watched struct {
 	*net.TCPConn
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -24,6 +24,8 @@
 	Streams      int     // attempts on one connection
 	MaxConns     int     // connections in all
 	Longest      float64 // ms that a request lasts at the most
+	NoProbes     bool    // the settings allow none, and a PING is one: nothing but time ends a doubt
+	NoDrops      bool    // the settings allow no giving up: what is written runs to its end
 	Clock        *clock.Clock
 	Log          zerolog.Logger
 	Dial         func(ctx context.Context, network, addr string) (net.Conn, error) // nil: net.Dialer
@@ -76,6 +78,7 @@
 	dialing bool
 	failed  float64    // when a dial last failed
 	waiting []*attempt // for a connection
+	confirm *attempt   // the latest PING that asks whether the store reads; nil: none yet
 }
 
 // attempt is a GET or a probe.
@@ -84,6 +87,7 @@
 	wire     string // its ID on the wire
 	member   uint32
 	probe    bool
+	confirms []core.Key // of a PING: the attempts whose ends wait for its answer
 	on       *conn
 	writing  bool // it is in a buffer that the writer has taken, or written
 	written  float64
@@ -91,7 +95,6 @@
 	as       control.Result // of a dropped one
 	over     bool
 	told     bool // the store's own word has ended it
-	deadline float64
 	bytes    []byte
 }
 
@@ -308,16 +311,65 @@
 		return
 	}
 	p.probes++
-	a := &attempt{wire: probeName(p.probes), member: member, probe: true, deadline: p.now() + p.opt.ProbeTimeout}
+	a := &attempt{wire: probeName(p.probes), member: member, probe: true}
 	a.bytes = appendCommand(nil, "LOAD", a.wire)
 	ended := p.place(q, a)
 	p.mu.Unlock()
+	p.askedFor(a, ended)
+}
+
+// askedFor tells what came of placing a probe, and bounds the wait for its answer.
+func (p *Pool) askedFor(a *attempt, ended []core.Event) {
 	for _, ev := range ended {
 		p.soon(ev)
 	}
 	p.after(p.opt.ProbeTimeout, func() { p.giveUp(a, control.TimedOut) })
 }
 
+// Confirm has a store show that it reads: by the PING behind the attempt's DROP where that is under way, else by one of
+// its own, which all share that wait before it leaves.
+func (p *Pool) Confirm(k core.Key, member uint32) bool {
+	if p.opt.NoProbes {
+		return false
+	}
+	p.mu.Lock()
+	q := p.peers[member]
+	if q == nil {
+		p.mu.Unlock()
+		p.soon(core.Confirmed{Keys: []core.Key{k}, Silent: true})
+		return true
+	}
+	if q.proving(k) {
+		p.mu.Unlock()
+		return true
+	}
+	if a := q.confirm; a != nil && !a.over && !a.writing {
+		a.confirms = append(a.confirms, k)
+		p.mu.Unlock()
+		return true
+	}
+	p.probes++
+	a := &attempt{wire: probeName(p.probes), member: member, probe: true, confirms: []core.Key{k}}
+	a.bytes = appendCommand(nil, "PING", a.wire)
+	q.confirm = a
+	ended := p.place(q, a)
+	p.mu.Unlock()
+	p.askedFor(a, ended)
+	return true
+}
+
+// proving tells whether the PING behind an attempt's DROP waits for its answer.
+func (q *peer) proving(k core.Key) bool {
+	for _, c := range q.conns {
+		for _, keys := range c.proofs {
+			if slices.Contains(keys, k) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (p *Pool) after(ms float64, f func()) {
 	time.AfterFunc(clock.Duration(ms), func() {
 		if p.ctx.Err() == nil {
@@ -372,8 +424,10 @@
 			return p.end(a, as)
 		}
 		return p.end(a, control.Unsent)
-	case a.probe:
-		a.on.suspect(a)
+	case a.probe || p.opt.NoDrops:
+		if a.on.suspect(a); !a.probe { // its answer may still come
+			a.on.retire(a.wire)
+		}
 		return p.end(a, as)
 	}
 	a.dropped, a.as = true, as
@@ -396,6 +450,9 @@
 		c.lastUse = p.now()
 		c.closeIfDone()
 	}
+	if a.confirms != nil {
+		return core.Confirmed{Keys: a.confirms, Silent: res != control.OK}
+	}
 	if a.probe {
 		return core.Probed{Member: a.member, Result: res}
 	}
@@ -539,6 +596,7 @@
 		case <-t.C:
 		}
 		now := p.now()
+		var ended []core.Event
 		p.mu.Lock()
 		for id, q := range p.peers {
 			for _, c := range q.conns {
@@ -553,7 +611,7 @@
 					c.leaving = true
 				}
 				if c.leaving && now-c.lastUse > proofFor { // silent: what its DROPs did stays in doubt
-					clear(c.proofs)
+					ended = append(ended, c.unproven()...)
 				}
 				c.closeIfDone()
 			}
@@ -562,5 +620,8 @@
 			}
 		}
 		p.mu.Unlock()
+		for _, ev := range ended {
+			p.post(ev)
+		}
 	}
 }
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Confirm has no way: HTTP stores are asked nothing but for what they hold.
+func (u *Upstream) Confirm(core.Key, uint32) bool { return false }
+
 // Bar keeps what has no connection yet from leaving for a store, and all that comes later.
 func (u *Upstream) Bar(member uint32, on bool) {
 	u.mu.Lock()
