Shed held requests over the mean size of their class as if they had it, the latest first

Change: no held request counts for longer than the mean of its class, and of equals the latest goes.

--- a/control/control.go
+++ b/control/control.go
@@ -588,7 +588,7 @@
 		}
 	}
 	for c.set.WeightsTold && fits > 0 {
-		backlog, worst := c.queue.backlog()
+		backlog, worst := c.queue.backlog(c.work)
 		if worst == nil || backlog <= fits*worst.class.Aim.Seconds()*holdPart {
 			return
 		}
--- /dev/null
+++ b/control/size_test.go
@@ -0,0 +1,161 @@
+package control
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// depot plays caches that share their links evenly among what is open, and a link for fills that does too.
+type depot struct {
+	*book
+	told  bool
+	held  float64 // share of the parts that the caches hold
+	fits  float64 // transfers at a client's pace that the link for fills carries
+	size  map[RequestID]time.Duration
+	left  map[*sent]time.Duration // of an attempt's bytes, at a client's pace
+	waits map[*sent]time.Duration // for its source
+	asked []RequestID
+	got   map[RequestID]bool
+}
+
+// step lets a quantum pass at the caches and on the link.
+func (d *depot) step() {
+	type open struct {
+		s *sent
+		n int
+	}
+	var at []open
+	on, fills := map[MemberID]float64{}, 0.0
+	for id := range d.until {
+		for n, s := range d.attempts[id] {
+			if s.end {
+				continue
+			}
+			if _, seen := d.left[s]; !seen {
+				d.left[s], d.waits[s] = d.size[id], d.now+5*ms
+				if d.miss(s) {
+					d.waits[s] = d.now + 40*ms
+				}
+			}
+			if at = append(at, open{s, n}); d.now >= d.waits[s] {
+				on[s.To]++
+				if d.miss(s) {
+					fills++
+				}
+			}
+		}
+	}
+	slices.SortFunc(at, func(a, b open) int { return cmp.Compare(a.s.ID, b.s.ID) })
+	for _, o := range at {
+		s := o.s
+		if d.now < d.waits[s] {
+			continue
+		}
+		if d.miss(s) && (s.Source == s.To || s.HeldOnly) {
+			d.end(s.ID, o.n, Miss, NoNote)
+			continue
+		}
+		pace := min(1, d.members[s.To].Weight/on[s.To])
+		if d.miss(s) {
+			pace = min(pace, d.fits/fills)
+		}
+		if d.left[s] -= time.Duration(pace * float64(d.set.Quantum)); d.left[s] > 0 {
+			continue
+		}
+		note, wait := Hit, time.Duration(0)
+		if d.miss(s) {
+			note, wait = Filled, 40*ms
+		}
+		s.end, s.res, d.final[s.ID], d.got[s.ID] = true, OK, true, true
+		out := Outcome{ID: s.ID, Attempt: o.n, Member: s.To, Note: note, Latency: d.now - s.at, FirstByte: wait, Closed: true}
+		if !d.told {
+			out.Sending = d.size[s.ID]
+		}
+		d.do(out)
+	}
+	d.pass(d.set.Quantum)
+}
+
+// miss tells whether the caches lack what an attempt asks for.
+func (d *depot) miss(s *sent) bool {
+	return float64(mix(uint64(d.reqs[s.ID].Object))>>11)/(1<<53) >= d.held
+}
+
+// shares gives the answered share of all, of the tenth with the largest objects, and of the next fifth.
+func (d *depot) shares() (all, largest, next float64) {
+	slices.SortFunc(d.asked, func(a, b RequestID) int { return cmp.Compare(d.size[b], d.size[a]) })
+	of := func(ids []RequestID) float64 {
+		n := 0.0
+		for _, id := range ids {
+			n += share(d.got[id])
+		}
+		return n / float64(len(ids))
+	}
+	n := len(d.asked)
+	return of(d.asked), of(d.asked[:n/10]), of(d.asked[n/10 : n/10+n/5])
+}
+
+// Of each class the requests with the largest objects get their part of what is answered, also above capacity.
+func TestLargestRequestsGetTheirPart(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		told       bool
+		load, held float64 // over what the caches can send; of the parts
+		bound      float64
+	}{
+		{"quiet, told", true, 0.7, 0.7, 2. / 3}, {"quiet, untold", false, 0.7, 0.7, 2. / 3},
+		{"over the caches, told", true, 1.5, 0.95, 0.5}, {"over the caches, untold", false, 1.5, 0.95, 0.5},
+		{"over the link, told", true, 0.8, 0.3, 0.5}, {"over the link, untold", false, 0.8, 0.3, 0.5},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			set := testSettings()
+			set.Fronts, set.FrontsByZone, set.CanRunTwo = 1, []int{0, 0, 1, 0}, false
+			set.LinkKBps = []float64{0, 0, 5000, 0}
+			set.Classes = []Class{
+				{Aim: 500 * ms, AimStretch: 2, Deadline: 5 * time.Second, Worth: 2},
+				{Aim: 400 * ms, AimStretch: 2, Deadline: 3 * time.Second, Worth: 1},
+			}
+			d := &depot{book: newBook(t, set, testMembers()), told: x.told, held: x.held, fits: 5, size: map[RequestID]time.Duration{},
+				left: map[*sent]time.Duration{}, waits: map[*sent]time.Duration{}, got: map[RequestID]bool{}}
+			rng := rand.New(rand.NewPCG(1, 2))
+			const capacity, mean = 16.0, 0.317 // transfers that the caches fit, seconds that one takes
+			next := d.now
+			ids := [2][]RequestID{}
+			for id := RequestID(1); id <= 2500; {
+				for d.now >= next {
+					class := int(id) % 2
+					kb := 20 * math.Pow(40, rng.Float64()) // 40 times between the least and the most
+					if class == 0 {
+						kb *= 2
+					}
+					d.size[id] = time.Duration(kb / set.ClientKBps * float64(time.Second))
+					q := Request{ID: id, Class: class, Object: ObjectID(1 + rng.IntN(2000)), Left: set.Classes[class].Deadline}
+					if x.told {
+						q.SizeKB = kb
+					}
+					ids[class] = append(ids[class], id)
+					d.ask(q)
+					id++
+					next += time.Duration(rng.ExpFloat64() * mean / capacity / x.load * float64(time.Second))
+				}
+				d.step()
+			}
+			for range 1500 {
+				d.step()
+			}
+			for class, asked := range ids {
+				d.asked = asked[len(asked)/10:] // what is learned at the start
+				all, largest, next := d.shares()
+				t.Logf("class %d: answered %.3f, of the largest %.3f (%.2f), of the next fifth %.3f (%.2f)", class, all, largest, largest/all, next, next/all)
+				if least := min(largest, next) / all; all == 0 || least < x.bound {
+					t.Errorf("class %d: of the largest %.2f of their part are answered, want %.2f", class, least, x.bound)
+				}
+			}
+		})
+	}
+}
--- a/control/slow_test.go
+++ b/control/slow_test.go
@@ -204,7 +204,7 @@
 			small++
 		}
 	}
-	if backlog, _ := c.queue.backlog(); len(refused) < 20 || small > 0 || backlog == 0 || backlog > 2*linkWidth*10 {
+	if backlog, _ := c.queue.backlog(c.work); len(refused) < 20 || small > 0 || backlog == 0 || backlog > 2*linkWidth*10 {
 		t.Errorf("%d refused, %d of them small, %.1f s still held", len(refused), small, backlog)
 	}
 }
--- a/control/state.go
+++ b/control/state.go
@@ -376,14 +376,17 @@
 	m.loss -= lossGain * m.loss
 }
 
-// backlog gives the sending time of all that is held, in seconds, and the request that earns least for its own.
-func (q *fairQueue) backlog() (sum float64, worst *request) {
+// backlog gives the sending time of all that is held, in seconds, and of the requests that earn least for their own the
+// latest. None counts for longer than the mean of its class, which is given in seconds: the largest would else be refused
+// to the last one before others of their class are, and their clients would see nothing but refusals.
+func (q *fairQueue) backlog(mean []float64) (sum float64, worst *request) {
 	earn := math.Inf(1)
 	for i := range q.class {
 		for _, r := range q.class[i].held {
 			s := max(r.sending.Seconds(), 1e-3)
-			if sum += s; r.class.Worth/s < earn {
-				worst, earn = r, r.class.Worth/s
+			sum += s
+			if e := r.class.Worth / min(s, mean[i]); e <= earn {
+				worst, earn = r, e
 			}
 		}
 	}
