Close an idle client connection only where its reader has nothing in hand

The request was then taken in and sent on for nobody, with its connection gone; where the platform sends a request again that crossed a close within 50 ms, what must not run twice could run twice. A drain closed by way of the reader already (hush); idleness and a wanted place did not.

Ruled out: a request that has not been read yet. Closing ends the read without it, and unread bytes reset the connection, upon which the client sends again.

Change: both mark the seat as rested and interrupt its reader, which closes the connection if it has nothing in hand and nothing waits unread; a request begun meanwhile takes the mark back. What is late or never brought a whole request is closed as before.

Measured: TestRequestThatCrossesTheClose, over loopback, has a request read and not told of when each of the two closes is due: without the change its client meets EOF in place of the answer.

--- a/front/front.go
+++ b/front/front.go
@@ -73,6 +73,7 @@
 	until  float64       // when a request that has begun must be whole at the latest; 0: none is under way
 	moved  atomic.Uint64 // the bits of the time when bytes last came; 0: none did
 	hushes bool          // its reads are interrupted, and its front closes it
+	rested bool          // it has been idle for too long, or its place is wanted
 	pass   func()        // has the front hand the connection to another process
 	passes bool          // which is under way
 	yield  func()        // has the front refuse what has begun and is not whole; nil: the connection is closed
@@ -150,6 +151,7 @@
 		s.since = s.server.Clock.Now()
 	}
 	s.open, s.asked, s.until = open, s.asked || asked, until
+	s.rested = s.rested && open == 0 && until == 0
 	if (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now()) {
 		s.server.hush(s)
 	}
@@ -163,14 +165,15 @@
 	s.hushes = true
 }
 
-// Quiet tells whether a drain wants the connection closed now.
+// Quiet tells whether a drain wants the connection closed now, or it has rested for too long.
 func (s *Seat) Quiet() bool {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
-	return (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now())
+	return s.rested && !unread(s.conn) || (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now())
 }
 
-// hush closes a connection that is quiet, or has its front do so.
+// hush closes a connection that is quiet, or has its front do so. Guards against a request that crosses the close: what
+// the reader has in hand by then would be sent on, and its client hears nothing but the end of the connection.
 func (s *Server) hush(x *Seat) {
 	if x.hushes {
 		x.conn.SetReadDeadline(time.Unix(1, 0))
@@ -295,12 +298,7 @@
 			continue
 		}
 		pause = 0
-		// Guards against closing what usual clients ask first when hundreds connect at once: those that
-		// find no place wait for one here, and the others behind them in the machine's own queue.
-		seat := s.place(nc)
-		for end := time.Now().Add(placeWait); seat == nil && ctx.Err() == nil && time.Now().Before(end); seat = s.place(nc) {
-			time.Sleep(pauseFirst)
-		}
+		seat := s.await(ctx, nc)
 		if seat == nil {
 			s.Log.Warn().Int("connections", s.Conns()).Msg("too many connections, all with requests open")
 			nc.Close()
@@ -310,9 +308,19 @@
 	}
 }
 
+// await gives a connection its place, soon. Guards against closing what usual clients ask first when hundreds connect at
+// once: those that find no place wait for one here, and the others behind them in the machine's own queue.
+func (s *Server) await(ctx context.Context, nc net.Conn) *Seat {
+	seat := s.place(nc)
+	for end := time.Now().Add(placeWait); seat == nil && ctx.Err() == nil && time.Now().Before(end); seat = s.place(nc) {
+		time.Sleep(pauseFirst)
+	}
+	return seat
+}
+
 // Handle serves one connection, unless there are too many.
 func (s *Server) Handle(nc net.Conn, handle func(net.Conn, *Seat)) {
-	if seat := s.place(nc); seat != nil {
+	if seat := s.await(context.Background(), nc); seat != nil {
 		s.serve(seat, handle)
 	} else {
 		nc.Close()
@@ -333,7 +341,8 @@
 	delete(s.seats, seat)
 }
 
-// place gives a connection its place, which may be that of another; nil where every one has a request open.
+// place gives a connection its place, which may be that of another; nil where every one has a request open, or the other
+// is about to close.
 func (s *Server) place(nc net.Conn) *Seat {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -349,6 +358,12 @@
 			s.full = true
 			s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
 		}
+		if old.asked && old.until == 0 && old.hushes { // its place is free once its reader has seen that
+			if old.rested = true; !unread(old.conn) {
+				s.hush(old)
+			}
+			return nil
+		}
 		s.leave(old)
 		old.conn.Close()
 	}
@@ -418,14 +433,14 @@
 		case !x.asked:
 			late = late || s.FirstMost > 0 && now > x.came+s.FirstMost
 		default:
-			late = late || s.IdleMost > 0 && now > x.since+s.IdleMost
+			x.rested = x.rested || s.IdleMost > 0 && now > x.since+s.IdleMost
 		}
 		// Guards against losing what is open on a connection to half a request there: that one alone is refused.
 		if late && x.open > 0 && x.yield != nil {
 			late = false
 			yields = append(yields, x.yield)
 		}
-		if !late && (s.draining || s.leaving) && x.quiet(now) {
+		if !late && (x.rested && !unread(x.conn) || (s.draining || s.leaving) && x.quiet(now)) {
 			s.hush(x)
 		}
 		if !late && x.until > 0 && x.yield != nil &&
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -1,9 +1,15 @@
 package front
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
@@ -215,3 +221,67 @@
 		t.Error("a stalled half alone keeps its connection")
 	}
 }
+
+// A request that the reader has in hand in the moment in which its connection would be closed, as it rested for too long
+// or for another one, has its answer there. The close comes once nothing is in hand.
+func TestRequestThatCrossesTheClose(t *testing.T) {
+	for how, shut := range map[string]func(s *Server){
+		"it rested for too long": (*Server).Sweep,
+		"its place is wanted": func(s *Server) {
+			if seat := s.place(&testConn{}); seat != nil {
+				t.Error("a place was given away with a request in hand")
+			}
+		},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		clk := clock.Manual(1e6)
+		s := &Server{Max: 1, IdleMost: 4500, Clock: clk, Log: zerolog.Nop()}
+		read, goOn := make(chan struct{}), make(chan struct{})
+		ctx, end := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			s.Serve(ctx, l, func(nc net.Conn, seat *Seat) {
+				seat.Hushes()
+				seat.Update(0, true, 0)
+				for b := make([]byte, 1); ; {
+					if _, err := nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && !seat.Quiet() {
+						nc.SetReadDeadline(time.Time{})
+						continue
+					} else if err != nil {
+						return
+					}
+					read <- struct{}{}
+					<-goOn
+					seat.Update(1, true, 0)
+					nc.Write([]byte("a"))
+					seat.Update(0, true, 0)
+				}
+			})
+		})
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		c.Write([]byte("r"))
+		<-read
+		clk.Advance(5000)
+		shut(s)
+		goOn <- struct{}{}
+		var b [1]byte
+		if _, err := c.Read(b[:]); err != nil || b[0] != 'a' {
+			t.Errorf("%s: %q, %v in place of the answer", how, b, err)
+		}
+		clk.Advance(5000)
+		shut(s)
+		if _, err := c.Read(b[:]); err != io.EOF {
+			t.Errorf("%s: %v in place of the close", how, err)
+		}
+		c.Close()
+		end()
+		wg.Wait()
+	}
+}
