--- a/cmd/turnfork/stop_test.go
+++ b/cmd/turnfork/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -25,6 +26,32 @@
 "allowed":{"max-attempts":8,"cancel":false,"dial-timeout":0.4,"idle-close":15,"max-open":1000},
 "family-info":{"origin-kind":2,"shield-kind":1,"seats-by-zone":[0,1],"zone-hub":[0,0],"says":"all"}}}`
 
+// unreached gives an address to which no connection comes up, nor is refused: its queue is full and nobody accepts.
+func unreached(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	for range 8 {
+		c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("its queue is never full")
+	return ""
+}
+
 // Whatever is in hand when a process is asked to end gets its answer, and the process ends by itself.
 func TestStopAnswersWhatIsInHand(t *testing.T) {
 	bin := build(t)
@@ -45,7 +72,7 @@
 	term := func(s session) { s.p.cmd.Process.Signal(syscall.SIGTERM) }
 	for _, c := range []struct {
 		name string
-		way  func(standin.Call, int) standin.Way
+		way  func(standin.Call, int) standin.Way    // nil: connections to the store never come up
 		act  func(t *testing.T, s session) net.Conn // asks for request 1, and for the end; where its answer comes
 		want string
 	}{
@@ -72,6 +99,12 @@
 			term(s) // the next one is held or out by now
 			return s.c
 		}, "503"},
+		{"a dial is under way", nil, func(t *testing.T, s session) net.Conn {
+			s.c.Write(get("ride-end", 1))
+			s.p.await(t, `"attempt"`)
+			term(s)
+			return s.c
+		}, "503"}, // nothing ran, whatever the class
 		{"half a request is read", good, func(t *testing.T, s session) net.Conn {
 			whole := get("firmware", 1)
 			s.c.Write(whole[:len(whole)/2])
@@ -120,9 +153,13 @@
 				t.Fatal(err)
 			}
 			defer lag.Close()
+			addr := lag.Addrs[0]
+			if c.way == nil {
+				addr = unreached(t)
+			}
 			conf := filepath.Join(t.TempDir(), "config.json")
-			os.WriteFile(conf, fmt.Appendf(nil, oneStore, lag.Addrs[0]), 0o600)
-			p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"})
+			os.WriteFile(conf, fmt.Appendf(nil, oneStore, addr), 0o600)
+			p := launch(t, bin, []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1", "TURNFORK_LOG=debug"})
 			nc, err := net.Dial("tcp", p.addr)
 			if err != nil {
 				t.Fatal(err)
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -320,3 +320,83 @@
 		}
 	}
 }
+
+// A connection that is up only after its request was given up carries nothing of it, and serves the next one unless it
+// was dialled for that request alone.
+func TestConnectionUpTooLate(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		conns := make(chan struct{}, 8)
+		s, err := standin.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
+			func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, up := newBed(t), make(chan struct{})
+		b.pool.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			<-up
+			return (&net.Dialer{}).DialContext(ctx, network, addr)
+		}
+		b.list(s.Addr())
+		first, next := send(1, 0, 1), send(2, 0, 1)
+		first.Once = alone
+		b.pool.Send(first)
+		b.pool.Drop(first.Key, control.TimedOut)
+		close(up)
+		if e := b.ended(first.Key); e.Result != control.Unsent && e.Result != control.Unreached || e.Doubt {
+			t.Errorf("alone %t: given up in its dial, it ended as %+v", alone, e)
+		}
+		<-conns
+		b.pool.Send(next)
+		if e := b.ended(next.Key); e.Result != control.OK {
+			t.Errorf("alone %t: %+v", alone, e)
+		}
+		for _, c := range append(s.Calls("GET"), s.Calls("DROP")...) {
+			if c.ID == first.Txn {
+				t.Errorf("alone %t: %s of what was given up", alone, c.Verb)
+			}
+		}
+		s.Close()
+	}
+}
+
+// A connection whose idle time runs out while an answer is awaited on it takes nothing more, and stays until that is there.
+func TestIdleCloseWaitsForTheAnswer(t *testing.T) {
+	hold := make(chan struct{})
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		if c.ID == send(1, 0, 1).Txn {
+			<-hold
+		}
+		return "ACK", "tag=0a,minted=1", nil, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newBed(t)
+	b.pool.opt.IdleClose = 1000
+	b.list(s.Addr())
+	b.pool.Send(send(1, 0, 1))
+	b.until("attempt", func() bool { return len(s.Calls("GET")) == 1 })
+	b.pool.mu.Lock()
+	c := b.pool.peers[1].conns[0]
+	b.pool.mu.Unlock()
+	b.clock.Advance(1000)
+	b.until("sweep that finds it idle", func() bool {
+		b.pool.mu.Lock()
+		defer b.pool.mu.Unlock()
+		return c.leaving
+	})
+	b.pool.Send(send(2, 0, 1))
+	if e := b.ended(send(2, 0, 1).Key); e.Result != control.OK {
+		t.Errorf("beside it: %+v", e)
+	}
+	close(hold)
+	if e := b.ended(send(1, 0, 1).Key); e.Result != control.OK {
+		t.Errorf("%+v in place of the answer", e)
+	}
+	b.until("its close", func() bool {
+		b.pool.mu.Lock()
+		defer b.pool.mu.Unlock()
+		return c.broken && b.pool.conns == 1
+	})
+}
