--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -142,22 +142,28 @@
 	}
 }
 
+// holding starts a store that answers request 1 only once hold is closed, and all others at once.
+func holding(t *testing.T) (s *standin.Store, hold chan struct{}) {
+	hold = make(chan struct{})
+	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		if c.ID == send(1, 0, 1).Txn {
+			<-hold
+		}
+		return "ACK", "tag=0a,minted=1", nil, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, hold
+}
+
 // Nothing is written that the settings do not allow: no PING, which is a probe, and no DROP, which gives up.
 func TestOnlyWhatSettingsAllowIsWritten(t *testing.T) {
 	for _, x := range []struct {
 		noProbes, noDrops bool
 		pings, drops      int
 	}{{false, false, 1, 1}, {true, false, 0, 1}, {false, true, 0, 0}, {true, true, 0, 0}} {
-		hold := make(chan struct{})
-		s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
-			if c.ID == send(1, 0, 1).Txn {
-				<-hold
-			}
-			return "ACK", "tag=0a,minted=1", nil, true
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		s, hold := holding(t)
 		b := newBed(t, s.Addr())
 		b.pool.opt.NoProbes, b.pool.opt.NoDrops, b.pool.opt.MaxConns = x.noProbes, x.noDrops, 1
 		k := send(1, 0, 1).Key
@@ -361,16 +367,7 @@
 
 // A connection whose idle time runs out while an answer is awaited on it takes nothing more, and stays until that is there.
 func TestIdleCloseWaitsForTheAnswer(t *testing.T) {
-	hold := make(chan struct{})
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
-		if c.ID == send(1, 0, 1).Txn {
-			<-hold
-		}
-		return "ACK", "tag=0a,minted=1", nil, true
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	s, hold := holding(t)
 	defer s.Close()
 	b := newBed(t)
 	b.pool.opt.IdleClose = 1000
