Ask in one place whether a client connection is to close now

Change: Seat.due, called by all three. No behaviour changes: of a connection that place has just marked, the first half of the test decides, as it did there.

--- a/front/front.go
+++ b/front/front.go
@@ -169,7 +169,12 @@
 func (s *Seat) Quiet() bool {
 	s.server.mu.Lock()
 	defer s.server.mu.Unlock()
-	return s.rested && !unread(s.conn) || (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now())
+	return s.due(s.server.Clock.Now())
+}
+
+// due is Quiet; the server's lock is held.
+func (s *Seat) due(now float64) bool {
+	return s.rested && !unread(s.conn) || (s.server.draining || s.server.leaving) && s.quiet(now)
 }
 
 // hush closes a connection that is quiet, or has its front do so. Guards against a request that crosses the close: what
@@ -359,7 +364,7 @@
 			s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
 		}
 		if old.asked && old.until == 0 && old.hushes { // its place is free once its reader has seen that
-			if old.rested = true; !unread(old.conn) {
+			if old.rested = true; old.due(s.Clock.Now()) {
 				s.hush(old)
 			}
 			return nil
@@ -442,7 +447,7 @@
 			late = false
 			yields = append(yields, x.yield)
 		}
-		if !late && (x.rested && !unread(x.conn) || (s.draining || s.leaving) && x.quiet(now)) {
+		if !late && x.due(now) {
 			s.hush(x)
 		}
 		if !late && x.until > 0 && x.yield != nil &&
