Keep places free ahead of need, and wait for a place by a signal

Cause: since the place of an idle connection becomes free by way of its reader, and front.Server.await slept 5 ms in the accept loop until it was: fewer than 200 connections a second came in, one eviction at a time, and requests aged in the listen queue.

Change: idle connections are closed in batches before the last place is taken, the oldest first, and a reader that does not confirm in 100 ms no longer counts as a place about to be free. Connections that find none all the same wait beside the accept loop, one in sixteen of the limit at most, each with a limit of 500 ms, in order; a place that becomes free goes to the first.

--- a/front/front.go
+++ b/front/front.go
@@ -39,16 +39,17 @@
 	left     float64 // since when
 	heirs    bool    // connections are handed to it
 	max      int     // in place of Max, where set later
+	closing  int     // connections whose readers are about to close them
+	waiters  []*waiter
 }
 
 const (
 	pauseFirst = 5 * time.Millisecond
 	pauseMost  = 500 * time.Millisecond
 	sweepEvery = 100 * time.Millisecond
-	placeWait  = 500 * time.Millisecond // a new connection waits so long for a place
-	fewSilent  = 4                      // silent connections may hold one place in so many before they go first
-	silentMost = 50.0                   // ms that a new connection has in any case
-	stalled    = 300.0                  // ms without a byte after which half a request keeps no place from others
+	fewSilent  = 4     // silent connections may hold one place in so many before they go first
+	silentMost = 50.0  // ms that a new connection has in any case
+	stalled    = 300.0 // ms without a byte after which half a request keeps no place from others
 
 	// Of a drain, in ms from its call. The platform's front asks ten times a second and sends nothing new 0.2 s
 	// after a no, and wants every connection gone by 4 s.
@@ -74,9 +75,12 @@
 	moved  atomic.Uint64 // the bits of the time when bytes last came; 0: none did
 	hushes bool          // its reads are interrupted, and its front closes it
 	rested bool          // it has been idle for too long, or its place is wanted
+	stuck  bool          // its reader has not closed it in time for that
 	pass   func()        // has the front hand the connection to another process
 	passes bool          // which is under way
 	yield  func()        // has the front refuse what has begun and is not whole; nil: the connection is closed
+
+	closeAskedAt float64 // when its reader was asked to close it, as it rested
 }
 
 // Yields names what a drain calls to have the connection's half requests refused. It is called once at most
@@ -151,7 +155,10 @@
 		s.since = s.server.Clock.Now()
 	}
 	s.open, s.asked, s.until = open, s.asked || asked, until
-	s.rested = s.rested && open == 0 && until == 0
+	if s.rested && (open > 0 || until > 0) {
+		s.server.keep(s)
+		s.server.makeRoom(0)
+	}
 	if (s.server.draining || s.server.leaving) && s.quiet(s.server.Clock.Now()) {
 		s.server.hush(s)
 	}
@@ -286,10 +293,17 @@
 			}
 		}
 	}()
+	unplaced := make(chan struct{}, s.maxWaiting()) // a slot for each accepted connection without a place
 	var pause time.Duration
 	for {
+		select {
+		case unplaced <- struct{}{}:
+		case <-ctx.Done():
+			return g.Wait()
+		}
 		nc, err := l.Accept()
 		if err != nil {
+			<-unplaced
 			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 				return g.Wait()
 			}
@@ -303,33 +317,41 @@
 			continue
 		}
 		pause = 0
-		seat := s.await(ctx, nc)
-		if seat == nil {
-			s.Log.Warn().Int("connections", s.Conns()).Msg("too many connections, all with requests open")
-			nc.Close()
+		seat, w := s.placeOrWait(nc)
+		if seat != nil {
+			<-unplaced
+			g.Go(func() error { s.serve(seat, handle); return nil })
 			continue
 		}
-		g.Go(func() error { s.serve(seat, handle); return nil })
+		g.Go(func() error {
+			seat := s.await(ctx, w)
+			<-unplaced
+			s.serveAdmitted(ctx, seat, handle)
+			return nil
+		})
 	}
 }
 
-// await gives a connection its place, soon. Guards against closing what usual clients ask first when hundreds connect at
-// once: those that find no place wait for one here, and the others behind them in the machine's own queue.
-func (s *Server) await(ctx context.Context, nc net.Conn) *Seat {
-	seat := s.place(nc)
-	for end := time.Now().Add(placeWait); seat == nil && ctx.Err() == nil && time.Now().Before(end); seat = s.place(nc) {
-		time.Sleep(pauseFirst)
+// Handle serves one connection, unless no place becomes free for it.
+func (s *Server) Handle(nc net.Conn, handle func(net.Conn, *Seat)) {
+	ctx := context.Background()
+	seat, w := s.placeOrWait(nc)
+	if seat == nil {
+		seat = s.await(ctx, w)
 	}
-	return seat
+	s.serveAdmitted(ctx, seat, handle)
 }
 
-// Handle serves one connection, unless there are too many.
-func (s *Server) Handle(nc net.Conn, handle func(net.Conn, *Seat)) {
-	if seat := s.await(context.Background(), nc); seat != nil {
-		s.serve(seat, handle)
-	} else {
-		nc.Close()
+// serveAdmitted serves a connection that waited; nil: no place became free for it in time.
+func (s *Server) serveAdmitted(ctx context.Context, seat *Seat, handle func(net.Conn, *Seat)) {
+	if seat == nil {
+		s.Log.Warn().Int("connections", s.Conns()).Msg("too many connections, all with requests open")
+		return
 	}
+	if ctx.Err() != nil { // its place came after all were closed
+		seat.conn.Close()
+	}
+	s.serve(seat, handle)
 }
 
 func (s *Server) serve(seat *Seat, handle func(net.Conn, *Seat)) {
@@ -342,81 +364,6 @@
 	handle(seat.conn, seat)
 }
 
-func (s *Server) leave(seat *Seat) {
-	delete(s.seats, seat)
-}
-
-// place gives a connection its place, which may be that of another; nil where every one has a request open, or the other
-// is about to close.
-func (s *Server) place(nc net.Conn) *Seat {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.seats == nil {
-		s.seats = map[*Seat]struct{}{}
-	}
-	if len(s.seats) >= s.most() {
-		old := s.spare()
-		if old == nil {
-			return nil
-		}
-		if !s.full {
-			s.full = true
-			s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
-		}
-		if old.asked && old.until == 0 && old.hushes { // its place is free once its reader has seen that
-			if old.rested = true; old.due(s.Clock.Now()) {
-				s.hush(old)
-			}
-			return nil
-		}
-		s.leave(old)
-		old.conn.Close()
-	}
-	if s.Tap != nil {
-		nc = s.Tap(nc)
-	}
-	now := s.Clock.Now()
-	seat := &Seat{server: s, conn: nc, came: now, since: now}
-	s.seats[seat] = struct{}{}
-	return seat
-}
-
-// spare gives the connection to close for a new one: of those that never brought a whole request the one that has
-// been silent for longest, where they hold many places, else the one that has been idle for longest. Half a request
-// keeps its place only while it goes on.
-func (s *Server) spare() *Seat {
-	now := s.Clock.Now()
-	var idle, silent *Seat
-	var idleFrom, silentFrom float64
-	silents := 0
-	for x := range s.seats {
-		from, least := x.since, 0.0
-		switch half := x.until > 0 || !x.asked && x.moved.Load() > 0; {
-		case x.open > 0 || x.rested: // that one is closing already, or has bytes in hand
-			continue
-		case half:
-			from, least = x.last(), stalled
-		case !x.asked:
-			least = silentMost
-		}
-		if !x.asked || x.until > 0 {
-			if silents++; now-from < least {
-				continue
-			}
-			if silent == nil || from < silentFrom {
-				silent, silentFrom = x, from
-			}
-		}
-		if idle == nil || from < idleFrom {
-			idle, idleFrom = x, from
-		}
-	}
-	if silent != nil && fewSilent*silents > s.most() {
-		return silent
-	}
-	return idle
-}
-
 // Sweep closes the connections whose time is up: no whole request came within the limit, or none for long.
 func (s *Server) Sweep() {
 	now := s.Clock.Now()
@@ -430,6 +377,7 @@
 	defer s.mu.Unlock()
 	s.full = s.full && len(s.seats) >= s.most()
 	for x := range s.seats {
+		s.closeOverdue(x, now)
 		late := x.until > 0 && (now > x.until || s.StallMost > 0 && now > x.last()+s.StallMost)
 		switch {
 		case x.asked && (x.open > 0 || x.until > 0):
@@ -438,7 +386,9 @@
 		case !x.asked:
 			late = late || s.FirstMost > 0 && now > x.came+s.FirstMost
 		default:
-			x.rested = x.rested || s.IdleMost > 0 && now > x.since+s.IdleMost
+			if !x.rested && s.IdleMost > 0 && now > x.since+s.IdleMost {
+				s.requestClose(x)
+			}
 			// Guards against a few bytes that never become a request keeping the reader from closing it.
 			late = late || x.rested && s.StallMost > 0 && now > x.since+s.IdleMost+s.StallMost && now > x.last()+s.StallMost
 		}
@@ -459,6 +409,7 @@
 			x.conn.Close()
 		}
 	}
+	s.makeRoom(0)
 }
 
 // CloseAll closes every connection.
