--- a/front/admission.go
+++ b/front/admission.go
@@ -16,7 +16,7 @@
 const (
 	reservedShare    = 16                     // one place in so many is kept free, and as many connections may wait
 	admissionTimeout = 500 * time.Millisecond // a connection waits so long for a place
-	evictionTimeout  = 100.0                  // ms for a reader to close its connection until another one is closed, too
+	evictionTimeout  = 20 * time.Millisecond  // a reader that has not closed its connection by then has others closed, too
 )
 
 // waiter is an accepted connection without a place.
@@ -125,7 +125,8 @@
 		s.full = true
 		s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
 	}
-	for _, x := range s.evictionCandidates(wanted + s.reserve() - free) {
+	// With each round in which readers were stuck the batch grows, so that a run of them soon ends.
+	for _, x := range s.evictionCandidates(wanted + s.reserve() + s.stuck - free) {
 		s.evict(x)
 	}
 }
@@ -145,27 +146,48 @@
 
 // requestClose marks a connection for its reader to close, once it has nothing in hand.
 func (s *Server) requestClose(x *Seat) {
-	x.rested, x.stuck, x.closeAskedAt = true, false, s.Clock.Now()
+	x.rested, x.stuck, x.closeAskedAt = true, false, time.Now()
 	s.closing++
+	s.checkClosingLater()
 }
 
-// keep takes such a mark back: a request came.
+// checkClosingLater has a check made while readers are about to close connections.
+func (s *Server) checkClosingLater() {
+	if s.closing > 0 && !s.checking {
+		s.checking = true
+		time.AfterFunc(evictionTimeout, s.checkClosing)
+	}
+}
+
+// keep takes such a mark back: a request came, or the connection has ended.
 func (s *Server) keep(x *Seat) {
-	if !x.rested {
+	switch {
+	case !x.rested:
 		return
-	}
-	if !x.stuck {
+	case x.stuck:
+		s.stuck--
+	default:
 		s.closing--
 	}
 	x.rested, x.stuck = false, false
 }
 
-// closeOverdue tells no longer to count on a reader that has not closed its connection in time.
-func (s *Server) closeOverdue(x *Seat, now float64) {
-	if x.rested && !x.stuck && now > x.closeAskedAt+evictionTimeout {
-		x.stuck = true
-		s.closing--
+// checkClosing no longer counts on readers that have not closed their connections in time, and goes on for as long as any is
+// about to.
+func (s *Server) checkClosing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.checking = false
+	due := time.Now().Add(-evictionTimeout)
+	for x := range s.seats {
+		if x.rested && !x.stuck && !x.closeAskedAt.After(due) {
+			x.stuck = true
+			s.stuck++
+			s.closing--
+		}
 	}
+	s.makeRoom(0)
+	s.checkClosingLater()
 }
 
 // leave takes a connection's place back, and gives it to another one.
--- a/front/front.go
+++ b/front/front.go
@@ -40,6 +40,8 @@
 	heirs    bool    // connections are handed to it
 	max      int     // in place of Max, where set later
 	closing  int     // connections whose readers are about to close them
+	stuck    int     // those whose readers should have
+	checking bool    // a check of the former is due
 	waiters  []*waiter
 }
 
@@ -80,7 +82,7 @@
 	passes bool          // which is under way
 	yield  func()        // has the front refuse what has begun and is not whole; nil: the connection is closed
 
-	closeAskedAt float64 // when its reader was asked to close it, as it rested
+	closeAskedAt time.Time // when its reader was asked to close it, as it rested
 }
 
 // Yields names what a drain calls to have the connection's half requests refused. It is called once at most
@@ -320,7 +322,7 @@
 		seat, w := s.placeOrWait(nc)
 		if seat != nil {
 			<-unplaced
-			g.Go(func() error { s.serve(seat, handle); return nil })
+			g.Go(func() error { s.serveAdmitted(ctx, seat, handle); return nil })
 			continue
 		}
 		g.Go(func() error {
@@ -342,13 +344,13 @@
 	s.serveAdmitted(ctx, seat, handle)
 }
 
-// serveAdmitted serves a connection that waited; nil: no place became free for it in time.
+// serveAdmitted serves a connection that has a place; nil: none became free for it in time.
 func (s *Server) serveAdmitted(ctx context.Context, seat *Seat, handle func(net.Conn, *Seat)) {
 	if seat == nil {
 		s.Log.Warn().Int("connections", s.Conns()).Msg("too many connections, all with requests open")
 		return
 	}
-	if ctx.Err() != nil { // its place came after all were closed
+	if ctx.Err() != nil { // it may have come after all were closed
 		seat.conn.Close()
 	}
 	s.serve(seat, handle)
@@ -377,7 +379,6 @@
 	defer s.mu.Unlock()
 	s.full = s.full && len(s.seats) >= s.most()
 	for x := range s.seats {
-		s.closeOverdue(x, now)
 		late := x.until > 0 && (now > x.until || s.StallMost > 0 && now > x.last()+s.StallMost)
 		switch {
 		case x.asked && (x.open > 0 || x.until > 0):
