--- a/control/state.go
+++ b/control/state.go
@@ -278,15 +278,24 @@
 		{"KeyFor", k.KeyFor.Seconds()}, {"Fresh", k.Fresh.Seconds()}, {"StaleFor", k.StaleFor.Seconds()}, {"StaleWorth", k.StaleWorth},
 	} {
 		if !finite(v.value) {
-			return fmt.Errorf("%s: %v is not 0 or more", v.field, v.value)
+			return &fieldError{v.field, v.value, "not 0 or more"}
 		}
 	}
 	if k.Deadline <= 0 {
-		return fmt.Errorf("Deadline: %v is not positive", k.Deadline)
+		return &fieldError{"Deadline", k.Deadline, "not positive"}
 	}
 	return nil
 }
 
+// fieldError names a field whose value makes no sense.
+type fieldError struct {
+	field   string
+	value   any
+	problem string
+}
+
+func (e *fieldError) Error() string { return fmt.Sprintf("%s: %v is %s", e.field, e.value, e.problem) }
+
 // finite tells whether a value is 0 or more, and neither infinite nor NaN.
 func finite(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
 
--- a/distribution/publisher.go
+++ b/distribution/publisher.go
@@ -101,8 +101,8 @@
 // Heartbeat enters the number of a subscriber's newest heartbeat. It tells whether a confirmation is to begin.
 func (p *Publisher) Heartbeat(id SubscriberID, number uint64) { panic("not built yet") }
 
-// Confirmation is a round in which a voter has its leader confirmed by a majority.
-type Confirmation struct{ round uint64 }
+// Confirmation is the number of a round in which a voter has its leader confirmed by a majority.
+type Confirmation uint64
 
 // BeginConfirmation starts a round: heartbeats entered before it are covered once it is confirmed.
 func (p *Publisher) BeginConfirmation() Confirmation { panic("not built yet") }
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -71,7 +71,7 @@
 var (
 	decoding = must(cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 8, MaxArrayElements: 64, MaxMapPairs: 64,
-		IndefLength: cbor.IndefLengthForbidden, IntDec: cbor.IntDecConvertSigned,
+		IndefLength: cbor.IndefLengthForbidden, IntDec: cbor.IntDecConvertSignedOrFail,
 	}.DecMode())
 	encoding = must(cbor.CoreDetEncOptions().EncMode())
 	text64   = base64.RawURLEncoding.Strict()
--- a/token/cat/cat_test.go
+++ b/token/cat/cat_test.go
@@ -10,8 +10,6 @@
 	"turnfork.dev/turnfork/token"
 )
 
-const uri = "https://cdn.example:8443/v1/firmware/7f3a9c21e0b4d655/3?kb=5"
-
 func key(t testing.TB) (*token.Ready, token.Keys) {
 	k := token.Key{ID: "k", Kind: token.CAT, Alg: "HS256", Secret: base64.StdEncoding.EncodeToString([]byte(strings.Repeat("s", 32))), Issuer: "dala"}
 	m, err := (Dialect{}).Ready(k)
