Send on no request whose client left before it was read, or in the middle of its write

Ruled out: a stopped core and the wait for a dial or behind others, which the mark that the front sets and the last check before the write hold up.

Change: whole requests are handed on once what their client has sent behind them is read, at most 10 ms later, and not where the connection has ended (one poll for a batch). The signed front looks before it hands on, and each 20 ms. A cut request is looked at before each further write; its connection is closed where nobody waits for it.

--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -44,6 +44,8 @@
 	stallMost  = 2000.0          // ms that a request under way may bring no byte
 	wholeMost  = 8000.0          // ms until any request must be whole that has begun, however it goes on
 	idleMost   = 4500.0          // ms; clients close idle connections after 4 s
+
+	maxReadAhead = 10.0 // ms that a whole request waits for what its client has sent behind it to be read
 )
 
 // Front serves one listener.
@@ -135,7 +137,7 @@
 		g.Go(func() error { c.relay(); return nil })
 	}
 	g.Go(func() error { c.write(); return nil })
-	c.read(in)
+	c.read(readAhead{c, in})
 	g.Wait()
 }
 
@@ -146,7 +148,8 @@
 	ready  bool          // its parameters are whole
 	asked  bool          // it is whole
 	over   *atomic.Bool  // of one that is: true once nobody waits for it
-	way    *list.Element // and its place on the way to the core
+	way    *list.Element // and its place on the way to the core; nil: it is not handed on yet
+	ask    core.Ask      // until it is
 	keep   bool
 	held   int // bytes booked with the front's intake
 	tag    uint64
@@ -163,9 +166,10 @@
 	open    map[uint16]*request
 	tags    uint64
 	out     [][]byte
-	pending int  // answers queued and not yet written
-	asked   bool // a whole request has come
-	closing bool // once all is written
+	pending int        // answers queued and not yet written
+	whole   []*request // in the order in which they came; not handed on yet
+	asked   bool       // a whole request has come
+	closing bool       // once all is written
 	dead    bool
 	writing bool // the writer has something in hand
 	held    bool // it takes nothing more, as the connection is handed over
@@ -186,9 +190,10 @@
 			err = c.take(rec)
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // nothing else sets one
+			c.handOn(0)
 			next, passed := c.pass(r, buffered)
 			if passed {
-				buffered = bufio.NewReaderSize(next, 4<<10)
+				buffered = bufio.NewReaderSize(next, 4<<10) // nothing that is not whole comes from there
 				r = &records{r: buffered}
 			} else if r.idle() && buffered.Buffered() == 0 && c.seat.Quiet() {
 				return
@@ -237,7 +242,7 @@
 		return
 	}
 	q.over.Store(true)
-	if !c.front.box.Take(q.way) {
+	if q.way != nil && !c.front.box.Take(q.way) {
 		c.front.box.Put(core.Leave{From: c, Tag: q.tag})
 	}
 }
@@ -423,11 +428,45 @@
 	default:
 		q.asked, q.body, q.over = true, nil, new(atomic.Bool)
 		a.Over = q.over
-		q.way = c.front.box.Put(a)
+		q.ask = a
+		c.whole = append(c.whole, q)
 	}
 	return nil
 }
 
+// readAhead has whole requests handed on before a read that may wait.
+type readAhead struct {
+	c  *conn
+	in io.Reader
+}
+
+func (r readAhead) Read(b []byte) (int, error) {
+	r.c.handOn(maxReadAhead)
+	return r.in.Read(b)
+}
+
+// handOn gives the core the whole requests, once what their client has sent behind them is read, for which they wait some
+// ms. Guards against a request that is sent on though its client has withdrawn it or has closed the connection: either may
+// have waited here, unread, for as long as the request did.
+func (c *conn) handOn(wait float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.whole) == 0 {
+		return
+	}
+	readable, gone := front.Pending(c.net)
+	if gone || readable && c.front.opt.Clock.Now() < c.whole[0].ask.At+wait {
+		return // the end of the connection withdraws them
+	}
+	for _, q := range c.whole {
+		if !q.over.Load() {
+			q.way = c.front.box.Put(q.ask)
+		}
+		q.ask = core.Ask{}
+	}
+	c.whole = nil
+}
+
 // keyMost bounds an idempotency key, in bytes; the protocol's example has 32.
 const keyMost = 128
 
--- a/front/fastcgi/pass.go
+++ b/front/fastcgi/pass.go
@@ -79,7 +79,7 @@
 	// Guards against an answer that is worded and not yet written: its request is no longer open here, so the other
 	// process would not know its number.
 	c.mu.Lock()
-	for end := time.Now().Add(parkMost); (c.writing || len(c.out) > 0) && time.Now().Before(end); c.mu.Lock() {
+	for end := time.Now().Add(parkMost); (c.writing || len(c.out) > 0) && time.Now().Before(end) && !front.HungUp(nc); c.mu.Lock() {
 		c.mu.Unlock()
 		time.Sleep(parkLook)
 	}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -78,7 +78,7 @@
 	firstMost    = 12000.0          // ms that a new connection may say nothing
 	idleMost     = 60000.0          // ms without a request
 	writeLimit   = 5 * time.Second
-	hungUpLook   = 100 * time.Millisecond // at whether a client has left whose requests are not read for now
+	hungUpLook   = 20 * time.Millisecond // at whether a client has left whose requests are not read for now
 	pipelineMost = 4
 	intakeMost   = 8 << 20     // bodies of requests without an answer, on all connections
 	claimMargin  = 60000       // ms that a claim outlives expiry and leeway
@@ -531,12 +531,15 @@
 	}()
 }
 
-// hand gives a request to the core, unless its client has left meanwhile: then its claim is given back.
+// hand gives a request to the core, unless its client has left meanwhile, be it unseen behind bytes that are not read yet:
+// then its claim is given back.
 func (c *conn) hand(s *slot, ask core.Ask) {
+	gone := front.HungUp(c.net)
 	c.mu.Lock()
-	s.asked = !c.left
+	s.asked = !c.left && !gone
 	if !s.asked {
 		delete(c.open, s.tag)
+		s.finish(nil)
 	}
 	owner, asked := s.owner, s.asked
 	c.mu.Unlock()
--- a/front/signed/withdraw_test.go
+++ b/front/signed/withdraw_test.go
@@ -10,6 +10,8 @@
 
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/token"
 )
 
 // gated holds each claim up until it may go on.
@@ -92,3 +94,64 @@
 		}
 	}
 }
+
+// A client whose close lies behind its request, unread, has the request not handed on.
+func TestCloseBehindTheRequestIsSeenFirst(t *testing.T) {
+	ways := map[string]func(c *net.TCPConn){
+		"stays": nil,
+		"close": func(c *net.TCPConn) { c.Close() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	}
+	for way, leave := range ways {
+		t.Run(way, func(t *testing.T) {
+			f := newDepot(t).fronts[0]
+			f.classes["firmware"] = Class{Name: "firmware", Deadline: 3000}
+			issued, err := f.ring.Load().Issue("k", token.Terms{URI: "/v1/firmware/00000000000000e1/0", Until: 1e9 + 600, ID: "n"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			asked, served := make(chan core.Ask, 1), make(chan struct{})
+			f.opt.Post = func(ev core.Event) {
+				if a, ok := ev.(core.Ask); ok {
+					asked <- a
+				}
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			near, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer near.Close()
+			far, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			fmt.Fprintf(near, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", issued.URL)
+			if leave != nil {
+				leave(near.(*net.TCPConn))
+				for limit := time.Now().Add(20 * time.Second); !front.HungUp(far); time.Sleep(time.Millisecond) {
+					if time.Now().After(limit) {
+						t.Fatal("the close never came")
+					}
+				}
+			}
+			go func() { defer close(served); f.Handle(far) }()
+			if leave == nil {
+				a := <-asked
+				a.From.Answer(a.Tag, core.Answer{Verdict: core.Refused})
+				near.Close()
+			}
+			<-served
+			if f.Open() != 0 {
+				t.Errorf("%d requests are open", f.Open())
+			}
+			if len(asked) > 0 {
+				t.Error("handed on though its client had left")
+			}
+		})
+	}
+}
--- a/front/unread.go
+++ b/front/unread.go
@@ -32,11 +32,21 @@
 
 // HungUp tells whether the other side has closed or reset a connection, also behind bytes that are not read yet. A
 // connection that can't tell counts as open.
-func HungUp(c net.Conn) (gone bool) {
+func HungUp(c net.Conn) bool {
+	_, gone := Pending(c)
+	return gone
+}
+
+// Pending tells whether a read would not wait, and whether the other side has closed or reset the connection, also behind
+// bytes that are not read yet. A connection that can't tell has nothing to read and counts as open.
+func Pending(c net.Conn) (readable, gone bool) {
 	control(c, func(fd int) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(p, 0)
-		gone = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		if n, err := unix.Poll(p, 0); err != nil || n == 0 {
+			return
+		}
+		readable = p[0].Revents&unix.POLLIN != 0
+		gone = p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
-	return gone
+	return readable, gone
 }
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -234,7 +234,7 @@
 		cut -= len(batch[whole].bytes)
 	}
 	if err == nil && cut > 0 { // the socket is full in the middle of a chunk
-		if _, err = c.net.Write(batch[whole].bytes[cut:]); err == nil {
+		if err = c.writeRest(batch[whole], cut); err == nil {
 			whole++
 		}
 	}
@@ -248,6 +248,35 @@
 	return more, err
 }
 
+// writeRest writes what is left of a chunk, of which so many bytes have left. Guards against a store that reads late: a
+// request whose client leaves meanwhile never gets there whole, at the price of the connection.
+func (c *conn) writeRest(k chunk, sent int) error {
+	rest := k.bytes[sent:]
+	var failed error
+	err := c.whenWritable(func(write func([]byte) (int, error)) (done bool) {
+		for len(rest) > 0 {
+			if k.unwanted() {
+				failed = errClientGone
+				return true
+			}
+			n, err := write(rest)
+			if errors.Is(err, syscall.EAGAIN) {
+				return false
+			}
+			if err != nil {
+				failed = err
+				return true
+			}
+			rest = rest[n:]
+		}
+		return true
+	})
+	return errors.Join(err, failed)
+}
+
+// unwanted tells whether a chunk is a request that nobody waits for any more.
+func (k chunk) unwanted() bool { return k.of != nil && !k.drop && k.of.Over != nil && k.of.Over.Load() }
+
 // whenWritable calls try with a write that does not wait, and again when the socket takes bytes until it is done. A
 // connection that can't tell, such as a recorded one, waits in the write itself.
 func (c *conn) whenWritable(try func(write func([]byte) (int, error)) (done bool)) error {
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -98,6 +98,44 @@
 	}
 }
 
+// A request that a full socket cuts in two never gets to its store whole once its client has left, however much of it has
+// left before.
+func TestClientLeavesInTheMiddleOfTheWrite(t *testing.T) {
+	for _, stays := range []bool{true, false} {
+		begun, goOn := make(chan struct{}), make(chan struct{})
+		s, err := standin.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
+			r.Peek(1)
+			close(begun)
+			<-goOn
+		}, func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		b := newBed(t)
+		b.pool.opt.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err == nil {
+				c.(*net.TCPConn).SetWriteBuffer(8 << 10)
+			}
+			return c, err
+		}
+		b.list(s.Addr())
+		cut := send(1, 0, 1)
+		cut.Body, cut.Over = make([]byte, 1<<20), new(atomic.Bool) // more than the sockets take
+		b.pool.Send(cut)
+		<-begun
+		cut.Over.Store(!stays)
+		close(goOn)
+		if e := b.ended(cut.Key); stays != (e.Result == control.OK) || e.Doubt {
+			t.Errorf("stays %t: ended as %+v", stays, e)
+		}
+		if got := len(s.Calls("GET")) == 1; got != stays {
+			t.Errorf("stays %t: at the store whole: %t", stays, got)
+		}
+	}
+}
+
 // An ID is not used again on a connection as long as an answer to an earlier attempt may still come, which the longest
 // deadline of the settings bounds.
 func TestIDsAreRememberedForTheLongestRequest(t *testing.T) {
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -65,7 +65,10 @@
 	late     chan core.Event // what a call from the core found at once
 }
 
-var errGone = errors.New("the store is gone")
+var (
+	errGone       = errors.New("the store is gone")
+	errClientGone = errors.New("the client left in the middle of its request's write")
+)
 
 // peer is one store, parent or origin.
 type peer struct {
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -43,7 +43,8 @@
 
 const (
 	bodyMost     = 256 << 10
-	probeTimeout = 240 // ms
+	bodyPiece    = 4 << 10 // bytes of a request's body between two looks at whether anybody waits for it
+	probeTimeout = 240     // ms
 	probesMost   = 32
 )
 
@@ -193,7 +194,7 @@
 	target := strings.TrimSuffix(store.Base, "/") + "/" + s.Class + "/" + url.PathEscape(s.Name) + "/" +
 		strconv.FormatUint(uint64(s.Part), 10)
 	// The body has no GetBody, so the transport can't send a write a second time by itself.
-	req, err := http.NewRequestWithContext(ctx, method, target, struct{ io.Reader }{bytes.NewReader(s.Body)})
+	req, err := http.NewRequestWithContext(ctx, method, target, awaited{bytes.NewReader(s.Body), s.Over})
 	if err != nil {
 		return end
 	}
@@ -257,7 +258,24 @@
 	return end
 }
 
-var errLong = errors.New("web: the answer is too long")
+var (
+	errLong       = errors.New("web: the answer is too long")
+	errClientGone = errors.New("web: the client left in the middle of its request's write")
+)
+
+// awaited is a request's body, which ends in an error once nobody waits for the request. Guards against a store that reads
+// late: what its client has withdrawn by then never gets there whole.
+type awaited struct {
+	body io.Reader
+	over *atomic.Bool // nil: somebody always does
+}
+
+func (a awaited) Read(b []byte) (int, error) {
+	if a.over != nil && a.over.Load() {
+		return 0, errClientGone
+	}
+	return a.body.Read(b[:min(len(b), bodyPiece)])
+}
 
 func readAll(r io.Reader) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, bodyMost+1))
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -263,3 +263,33 @@
 		})
 	}
 }
+
+// A write that a full socket cuts in two never gets to its store whole once its client has left.
+func TestClientLeavesInTheMiddleOfTheBody(t *testing.T) {
+	for _, stays := range []bool{true, false} {
+		begun, goOn, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			close(begun)
+			<-goOn
+			_, err := io.Copy(io.Discard, r.Body)
+			read <- err
+		}))
+		defer srv.Close()
+		ended := make(chan core.Ended, 1)
+		u := New(Options{Stores: map[uint32]Store{1: {Base: srv.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
+			Clock: clock.Manual(1e12), Log: zerolog.Nop()}, func(ev core.Event) { ended <- ev.(core.Ended) })
+		defer u.Close()
+		s := core.Send{Key: core.Key{ID: 1}, To: 1, Class: "ride-end", Name: "a", Write: true, Over: new(atomic.Bool)}
+		s.Body = make([]byte, 16<<20) // more than the sockets take
+		u.Send(s)
+		<-begun
+		s.Over.Store(!stays)
+		close(goOn)
+		if err := <-read; (err == nil) != stays {
+			t.Errorf("stays %t: its body was read with error %v", stays, err)
+		}
+		if e := <-ended; (e.Result == control.OK) != stays {
+			t.Errorf("stays %t: ended as %+v", stays, e)
+		}
+	}
+}
