Spend what is saved up for a cold store in turn, so that all gateways together stay in bounds

Found on reading the budget: each gateway saves up its part, and a whole call at the least, however little each may send. After a lull all of them may spend that call in one moment: a part below one call was rounded up, by as many as there are gateways.

Change: who has a call saved up spends it in its turn. A turn comes round in the time in which a gateway earns a call, and as many have it at once as chance allows beside what all earn in a span, 2 x root of that + 2; with fewer gateways than that nothing waits. Turns follow from the settings, the gateway's number and the store's start, which all know alike. The seed spread the first calls before, which the turns do now; it is used for nothing else. An operator's gateways have no numbers: the seed stands in.

--- /dev/null
+++ b/cold_test.go
@@ -0,0 +1,151 @@
+package turnfork
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/internal/standin"
+)
+
+// coldFleet is the configuration of one of some gateways whose only store has just started: its number, how many there are
+// (twice), the store's address and weight, and when it started.
+const coldFleet = `{"name":"n","listen":"127.0.0.1:0","limits":{"cores":1,"memory_mb":64,"sockets":200},"seed":"%x",
+"known":{"seq":1,"results":[{"seq":1,"fleet":{"version":1,"full":true,"servers":[{"id":"s-0000000a","addr":%q,"zone":"edge",
+"kind":"box","cell":0,"state":"Ready","weight":%d,"started_ms":%d}]}}]},"settings":{"me":%d,"az":1,"balancers":%d,
+"zones":["hub","edge"],"kinds":["box","parent","origin"],"quantum":0.002,
+"classes":[{"name":"firmware","aim":0.3,"deadline":1.8,"repeat":"free","worth":1}],
+"allowed":{"max-attempts":8,"cancel":true,"dial-timeout":0.4,"idle-close":15,"max-open":1000},
+"guarantees":{"cold":40,"cold-share":0.2,"fall":2,"fall-multiple":2,"drain-grace":0.5},
+"family-info":{"origin-kind":2,"shield-kind":1,"client-kb-per-s":1000,"seats-by-zone":[0,%d],"zone-hub":[0,0],"says":"all"}}}`
+
+func pair(name, value string) []byte {
+	return append(append([]byte{byte(len(name)), byte(len(value))}, name...), value...)
+}
+
+func record(kind byte, id uint16, data []byte) []byte {
+	b := binary.BigEndian.AppendUint16([]byte{1, kind}, id)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(data)))
+	return append(append(b, 0, 0), data...)
+}
+
+// fastcgiGet words a request for a part of 300 KB.
+func fastcgiGet(id uint16, txn uint64) []byte {
+	params := pair("SCRIPT_NAME", "/v1/firmware")
+	for name, value := range map[string]string{
+		"HTTP_X_TXN": fmt.Sprintf("%016x", txn), "HTTP_X_TTL_MS": "1800", "HTTP_X_ROW": fmt.Sprintf("%016x", txn*7919),
+		"HTTP_X_BLOCK": "0", "HTTP_X_FAMILY": "1", "HTTP_X_WORKING_SET_KB": "300",
+	} {
+		params = append(params, pair(name, value)...)
+	}
+	b := record(1, id, []byte{0, 1, 1, 0, 0, 0, 0, 0})
+	b = append(b, record(4, id, params)...)
+	return append(append(b, record(4, id, nil)...), record(5, id, nil)...)
+}
+
+// ends reads up to the ends of so many requests.
+func ends(r io.Reader, requests int) error {
+	for requests > 0 {
+		var head [8]byte
+		if _, err := io.ReadFull(r, head[:]); err != nil {
+			return err
+		}
+		if _, err := io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint16(head[4:]))+int64(head[6])); err != nil {
+			return err
+		}
+		if head[1] == 3 {
+			requests--
+		}
+	}
+	return nil
+}
+
+// Thirty gateways want a cold store in the same moment, each after a lull in which it could save up what it may send. In
+// any span of the settings' length the store gets no more calls than the N that they allow and 2 x root of N + 2.
+func TestManyGatewaysMeetAColdStore(t *testing.T) {
+	const gateways, weight, wanted, lull, span = 30, 1, 8, 12000, 1900
+	store, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+		return "ACK", "tag=0a,why=local,minted=1", []byte("part"), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	clk := clock.Manual(1.8e12)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer func() { stop(); running.Wait() }()
+	var clients []net.Conn
+	for i := range gateways {
+		text := fmt.Sprintf(coldFleet, i*7919+1, store.Addr(), weight, int64(clk.Now()), i, gateways, gateways)
+		node, err := config.Parse([]byte(text), "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ready := make(chan Addrs, 1)
+		cfg := Config{Node: node, Log: zerolog.Nop(), Clock: clk, Ready: func(a Addrs) { ready <- a }}
+		running.Go(func() {
+			if err := Run(ctx, cfg); err != nil {
+				t.Error(err)
+			}
+		})
+		c, err := net.Dial("tcp", (<-ready).FastCGI.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		clients = append(clients, c)
+	}
+	// ask has every gateway asked for so many parts, and gives the calls that came until all are answered, the clock
+	// moving on by ms meanwhile.
+	asked := uint64(0)
+	ask := func(parts int, ms float64) int {
+		before := len(store.Calls("GET"))
+		answered := make(chan error, gateways)
+		for _, c := range clients {
+			for id := range parts {
+				asked++
+				c.Write(fastcgiGet(uint16(id+1), asked))
+			}
+			go func() { answered <- ends(bufio.NewReader(c), parts) }()
+		}
+		const step = 50.0
+		for left := gateways; left > 0; {
+			select {
+			case err := <-answered:
+				if err != nil {
+					t.Fatal(err)
+				}
+				left--
+			case <-time.After(10 * time.Millisecond): // for the gateways to act on the time that it is
+				if ms > 0 {
+					clk.Advance(step)
+					ms -= step
+				}
+			}
+		}
+		return len(store.Calls("GET")) - before
+	}
+	ask(1, span) // the store is seen, and what may be sent to it saved up from here on
+	clk.Advance(lull)
+	present := 0.2 + 0.8*(span+lull)/40000.0
+	allowed := 2 * present * weight * 2 / 0.3
+	calls := ask(wanted, span)
+	if most := allowed + 2*math.Sqrt(allowed) + 2; float64(calls) > most {
+		t.Errorf("%d calls came, %.1f are allowed and chance gives %.1f", calls, allowed, most)
+	}
+	if calls < 2 {
+		t.Errorf("%d calls came, %.1f are allowed", calls, allowed)
+	}
+	t.Logf("%d of %d requests were sent on, %.1f are allowed", calls, gateways*wanted, allowed)
+}
--- a/config/operator.go
+++ b/config/operator.go
@@ -477,6 +477,7 @@
 	}
 	n.Known = []core.Event{ev}
 	n.Settings = control.Settings{
+		Front:  int(seed % uint64(fronts)), // they have no numbers: any that differ as a rule will do
 		Fronts: fronts, Zone: zoneHere, FrontsByZone: []int{0, fronts}, ZoneHub: []int{zoneHub, zoneHub}, Kinds: len(kinds),
 		ParentKind: parents, OriginKind: kinds["origin"], Quantum: 2 * time.Millisecond, ClientKBps: m.FlowKBps,
 		WeightsTold: true, MaxAttempts: int(or(float64(m.MaxAttempts), 8)), CanCancel: true,
--- a/control/control.go
+++ b/control/control.go
@@ -49,6 +49,7 @@
 	coldUse     = 0.7             // share of a cold member's guaranteed bearing that all fronts together use
 	coldFill    = 1.2             // share of what a cold member can do at least that all fronts together send it
 	coldBurst   = 0.25            // share of the fall span whose budget may be saved up
+	goldenPart  = 0.618034        // multiples of it are spread evenly, however many there are
 	purgeMargin = 20 * time.Millisecond
 	slowFill    = 1.5     // fills take this many times their sending time on average: the link is full
 	objectsKept = 1 << 14 // objects remembered in each of two generations
@@ -56,13 +57,13 @@
 	forever     = math.MaxInt64 * time.Nanosecond
 )
 
-// New returns a controller, or an error that names the setting that makes no sense. The seed spreads in time
-// what fronts would else do in step; it should differ between them.
-func New(s Settings, seed uint64) (*Controller, error) {
+// New returns a controller, or an error that names the setting that makes no sense. The seed is for what is
+// left to chance, which is nothing at present.
+func New(s Settings, _ uint64) (*Controller, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	c := &Controller{set: s, seed: seed, parts: 1, requests: map[RequestID]*request{}}
+	c := &Controller{set: s, parts: 1, requests: map[RequestID]*request{}}
 	c.purges, c.listed[0], c.barred = map[purgeKey]purge{}, map[MemberID]struct{}{}, map[MemberID]struct{}{}
 	c.objects[0], c.objects[1] = map[objectKey]*object{}, map[objectKey]*object{}
 	for _, class := range s.Classes {
@@ -74,7 +75,7 @@
 		c.fillLate = append(c.fillLate, spread{})
 		c.queue.add(class.Worth)
 	}
-	c.window, c.link.fits = window{max: 1, fast: true}, s.fits()
+	c.window, c.link.fits, c.dearest = window{max: 1, fast: true}, s.fits(), slices.Max(c.work)
 	return c, nil
 }
 
@@ -229,10 +230,9 @@
 
 // settle gives a member the state that counts: one that is barred drains, whatever the list says.
 func (c *Controller) settle(m *member) {
-	if m.State = m.said; m.State == Ready {
-		if _, out := c.barred[m.ID]; out {
-			m.State = Draining
-		}
+	m.State = m.said
+	if _, out := c.barred[m.ID]; out && m.State == Ready {
+		m.State = Draining
 	}
 }
 
@@ -256,12 +256,11 @@
 // eject keeps a member out for a while that doubles until it answers again. It answers silence,
 // resets and failed connects alike, whatever their cause.
 func (m *member) eject(now time.Duration) {
-	if now < m.until {
-		return
+	if now >= m.until {
+		m.until = now + min(ejectFirst<<min(m.ejections, 8), ejectMost)
+		m.ejections++
+		m.trial = true
 	}
-	m.until = now + min(ejectFirst<<min(m.ejections, 8), ejectMost)
-	m.ejections++
-	m.trial = true
 }
 
 func (c *Controller) probeDone(ev Probed) {
@@ -954,40 +953,45 @@
 	return source == to || source.State == Ready && c.bears(source, r.sending.Seconds())
 }
 
-// coldRate is what this front may send a cold member: its share of what all fronts together may send, with
-// margin, and of what the member can do: more than that makes all of it late, long before the member falls.
-func (c *Controller) coldRate(m *member) (rate float64, fall time.Duration, cold bool) {
-	if m.Started <= 0 || c.isOrigin(m) {
-		return 0, 0, false
-	}
+// coldRate is what this front may send a cold member, and has earned so since its start: its share of what
+// all may send, with margin, and of what the member can do: more makes all late, long before it falls.
+func (c *Controller) coldRate(m *member) (rate, earned float64, cold bool) {
 	share, warm, multiple := c.set.ColdShare, c.set.ColdFor, c.set.FallMultiple
 	if c.isParent(m) {
 		share, warm, multiple = c.set.ParentColdFrom, c.set.ParentColdFor, c.set.ParentFall
 	}
-	age := c.now - m.Started
-	if age >= warm {
+	age := max(0, c.now-m.Started)
+	if m.Started <= 0 || c.isOrigin(m) || c.now-m.Started >= warm {
 		return 0, 0, false
 	}
-	present := share + (1-share)*max(0, age.Seconds())/warm.Seconds()
-	return min(coldFill, coldUse*multiple) / float64(c.sharers(m)) * present * m.Weight, c.set.FallFor, true
+	grown := (1 - share) * age.Seconds() / warm.Seconds()
+	full := min(coldFill, coldUse*multiple) / float64(c.sharers(m)) * m.Weight
+	return full * (share + grown), full * (share + grown/2) * age.Seconds(), true
 }
 
 // bears tells whether a cold member's budget has room for the work. The whole cost is saved up, no more than
-// the dearest class costs or a part of the span allows, from a start that the seed spreads over the fronts:
-// else all of them would send one request each in the same moment, however little each may send.
+// the dearest class costs or a part of the span allows.
 func (c *Controller) bears(m *member, work float64) bool {
-	rate, fall, cold := c.coldRate(m)
+	rate, earned, cold := c.coldRate(m)
 	if !cold {
 		return true
 	}
-	most := max(rate*fall.Seconds()*coldBurst, slices.Max(c.work))
+	most := max(rate*c.set.FallFor.Seconds()*coldBurst, slices.Max(c.work))
 	if m.filledAt == 0 {
-		m.budget = slices.Min(c.work) * float64(mix(c.seed^uint64(m.ID))>>11) / (1 << 53)
-		m.filledAt = c.now
+		m.budget, m.filledAt = most, c.now
 	}
 	m.budget = min(m.budget+rate*(c.now-m.filledAt).Seconds(), most)
 	m.filledAt = c.now
-	return m.budget >= work
+	return m.budget >= work && c.onTurn(m, rate, earned)
+}
+
+// onTurn tells whether this front may spend what it has saved up for a cold member, up to a call: many take
+// turns, no more at once than chance allows beside what all earn in a span. All count by the settings.
+func (c *Controller) onTurn(m *member, rate, earned float64) bool {
+	sharers := float64(c.sharers(m))
+	atOnce := 2 + 2*math.Sqrt(rate*sharers*c.set.FallFor.Seconds()/c.dearest)
+	_, phase := math.Modf(earned/c.dearest + goldenPart*float64(uint64(c.set.Front)+mix(uint64(m.ID))>>40))
+	return phase*sharers < atOnce
 }
 
 // maxAge keeps rule 5: after a purge no older copy will do.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -390,3 +391,83 @@
 		t.Errorf("probes for 2,000 requests: %d alone, %d as one of 20 fronts of a zone", alone, many)
 	}
 }
+
+// fleetOf gives n fronts of the tests' location, which see one cold cache there beside warm ones from the start on.
+func fleetOf(t *testing.T, n int, start time.Duration, cold MemberID, weight float64) (set Settings, fronts []*Controller) {
+	set = testSettings()
+	set.Fronts, set.FrontsByZone = n, []int{0, 0, n, 0}
+	list := testMembers()
+	for i := range list {
+		if list[i].ID == cold {
+			list[i].Started, list[i].Weight = start, weight
+		}
+	}
+	for i := range n {
+		set.Front = i
+		c, err := New(set, uint64(i)*0x9e3779b97f4a7c15+7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Handle(start, Members{Whole: true, List: list}, nil)
+		fronts = append(fronts, c)
+	}
+	return set, fronts
+}
+
+// Each front may have saved up a call for a cold cache, whatever its part. When all want to spend it in the same moment
+// after a lull, no more calls come in any span than the N that the settings allow and 2 x root of N + 2. The cache is not
+// left idle either: where all ask all the time, most of what they earn is used.
+func TestSavedUpCallsAreSpentInTurn(t *testing.T) {
+	for _, weight := range []float64{1, 4, 20} {
+		for _, n := range []int{1, 4, 8, 20, 30, 60, 200} {
+			for _, lull := range []time.Duration{0, 500 * ms, 2 * time.Second, 4 * time.Second, 6 * time.Second} {
+				spendAfter(t, n, weight, lull)
+			}
+		}
+	}
+}
+
+func spendAfter(t *testing.T, n int, weight float64, lull time.Duration) {
+	const cold, start, day, sizeKB = MemberID(10), 100 * time.Second, 8 * time.Second, 300
+	set, fronts := fleetOf(t, n, start, cold, weight)
+	work := sizeKB / set.ClientKBps
+	var calls []time.Duration
+	id := RequestID(0)
+	for now := start; now < start+day; now += 10 * ms {
+		if now > start && now < start+lull { // budgets are seen once at the start, and grow from then on
+			continue
+		}
+		for _, c := range fronts {
+			id++
+			r := &request{Request: Request{ID: id}, class: &set.Classes[0], keyEnd: forever, deadline: now + time.Second}
+			m := c.member(cold)
+			c.now, c.work[0], c.acts, m.open = now, work, nil, nil
+			if c.send(r, m, m, false, true) {
+				calls = append(calls, now)
+			}
+		}
+	}
+	allowed := func(at time.Duration) float64 {
+		present := set.ColdShare + (1-set.ColdShare)*(at-start).Seconds()/set.ColdFor.Seconds()
+		return set.FallMultiple * present * weight * set.FallFor.Seconds() / work
+	}
+	from := 0
+	for i, at := range calls {
+		for ; calls[from] <= at-set.FallFor; from++ {
+		}
+		few := allowed(calls[from])
+		if got := float64(i - from + 1); got > few+2*math.Sqrt(few)+2 {
+			t.Errorf("weight %v, %d fronts after %v: %v calls by %v where %.1f are allowed", weight, n, lull, got, at-start, few)
+			break
+		}
+	}
+	c := fronts[0]
+	sum := func(at time.Duration) float64 {
+		c.now = at
+		_, earned, _ := c.coldRate(c.member(cold))
+		return earned * float64(n) / work
+	}
+	if earned := sum(start+day) - sum(start+lull); float64(len(calls)) < 0.6*earned-1 {
+		t.Errorf("weight %v, %d fronts after %v: %d calls, and %.1f were earned", weight, n, lull, len(calls), earned)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -53,7 +53,6 @@
 // Controller is one front's decision module.
 type Controller struct {
 	set      Settings
-	seed     uint64
 	now      time.Duration
 	acts     []Action
 	members  []*member                // sorted by id
@@ -76,6 +75,7 @@
 	fillLate []spread        // by class: the same of fills alone
 	lateness []spread        // by class: how much later than its sending time an answer comes
 	work     []float64       // by class: mean sending time, seconds
+	dearest  float64         // the longest of these by the settings alone
 	longest  []time.Duration // by class: the most time that a client gave a try
 	misses   float64         // share of the answers to unproven misses that came through the link
 	waited   float64         // mean time that fills wait for their source, seconds
