Link the program into its own tests, so that no stale result comes from the test cache

Seen: after a change of the fronts, go test took the result of cmd/turnfork from its cache. These tests build the program by a command, and their own binary linked no more of it than they call, so that it was the same as before.

Change: the tests refer to main, which links all of it.

Measured: a constant of a front changed: the tests run again; unchanged: they come from the cache.

--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -31,8 +31,15 @@
 	done chan error
 }
 
+// linked is the program under test, linked into the tests though they start it as a process of its own. Guards against a result from the
+// test cache, which knows of no files that the build below reads.
+var linked = main
+
 func build(t *testing.T) string {
 	t.Helper()
+	if linked == nil {
+		t.Fatal("the program is not linked")
+	}
 	bin := filepath.Join(t.TempDir(), "turnfork")
 	if out, err := exec.Command("go", "build", "-o", bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
