--- a/control/state.go
+++ b/control/state.go
@@ -53,7 +53,6 @@
 // Controller is one front's decision module.
 type Controller struct {
 	set      Settings
-	seed     uint64
 	now      time.Duration
 	acts     []Action
 	members  []*member                // sorted by id
@@ -76,6 +75,7 @@
 	fillLate []spread        // by class: the same of fills alone
 	lateness []spread        // by class: how much later than its sending time an answer comes
 	work     []float64       // by class: mean sending time, seconds
+	dearest  float64         // the longest of these by the settings alone
 	longest  []time.Duration // by class: the most time that a client gave a try
 	misses   float64         // share of the answers to unproven misses that came through the link
 	waited   float64         // mean time that fills wait for their source, seconds
@@ -278,15 +278,24 @@
 		{"KeyFor", k.KeyFor.Seconds()}, {"Fresh", k.Fresh.Seconds()}, {"StaleFor", k.StaleFor.Seconds()}, {"StaleWorth", k.StaleWorth},
 	} {
 		if !finite(v.value) {
-			return fmt.Errorf("%s: %v is not 0 or more", v.field, v.value)
+			return &fieldError{v.field, v.value, "not 0 or more"}
 		}
 	}
 	if k.Deadline <= 0 {
-		return fmt.Errorf("Deadline: %v is not positive", k.Deadline)
+		return &fieldError{"Deadline", k.Deadline, "not positive"}
 	}
 	return nil
 }
 
+// fieldError names a field whose value makes no sense.
+type fieldError struct {
+	field   string
+	value   any
+	problem string
+}
+
+func (e *fieldError) Error() string { return fmt.Sprintf("%s: %v is %s", e.field, e.value, e.problem) }
+
 // finite tells whether a value is 0 or more, and neither infinite nor NaN.
 func finite(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
 
