--- /dev/null
+++ b/distribution/admission.go
@@ -0,0 +1,128 @@
+package distribution
+
+import "time"
+
+// Admission is what a Publisher decides about a new subscriber.
+type Admission string
+
+// The admissions.
+const (
+	AdmitResume   Admission = "resume"   // its changes follow its position
+	AdmitSnapshot Admission = "snapshot" // it needs a snapshot first; it holds one of the places until SnapshotSent
+	AdmitRefuse   Admission = "refuse"   // it has to come back, here or at another voter
+)
+
+// Refusal says why a subscriber is refused.
+type Refusal string
+
+// The refusals.
+const (
+	RefuseFull   Refusal = "full"   // as many subscribers as may be
+	RefuseBusy   Refusal = "busy"   // as many snapshots under way as may be
+	RefuseBehind Refusal = "behind" // this voter has not reached the subscriber's position yet
+)
+
+// Decision answers a subscription.
+type Decision struct {
+	ID         SubscriberID
+	Admission  Admission
+	Refusal    Refusal
+	RetryAfter time.Duration // of a refusal
+}
+
+// The shortest pauses that refusals ask for. A pause is between once and twice as long. A subscriber refused as
+// RefuseBehind comes back after a heartbeat interval or two, as by then a confirmation has told more.
+const (
+	fullRetryAfter = 5 * time.Second
+	busyRetryAfter = time.Second
+)
+
+// admission holds what the decisions about subscribers need besides the journal.
+type admission struct {
+	behindRetryAfter time.Duration
+	refusals         uint64
+	ahead            aheadPositions
+}
+
+func newAdmission(subscribers int, heartbeatInterval time.Duration) admission {
+	return admission{behindRetryAfter: heartbeatInterval, ahead: newAheadPositions(subscribers)}
+}
+
+// Subscribe admits a subscriber that holds the state at a position. Confirmed is the newest revision that a majority
+// confirmed (0: none yet): a subscriber beyond Last is behind-refused until a confirmation shows that its position is not in
+// this history, and then gets a snapshot.
+//
+// A confirmation shows it where it began after the position was first named here, and its revision is lower: the position
+// was committed before it was named, so a history that holds it would have been confirmed up to it. An older confirmation
+// shows nothing, as the position may be newer than it. The owner has therefore to run confirmations also while there is no
+// subscriber; NeedsConfirmation tells when.
+func (p *Publisher) Subscribe(at Position, confirmed Revision, now time.Time) Decision {
+	if len(p.subscribers) >= p.limits.Subscribers {
+		return p.refuse(RefuseFull, fullRetryAfter)
+	}
+	switch p.journal.locate(at) {
+	case locatedHeld:
+		return Decision{ID: p.admit(&subscriber{state: stateStreaming, held: at}), Admission: AdmitResume}
+	case locatedBeyond:
+		if !p.lost(at, confirmed) {
+			p.admission.ahead.enter(at, p.confirmations.begun)
+			p.confirmations.request()
+			return p.refuse(RefuseBehind, p.admission.behindRetryAfter)
+		}
+	}
+	if p.snapshots >= p.limits.Snapshots {
+		return p.refuse(RefuseBusy, busyRetryAfter)
+	}
+	p.snapshots++
+	return Decision{ID: p.admit(&subscriber{state: stateSnapshot}), Admission: AdmitSnapshot}
+}
+
+// admit enters a subscriber.
+func (p *Publisher) admit(s *subscriber) SubscriberID {
+	p.lastID++
+	p.subscribers[p.lastID] = s
+	return p.lastID
+}
+
+// lost tells whether it is shown that a position beyond the journal is in no history that a majority holds.
+func (p *Publisher) lost(at Position, confirmed Revision) bool {
+	if max(confirmed, p.confirmations.through) >= at.Revision {
+		return false
+	}
+	begun, ok := p.admission.ahead.begun[at]
+	return ok && p.confirmations.confirmed > begun
+}
+
+// refuse makes a refusal with a pause between least and twice that. Successive pauses follow the multiples of the golden
+// ratio, which spread any run of refusals evenly over the range without randomness.
+func (p *Publisher) refuse(reason Refusal, least time.Duration) Decision {
+	const goldenRatio = 0x9E3779B97F4A7C15 // of 2^64
+	p.admission.refusals++
+	fraction := float64(p.admission.refusals*goldenRatio>>11) / (1 << 53)
+	pause := least + time.Duration(fraction*float64(least))
+	return Decision{Admission: AdmitRefuse, Refusal: reason, RetryAfter: pause}
+}
+
+// aheadPositions remembers positions named by subscribers that were beyond the journal, each with the number of the
+// confirmations begun before it was first named. It holds a limited number of them, and drops the oldest.
+type aheadPositions struct {
+	limit int
+	begun map[Position]uint64
+	order []Position
+}
+
+func newAheadPositions(limit int) aheadPositions {
+	return aheadPositions{limit: limit, begun: map[Position]uint64{}}
+}
+
+func (a *aheadPositions) enter(at Position, begun uint64) {
+	if _, ok := a.begun[at]; ok {
+		return
+	}
+	if len(a.order) >= a.limit {
+		delete(a.begun, a.order[0])
+		a.order = a.order[1:]
+	}
+	a.begun[at] = begun
+	a.order = append(a.order, at)
+}
--- a/distribution/change.go
+++ b/distribution/change.go
@@ -6,10 +6,7 @@
 // carries its messages over the links between members.
 package distribution
 
-import (
-	"encoding/json"
-	"time"
-)
+import "encoding/json"
 
 // Revision numbers the changes: it is the index of the change's entry in the replicated log. Revisions ascend and have gaps,
 // as the log also holds entries that are not distributed.
@@ -44,12 +41,6 @@
 	At     int64           `json:"at,omitempty"` // Unix ms at which the change was proposed; of a purge: its time
 }
 
-// Batch is a run of changes that follow After without a gap, in order. Several subscribers share one: it is not changed.
-type Batch struct {
-	After   Position `json:"after"`
-	Changes []Change `json:"changes"`
-}
-
 // Snapshot is the whole state at a position, sorted by name or, for purges, by revision.
 type Snapshot struct {
 	At          Position                   `json:"at"`
@@ -57,6 +48,7 @@
 	Revocations map[string]int64           `json:"revocations"`  // name to the Unix ms until which it counts
 	Purges      []Change                   `json:"purges"`       // as far back as PurgesSince
 	PurgesSince int64                      `json:"purges_since"` // Unix ms: every purge proposed at or after it is in Purges
+	LatestAt    int64                      `json:"latest_at"`    // Unix ms: the highest At of the changes up to the position
 }
 
 // Mark tells a subscriber that it has received every change up to Through that was acknowledged before the voter took up the
@@ -66,21 +58,3 @@
 	Heartbeat uint64   `json:"heartbeat"`
 	Leader    string   `json:"leader,omitempty"` // address of the leader, where proposals go
 }
-
-// Timing are the time limits of the protocol. Its zero fields take the defaults.
-type Timing struct {
-	BatchDelay        time.Duration // the longest that a change waits for others to share its batch
-	HeartbeatInterval time.Duration // between a subscriber's heartbeats, and between a voter's confirmations
-	LeaseTTL          time.Duration // after the last confirmed heartbeat was sent, a view is stale
-	SilenceTimeout    time.Duration // without a mark, a subscriber turns to another voter
-	PurgeDeadline     time.Duration // by then a purge holds everywhere: the longest that it may take to be known
-}
-
-// Defaults of Timing. A purge has to hold everywhere within 7 s; a lease of 5 s leaves 2 s for requests under way.
-const (
-	DefaultBatchDelay        = 250 * time.Millisecond
-	DefaultHeartbeatInterval = time.Second
-	DefaultLeaseTTL          = 5 * time.Second
-	DefaultSilenceTimeout    = 2500 * time.Millisecond
-	DefaultPurgeDeadline     = 7 * time.Second
-)
--- /dev/null
+++ b/distribution/journal.go
@@ -0,0 +1,158 @@
+package distribution
+
+import (
+	"sort"
+	"time"
+)
+
+// journal holds the newest changes, divided into batches that all subscribers share. The last batch is open: it takes
+// further changes until it is full or due.
+type journal struct {
+	limits     Limits
+	batchDelay time.Duration
+
+	floor  Position // every change held is above it
+	last   Position // of the newest change, or floor
+	sealed []segment
+	open   segment
+
+	openSeenAt time.Time // when the open batch was first asked for; zero: not yet
+
+	changes int
+	bytes   int
+}
+
+// segment is a batch with its size.
+type segment struct {
+	batch *Batch
+	bytes int
+}
+
+// location says where a position lies, as seen from a journal.
+type location int
+
+const (
+	locatedBelow   location = iota // below the floor
+	locatedHeld                    // at the floor or at a change held
+	locatedForeign                 // within the range, but not of this history
+	locatedBeyond                  // above the newest change
+)
+
+func newJournal(limits Limits, batchDelay time.Duration, at Position) journal {
+	j := journal{limits: limits, batchDelay: batchDelay}
+	j.reset(at)
+	return j
+}
+
+// reset begins the journal anew after at.
+func (j *journal) reset(at Position) {
+	j.floor, j.last = at, at
+	j.sealed = nil
+	j.changes, j.bytes = 0, 0
+	j.beginBatch()
+}
+
+// beginBatch opens a batch behind the newest change.
+func (j *journal) beginBatch() {
+	j.open = segment{batch: &Batch{After: j.last}}
+	j.openSeenAt = time.Time{}
+}
+
+// append enters a change, and drops the oldest batches where the journal would exceed its limits.
+func (j *journal) append(c Change) {
+	size := c.size()
+	if j.open.bytes+size > j.limits.batchBytes() {
+		j.seal()
+	}
+	j.open.batch.Changes = append(j.open.batch.Changes, c)
+	j.open.bytes += size
+	j.last = c.Position
+	j.changes++
+	j.bytes += size
+	if j.open.bytes >= j.limits.batchBytes() || len(j.open.batch.Changes) >= j.limits.batchChanges() {
+		j.seal()
+	}
+	j.trim()
+}
+
+// seal ends the open batch, which is not changed from then on.
+func (j *journal) seal() {
+	if len(j.open.batch.Changes) == 0 {
+		return
+	}
+	j.sealed = append(j.sealed, j.open)
+	j.beginBatch()
+}
+
+// trim drops the oldest batches until the journal is within its limits.
+func (j *journal) trim() {
+	for j.changes > j.limits.JournalChanges || j.bytes > j.limits.JournalBytes {
+		if len(j.sealed) == 0 {
+			j.seal()
+		}
+		oldest := j.sealed[0]
+		j.sealed[0] = segment{}
+		j.sealed = j.sealed[1:]
+		j.floor = oldest.batch.last()
+		j.changes -= len(oldest.batch.Changes)
+		j.bytes -= oldest.bytes
+	}
+}
+
+// next gives the batch that brings a subscriber forward from the changes up to held. Where it is not due yet, wake is when it
+// will be.
+func (j *journal) next(held Revision, now time.Time) (batch *Batch, wake time.Time, err error) {
+	if held < j.floor.Revision {
+		return nil, time.Time{}, ErrOverrun
+	}
+	if held >= j.last.Revision {
+		return nil, time.Time{}, nil
+	}
+	if i := j.searchSealed(held); i < len(j.sealed) {
+		return j.sealed[i].batch, time.Time{}, nil
+	}
+	if j.openSeenAt.IsZero() {
+		j.openSeenAt = now
+	}
+	due := j.openSeenAt.Add(j.batchDelay)
+	if now.Before(due) {
+		return nil, due, nil
+	}
+	batch = j.open.batch
+	j.seal()
+	return batch, time.Time{}, nil
+}
+
+// searchSealed gives the index of the first sealed batch with a change above a revision; len(j.sealed): none has.
+func (j *journal) searchSealed(held Revision) int {
+	return sort.Search(len(j.sealed), func(i int) bool { return j.sealed[i].batch.last().Revision > held })
+}
+
+// locate tells where a position lies.
+func (j *journal) locate(at Position) location {
+	switch {
+	case at.Revision < j.floor.Revision:
+		return locatedBelow
+	case at.Revision > j.last.Revision:
+		return locatedBeyond
+	case at == j.floor || at == j.last:
+		return locatedHeld
+	case j.holds(at):
+		return locatedHeld
+	}
+	return locatedForeign
+}
+
+// holds tells whether a position is that of a change held.
+func (j *journal) holds(at Position) bool {
+	batch := j.open.batch
+	if at.Revision <= batch.After.Revision {
+		i := sort.Search(len(j.sealed), func(i int) bool { return j.sealed[i].batch.last().Revision >= at.Revision })
+		if i == len(j.sealed) {
+			return false
+		}
+		batch = j.sealed[i].batch
+	}
+	i := sort.Search(len(batch.Changes), func(i int) bool { return batch.Changes[i].Revision >= at.Revision })
+	return i < len(batch.Changes) && batch.Changes[i].Position == at
+}
--- a/distribution/view.go
+++ b/distribution/view.go
@@ -1,11 +1,23 @@
 package distribution
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
-	"math/rand/v2"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
+// revocationRetention is how long a revocation is kept after the time until which it counts, so that a clock that runs ahead
+// does not end one that still counts. The replicated state keeps them as long.
+const revocationRetention = 10 * time.Minute
+
+// proposalDisorder is by how much the proposal time of a change may lie before that of an earlier change in the log, as
+// proposals take different times and the clocks of members differ.
+const proposalDisorder = 10 * time.Second
+
 // ErrGap tells that a batch does not follow what a View holds.
 var ErrGap = errors.New("distribution: a batch does not follow")
 
@@ -21,73 +33,244 @@
 }
 
 // View is a subscriber's state. It is not safe for concurrent use.
-type View struct{}
+type View struct {
+	effects     Effects
+	position    Position
+	latestAt    int64 // Unix ms: the highest At of the changes up to position
+	config      map[string]json.RawMessage
+	revocations map[string]int64     // of the history that position is in
+	retained    map[string]int64     // revocations held before a Restore that its snapshot lacked
+	purges      map[purgeID]struct{} // known and not forgotten
+}
+
+// purgeID tells purges apart, also those of a history that was lost.
+type purgeID struct {
+	position Position
+	object   uint64
+	group    uint16
+	at       int64
+}
 
 // NewView returns an empty view. Effects may be nil.
-func NewView(effects Effects) *View { panic("not built yet") }
+func NewView(effects Effects) *View {
+	if effects == nil {
+		effects = noEffects{}
+	}
+	return &View{
+		effects:     effects,
+		config:      map[string]json.RawMessage{},
+		revocations: map[string]int64{},
+		retained:    map[string]int64{},
+		purges:      map[purgeID]struct{}{},
+	}
+}
 
 // Position is that of the last change held.
-func (v *View) Position() Position { panic("not built yet") }
+func (v *View) Position() Position { return v.position }
 
 // Apply enters a batch: changes that are held already are passed over, so none is applied twice. ErrGap means that some are
-// missing, and nothing was entered.
-func (v *View) Apply(b *Batch) error { panic("not built yet") }
-
-// Restore replaces the state by a snapshot's. Revocations and purges that the snapshot lacks stay as long as they count, as
-// a history that was lost may have held them.
-func (v *View) Restore(s *Snapshot, now time.Time) { panic("not built yet") }
-
-// Get reads a piece of configuration.
-func (v *View) Get(name string) (value []byte, ok bool) { panic("not built yet") }
+// missing or of another history, and nothing was entered.
+func (v *View) Apply(b *Batch) error {
+	first, err := v.firstMissing(b)
+	if err != nil {
+		return err
+	}
+	for _, c := range b.Changes[first:] {
+		v.apply(c)
+	}
+	return nil
+}
 
-// Revoked tells whether the use of a name is refused.
-func (v *View) Revoked(name string) bool { panic("not built yet") }
+// firstMissing gives the index of the first change of a batch that the view lacks, after a check that it follows.
+func (v *View) firstMissing(b *Batch) (int, error) {
+	previous := b.After
+	if err := v.checkFollows(previous); err != nil {
+		return 0, err
+	}
+	first := 0
+	for i, c := range b.Changes {
+		if c.Revision <= previous.Revision {
+			return 0, fmt.Errorf("%w: revision %d comes behind %d", ErrGap, c.Revision, previous.Revision)
+		}
+		if previous.Revision < v.position.Revision {
+			// The view is beyond the change before this one, so it is at this one or beyond it, or not of this history.
+			if err := v.checkFollows(c.Position); err != nil {
+				return 0, err
+			}
+			first = i + 1
+		}
+		previous = c.Position
+	}
+	return first, nil
+}
 
-// Forget drops revocations and purges that no longer count, at a Unix time in ms.
-func (v *View) Forget(now time.Time) { panic("not built yet") }
+// checkFollows tells whether what follows a position may follow what the view holds.
+func (v *View) checkFollows(at Position) error {
+	if at.Revision > v.position.Revision {
+		return fmt.Errorf("%w: revision %d is beyond the view, which is at %d", ErrGap, at.Revision, v.position.Revision)
+	}
+	if at.Revision == v.position.Revision && at.Term != v.position.Term {
+		return fmt.Errorf("%w: revision %d is of term %d, in the view of term %d", ErrGap, at.Revision, at.Term, v.position.Term)
+	}
+	return nil
+}
 
-// Digest is a checksum of configuration and revocations at Position: views of one history at one position have the same.
-func (v *View) Digest() uint64 { panic("not built yet") }
+// apply enters one change.
+func (v *View) apply(c Change) {
+	v.position = c.Position
+	v.latestAt = max(v.latestAt, c.At)
+	switch c.Kind {
+	case KindPut:
+		v.configure(c.Name, c.Value)
+	case KindRevoke:
+		v.revocations[c.Name] = max(v.revocations[c.Name], c.Until)
+	case KindPurge:
+		v.purge(c)
+	}
+}
 
-// Lease tells whether a view is known to be complete. Its times are the subscriber's own, so neither clocks that differ nor
-// messages that were held up can make it fresh: a mark counts from when the heartbeat that it names was sent.
-type Lease struct{}
+// configure sets or removes a piece of configuration.
+func (v *View) configure(name string, value json.RawMessage) {
+	if isAbsent(value) {
+		delete(v.config, name)
+		v.effects.Configured(name, nil)
+		return
+	}
+	v.config[name] = value
+	v.effects.Configured(name, value)
+}
 
-// NewLease returns a lease that has expired.
-func NewLease(timing Timing) *Lease { panic("not built yet") }
+// isAbsent tells whether a value means that a piece of configuration is gone: it is empty, or the null that an empty one
+// becomes in JSON.
+func isAbsent(value json.RawMessage) bool {
+	return len(value) == 0 || string(value) == "null"
+}
 
-// Heartbeat gives the number of the heartbeat that is sent now.
-func (l *Lease) Heartbeat(now time.Time) (number uint64) { panic("not built yet") }
+// purge enters a purge, unless it is known.
+func (v *View) purge(c Change) {
+	id := purgeID{position: c.Position, object: c.Object, group: c.Group, at: c.At}
+	if _, known := v.purges[id]; known {
+		return
+	}
+	v.purges[id] = struct{}{}
+	v.effects.Purged(c)
+}
 
-// Renew enters a mark, received on the connection on which its heartbeat was sent, with the position that the view holds. It
-// tells whether the mark counted: it must name a heartbeat of this connection, and the view must hold every change up to it.
-func (l *Lease) Renew(m Mark, now time.Time) bool { panic("not built yet") }
+// Restore replaces the state by a snapshot's. Revocations and purges that the snapshot lacks stay as long as they count, as
+// a history that was lost may have held them. Effects are told of what differs from the state before.
+//
+// Purges may have been missed, and Effects are told so, where the snapshot is not at the view's position and either
+//   - its revision is not above the view's, so that the view's history was lost and the snapshot's may have parted from it at
+//     any time, or
+//   - the newest change in the view was proposed less than proposalDisorder after PurgesSince, so that changes that the view
+//     lacks may have been proposed before PurgesSince. A view that holds no change is such a one.
+func (v *View) Restore(s *Snapshot, now time.Time) {
+	if v.missesPurges(s) {
+		v.effects.PurgesMissed(s.PurgesSince)
+	}
+	v.position = s.At
+	v.latestAt = snapshotLatestAt(s)
+	for _, c := range s.Purges {
+		v.purge(c)
+	}
+	v.restoreRevocations(s.Revocations)
+	v.restoreConfig(s.Config)
+	v.Forget(now)
+}
 
-// Disconnected forgets the heartbeats of a connection that ended. What was confirmed stays.
-func (l *Lease) Disconnected() { panic("not built yet") }
+// missesPurges tells whether purges may exist that neither the view nor a snapshot holds.
+func (v *View) missesPurges(s *Snapshot) bool {
+	if s.At == v.position && v.position != (Position{}) {
+		return false
+	}
+	if s.At.Revision <= v.position.Revision {
+		return true
+	}
+	return v.latestAt-proposalDisorder.Milliseconds() < s.PurgesSince
+}
 
-// Fresh tells whether the view may be relied on, and CompleteAt since when it was known to be complete (zero: never).
-func (l *Lease) Fresh(now time.Time) bool { panic("not built yet") }
+// snapshotLatestAt is the highest At that a snapshot tells of.
+func snapshotLatestAt(s *Snapshot) int64 {
+	latest := s.LatestAt
+	for _, c := range s.Purges {
+		latest = max(latest, c.At)
+	}
+	return latest
+}
 
-// CompleteAt is the time at which the view was last known to be complete; zero: never.
-func (l *Lease) CompleteAt() time.Time { panic("not built yet") }
+// restoreRevocations takes the revocations of a snapshot, and retains those that it lacks.
+func (v *View) restoreRevocations(revocations map[string]int64) {
+	for name, until := range v.revocations {
+		if until > revocations[name] {
+			v.retained[name] = max(v.retained[name], until)
+		}
+	}
+	v.revocations = maps.Clone(revocations)
+	if v.revocations == nil {
+		v.revocations = map[string]int64{}
+	}
+}
 
-// MaxCopyAge bounds the age of copies that may be asked for now; 0: no bound. While a purge could be missing that is due by
-// now, only a copy younger than the purge deadline is sure not to be older than it.
-func (l *Lease) MaxCopyAge(now time.Time) time.Duration { panic("not built yet") }
+// restoreConfig takes the configuration of a snapshot, and tells what differs, by name.
+func (v *View) restoreConfig(config map[string]json.RawMessage) {
+	names := slices.Collect(maps.Keys(v.config))
+	for name := range config {
+		if _, held := v.config[name]; !held {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		before, value := v.config[name], config[name]
+		if isAbsent(before) && isAbsent(value) || bytes.Equal(before, value) {
+			continue
+		}
+		v.configure(name, value)
+	}
+}
 
-// Backoff paces attempts to connect: exponential with full jitter.
-type Backoff struct{}
+// Get reads a piece of configuration.
+func (v *View) Get(name string) (value []byte, ok bool) {
+	raw, ok := v.config[name]
+	return raw, ok
+}
 
-// NewBackoff returns a back-off whose pauses lie between least and most.
-func NewBackoff(least, most time.Duration, random *rand.Rand) *Backoff { panic("not built yet") }
+// Revoked tells whether the use of a name is refused.
+func (v *View) Revoked(name string) bool {
+	if _, revoked := v.revocations[name]; revoked {
+		return true
+	}
+	_, revoked := v.retained[name]
+	return revoked
+}
 
-// Next gives the pause before the next attempt; advice is what a refusal asked for, to which jitter is added.
-func (b *Backoff) Next(advice time.Duration) time.Duration { panic("not built yet") }
+// Forget drops revocations and purges that no longer count, at a Unix time in ms. Of a revocation it is revocationRetention
+// after its end, by this clock, and after its end by the times of the log; of a purge it is DefaultPurgeRetention after its
+// time.
+func (v *View) Forget(now time.Time) {
+	revokedSince := now.Add(-revocationRetention).UnixMilli()
+	for name, until := range v.revocations {
+		// While the log has no change later than until, Digest counts the revocation.
+		if until < revokedSince && until < v.latestAt {
+			delete(v.revocations, name)
+		}
+	}
+	for name, until := range v.retained {
+		if until < revokedSince {
+			delete(v.retained, name)
+		}
+	}
+	purgedSince := now.Add(-DefaultPurgeRetention).UnixMilli()
+	for id := range v.purges {
+		if id.at < purgedSince {
+			delete(v.purges, id)
+		}
+	}
+}
 
-// Reset begins anew, after a connection that worked.
-func (b *Backoff) Reset() { panic("not built yet") }
+// noEffects passes over everything.
+type noEffects struct{}
 
-// VoterOrder gives the voters in the order in which a gateway turns to them, by rendezvous hashing: gateways spread evenly,
-// and the loss of a voter moves only its own.
-func VoterOrder(gateway string, voters []string) []string { panic("not built yet") }
+func (noEffects) Configured(string, []byte) {}
+func (noEffects) Purged(Change)             {}
+func (noEffects) PurgesMissed(int64)        {}
