--- a/distribution/checker_test.go
+++ b/distribution/checker_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -39,6 +40,7 @@
 	c.Batches += o.Batches
 	c.Snapshots += o.Snapshots
 	c.Gaps += o.Gaps
+	c.Resets += o.Resets
 	c.Lost += o.Lost
 	c.Missed += o.Missed
 	c.FreshChecks += o.FreshChecks
@@ -49,7 +51,7 @@
 
 func (c *coverage) check(t *testing.T) {
 	t.Helper()
-	if c.Batches == 0 || c.Snapshots == 0 || c.Lost == 0 || c.Missed == 0 || c.DigestsCompared == 0 {
+	if min(c.Batches, c.Snapshots, c.Resets, c.Lost, c.Missed, c.Snapshots-c.Missed, c.DigestsCompared) == 0 {
 		t.Errorf("the histories do not go through everything: %+v", *c)
 	}
 	if c.Gaps > 0 {
@@ -64,11 +66,10 @@
 	digests   map[Position]uint64
 	known     map[*gateway]int // how many changes of the history have been seen to be known, as far as they are purges
 	seen      coverage
-	wasFresh  map[*gateway]bool
 }
 
 func newChecker(s *simulation) *checker {
-	return &checker{sim: s, digests: map[Position]uint64{}, known: map[*gateway]int{}, wasFresh: map[*gateway]bool{}}
+	return &checker{sim: s, digests: map[Position]uint64{}, known: map[*gateway]int{}}
 }
 
 func (c *checker) start() {
@@ -153,11 +154,25 @@
 	c.checkState(g)
 }
 
-// restored sees that a snapshot gave the state at its position.
-func (c *checker) restored(g *gateway) {
+// restored sees that a snapshot gave the state at its position, and that it had the effects of what differs from before.
+func (c *checker) restored(g *gateway, s *Snapshot, configBefore map[string]json.RawMessage, knownBefore map[Position]bool) {
 	c.seen.Snapshots++
-	if g.effects.missedBefore > 0 {
-		c.seen.Missed++
+	c.seen.Missed += g.effects.missed
+	g.effects.missed = 0
+	var want []string
+	for _, purge := range s.Purges {
+		if !knownBefore[purge.Position] {
+			want = append(want, purgedText(purge))
+		}
+	}
+	for i := range simSettings {
+		name := settingName(i)
+		if before, after := string(configBefore[name]), string(s.Config[name]); before != after {
+			want = append(want, configuredText(name, s.Config[name]))
+		}
+	}
+	if !slices.Equal(g.effects.told, want) {
+		c.violate("%s took a snapshot at %v with the effects %q, not %q", g.name, s.At, g.effects.told, want)
 	}
 	c.checkState(g)
 }
--- a/distribution/mutation_test.go
+++ b/distribution/mutation_test.go
@@ -75,6 +75,13 @@
 			r.publisher.Confirm(r.confirmation, 0, r.leader.name)
 		}
 	}},
+	{"a round confirms the revision of the round before", func(m *mutation) {
+		earlier := map[*voter]Revision{}
+		m.confirm = func(r *round) {
+			r.publisher.Confirm(r.confirmation, min(earlier[r.voter], r.through), r.leader.name)
+			earlier[r.voter] = r.through
+		}
+	}},
 	{"a batch is dropped, and the next one made to follow", func(m *mutation) {
 		m.batch = dropBatch
 	}},
--- a/distribution/sim_cluster_test.go
+++ b/distribution/sim_cluster_test.go
@@ -9,7 +9,9 @@
 
 // Rates of the changes, and the times of elections.
 const (
-	simChangeInterval   = 150 * time.Millisecond // mean
+	simSettings         = 6
+	simBusyInterval     = 150 * time.Millisecond // mean time between changes
+	simIdleInterval     = 5 * time.Second        // and of a log that has few
 	simElectionTimeout  = 300 * time.Millisecond
 	simElectionDuration = time.Second
 )
@@ -25,6 +27,7 @@
 	leader   *voter // that a majority follows; nil: none
 	deposed  *voter // that still takes itself for the leader
 	proposed int    // changes so far, for values that are told apart
+	interval time.Duration
 }
 
 // entry is a committed change, with the state after it.
@@ -41,7 +44,11 @@
 }
 
 func newCluster(s *simulation) *cluster {
-	return &cluster{sim: s, byAt: map[Position]*entry{}}
+	interval := simBusyInterval
+	if s.chance(0.25) {
+		interval = simIdleInterval
+	}
+	return &cluster{sim: s, byAt: map[Position]*entry{}, interval: interval}
 }
 
 func (c *cluster) start() {
@@ -51,7 +58,7 @@
 
 // propose commits changes at random times.
 func (c *cluster) propose() {
-	c.sim.after(time.Duration(c.sim.random.ExpFloat64()*float64(simChangeInterval)), c.propose)
+	c.sim.after(time.Duration(c.sim.random.ExpFloat64()*float64(c.interval)), c.propose)
 	c.commit()
 }
 
@@ -93,7 +100,7 @@
 	case draw < 5:
 		change.Kind, change.Object, change.Group = KindPurge, c.sim.random.Uint64N(5), 1
 	case draw < 9:
-		change.Kind, change.Name = KindPut, fmt.Sprintf("setting-%d", c.sim.random.IntN(6))
+		change.Kind, change.Name = KindPut, settingName(c.sim.random.IntN(simSettings))
 		if !c.sim.chance(0.2) {
 			change.Value = json.RawMessage(fmt.Sprintf(`"%d"`, c.proposed))
 		}
@@ -104,6 +111,8 @@
 	return change
 }
 
+func settingName(i int) string { return fmt.Sprintf("setting-%d", i) }
+
 // update makes the state of an entry from the one before.
 func (e *entry) update() {
 	switch c := e.change; c.Kind {
@@ -226,7 +235,7 @@
 func (c *cluster) snapshot(n int) *Snapshot {
 	s := &Snapshot{
 		Config: map[string]json.RawMessage{}, Revocations: map[string]int64{},
-		PurgesSince: c.sim.clock().Add(-simPurgeRetention).UnixMilli(),
+		PurgesSince: c.sim.clock().Add(-c.sim.purgeRetention).UnixMilli(),
 	}
 	if n == 0 {
 		return s
--- a/distribution/sim_faults_test.go
+++ b/distribution/sim_faults_test.go
@@ -89,17 +89,18 @@
 	s.after(simFaultsUntil, s.heal)
 }
 
-// heal ends all faults that have not ended yet. A crashed or isolated voter comes back at its time, which the recovery has to
-// allow for; connections stay as slow as they are.
+// heal ends all faults that have not ended yet. Connections stay as slow as they are.
 func (s *simulation) heal() {
 	for _, v := range s.voters {
 		v.lag, v.slow = simNormalLag, 0
+		v.startAgain()
+		v.rejoin()
 	}
 	for _, g := range s.gateways {
 		g.stoppedUntil = min(g.stoppedUntil, s.now)
 		clear(g.blocked)
 		if c := g.connection; c != nil {
-			c.toVoter.stalled, c.toGateway.stalled = 0, 0
+			c.resume()
 		}
 	}
 }
--- a/distribution/sim_gateway_test.go
+++ b/distribution/sim_gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -65,7 +66,7 @@
 // tick does what is due by time, unless the gateway is stopped.
 func (g *gateway) tick() {
 	if g.sim.now < g.stoppedUntil {
-		g.sim.after(g.stoppedUntil-g.sim.now+g.sim.upTo(time.Millisecond), g.tick)
+		g.sim.after(min(simTick, g.stoppedUntil-g.sim.now)+g.sim.upTo(time.Millisecond), g.tick)
 		return
 	}
 	g.sim.after(simTick, g.tick)
@@ -148,11 +149,13 @@
 // restore enters a snapshot.
 func (g *gateway) restore(snapshot *Snapshot) {
 	g.progressAt = g.sim.now
+	g.effects.told = nil
+	configBefore, knownBefore := maps.Clone(g.view.config), maps.Clone(g.effects.known)
 	g.view.Restore(snapshot, g.sim.clock())
-	g.sim.checker.restored(g)
+	g.sim.checker.restored(g, snapshot, configBefore, knownBefore)
 }
 
-// renew enters a mark.
+// renew enters a mark. One of a connection that ended comes here too: it must not count.
 func (g *gateway) renew(m Mark) {
 	if g.lease.Renew(m, g.view.Position()) {
 		g.progressAt = g.sim.now
@@ -170,9 +173,10 @@
 
 // effectLog keeps what a View tells.
 type effectLog struct {
-	told         []string          // of the last Apply
+	told         []string          // of the last Apply or Restore
 	known        map[Position]bool // purges
 	repeated     []Position        // purges told twice
+	missed       int
 	missedBefore int64
 }
 
@@ -188,7 +192,10 @@
 	l.told = append(l.told, purgedText(c))
 }
 
-func (l *effectLog) PurgesMissed(before int64) { l.missedBefore = max(l.missedBefore, before) }
+func (l *effectLog) PurgesMissed(before int64) {
+	l.missed++
+	l.missedBefore = max(l.missedBefore, before)
+}
 
 // knows tells whether a purge has its effect.
 func (l *effectLog) knows(c Change) bool { return l.known[c.Position] || c.At < l.missedBefore }
--- a/distribution/sim_link_test.go
+++ b/distribution/sim_link_test.go
@@ -22,7 +22,6 @@
 	inFlight   int
 	toVoter    stream
 	toGateway  stream
-	lastMark   uint64
 	lostBefore *Position // of a mutation that drops a batch: where the next one is to follow
 }
 
@@ -59,7 +58,7 @@
 func (st *stream) pump() {
 	for len(st.queue) > 0 && st.queue[0].readyAt <= st.sim.now {
 		if st.stalled > st.sim.now {
-			st.sim.after(st.stalled-st.sim.now, st.pump)
+			st.sim.after(st.stalled-st.sim.now+st.sim.upTo(time.Millisecond), st.pump)
 			return
 		}
 		m := st.queue[0]
@@ -74,6 +73,13 @@
 	c.toGateway.stalled = max(c.toGateway.stalled, c.sim.now+duration)
 }
 
+// resume ends a stall before its time.
+func (c *connection) resume() {
+	c.toVoter.stalled, c.toGateway.stalled = 0, 0
+	c.toVoter.pump()
+	c.toGateway.pump()
+}
+
 // sendVoter carries something to the voter, where it runs unless the voter has closed the connection.
 func (c *connection) sendVoter(run func()) {
 	c.toVoter.send(func() {
@@ -85,16 +91,23 @@
 	})
 }
 
-// sendGateway carries something to the gateway, where it runs unless the gateway has turned away or is stopped. What comes to a
-// stopped gateway waits for it in order.
+// sendGateway carries something to the gateway, where it runs unless the gateway has turned away.
 func (c *connection) sendGateway(run func()) {
-	c.inFlight++
-	c.toGateway.send(func() {
-		c.inFlight--
+	c.sendGatewayAlways(func() {
 		if c.gateway.connection == c {
 			run()
-			c.sim.checker.check(c.gateway)
 		}
+	})
+}
+
+// sendGatewayAlways carries something to the gateway, also when that has turned away since. What comes to a stopped gateway
+// waits for it in order.
+func (c *connection) sendGatewayAlways(run func()) {
+	c.inFlight++
+	c.toGateway.send(func() {
+		c.inFlight--
+		run()
+		c.sim.checker.check(c.gateway)
 		c.voter.serve(c)
 	})
 }
--- a/distribution/sim_test.go
+++ b/distribution/sim_test.go
@@ -18,12 +18,15 @@
 	simFaultsFrom  = 2 * time.Second
 	simFaultsUntil = 22 * time.Second
 	// simRecovery is the time within which every gateway is fresh after the faults have ended: a silence timeout, a
-	// refusal or two at each voter, a snapshot and a round of confirmation.
-	simRecovery = 15 * time.Second
+	// refusal or two at each voter, an election, a snapshot and a round of confirmation.
+	simRecovery = 12 * time.Second
 	simEnd      = simFaultsUntil + simRecovery + 5*time.Second
 
-	simTick           = 50 * time.Millisecond
-	simPurgeRetention = 8 * time.Second // of snapshots; short, so that purges are missed
+	simTick = 50 * time.Millisecond
+
+	// The purges in snapshots reach back for a time between these; short, so that some are missed.
+	simShortestRetention = 5 * time.Second
+	simLongestRetention  = 30 * time.Second
 )
 
 // simLimits are small, so that they are reached.
@@ -39,16 +42,18 @@
 	events   eventQueue
 	sequence uint64
 
-	mutation mutation
-	cluster  *cluster
-	voters   []*voter
-	gateways []*gateway
-	checker  *checker
+	mutation       mutation
+	purgeRetention time.Duration
+	cluster        *cluster
+	voters         []*voter
+	gateways       []*gateway
+	checker        *checker
 }
 
 // newSimulation sets up a simulation with the faults of a seed.
 func newSimulation(seed uint64, m mutation) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), mutation: m}
+	s.purgeRetention = s.between(simShortestRetention, simLongestRetention)
 	s.cluster = newCluster(s)
 	s.checker = newChecker(s)
 	for i := range simVoters {
--- a/distribution/sim_voter_test.go
+++ b/distribution/sim_voter_test.go
@@ -47,6 +47,7 @@
 	}
 	if target-v.applied > 30 && v.sim.chance(0.5) {
 		v.publisher.Reset(v.sim.cluster.position(target))
+		v.sim.checker.seen.Resets++
 	} else {
 		for _, e := range v.sim.cluster.entries[v.applied:target] {
 			v.publisher.Append(e.change)
@@ -187,7 +188,7 @@
 		}
 		if mark != nil {
 			m := v.sim.mutation.mark(*mark)
-			c.sendGateway(func() { c.gateway.renew(m) })
+			c.sendGatewayAlways(func() { c.gateway.renew(m) })
 		}
 	}
 }
@@ -242,11 +243,16 @@
 	v.down = true
 	v.closeAll()
 	v.sim.cluster.lostVoter(v)
-	v.sim.after(duration, func() {
-		v.restart(v.applied)
-		v.down = false
-		v.sim.cluster.voterIsBack(v)
-	})
+	v.sim.after(duration, v.startAgain)
+}
+
+func (v *voter) startAgain() {
+	if !v.down {
+		return
+	}
+	v.restart(v.applied)
+	v.down = false
+	v.sim.cluster.voterIsBack(v)
 }
 
 // isolate cuts a voter off from the other voters for a time.
@@ -256,10 +262,15 @@
 	}
 	v.isolated = true
 	v.sim.cluster.lostVoter(v)
-	v.sim.after(duration, func() {
-		v.isolated = false
-		v.sim.cluster.voterIsBack(v)
-	})
+	v.sim.after(duration, v.rejoin)
+}
+
+func (v *voter) rejoin() {
+	if !v.isolated {
+		return
+	}
+	v.isolated = false
+	v.sim.cluster.voterIsBack(v)
 }
 
 // restart replaces the publisher by one that replays the newest of the first n changes.
