--- a/console/console.go
+++ b/console/console.go
@@ -73,15 +73,15 @@
 	if opt.MaxConns <= 0 {
 		opt.MaxConns = MaxConns
 	}
-	return &Server{opt: opt, server: front.Server{Max: opt.MaxConns, FirstMost: callMost, Clock: opt.Clock, Log: opt.Log}}
+	return &Server{opt: opt, server: front.Server{Max: opt.MaxConns, FirstByteTimeout: callMost, Clock: opt.Clock, Log: opt.Log}}
 }
 
 // Serve accepts until the listener closes or ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return s.server.Serve(ctx, l, func(nc net.Conn, seat *front.Seat) { s.handle(ctx, nc, seat) })
+	return s.server.Serve(ctx, l, func(nc net.Conn, seat *front.Conn) { s.handle(ctx, nc, seat) })
 }
 
-func (s *Server) handle(ctx context.Context, nc net.Conn, seat *front.Seat) {
+func (s *Server) handle(ctx context.Context, nc net.Conn, seat *front.Conn) {
 	nc.SetReadDeadline(time.Now().Add(readMost))
 	r := bufio.NewReaderSize(nc, 1<<10)
 	m, err := http1.Read(r, bodyMost, func() { nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) })
--- a/front/admission.go
+++ b/front/admission.go
@@ -16,50 +16,53 @@
 const (
 	reservedShare    = 16                     // one place in so many is kept free, and as many connections may wait
 	admissionTimeout = 500 * time.Millisecond // a connection waits so long for a place
+	silentShare      = 4                      // silent connections may hold one place in so many before they go first
+	silentGrace      = 50.0                   // ms that a new connection has in any case
+	partialGrace     = 300.0                  // ms without a byte after which half a request keeps no place from others
 	evictionTimeout  = 20 * time.Millisecond  // a reader that has not closed its connection by then has others closed, too
 )
 
 // waiter is an accepted connection without a place.
 type waiter struct {
 	conn     net.Conn
-	admitted chan *Seat // has room for one
+	admitted chan *Conn // has room for one
 }
 
 // maxWaiting is how many accepted connections may wait for a place; they hold descriptors, too.
-func (s *Server) maxWaiting() int { return s.most()/reservedShare + 1 }
+func (s *Server) maxWaiting() int { return s.limit()/reservedShare + 1 }
 
 // capacity is the number of places: what the waiting connections may hold is left out.
-func (s *Server) capacity() int { return s.most() + 1 - s.maxWaiting() }
+func (s *Server) capacity() int { return s.limit() + 1 - s.maxWaiting() }
 
 // reserve is the number of places kept free ahead of need.
-func (s *Server) reserve() int { return s.most() / reservedShare }
+func (s *Server) reserve() int { return s.limit() / reservedShare }
 
-// place gives a connection a place, or nil where none is free now.
-func (s *Server) place(nc net.Conn) *Seat {
+// tryAdmit gives a connection a place, or nil where none is free now.
+func (s *Server) tryAdmit(nc net.Conn) *Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.admit(nc)
 }
 
-// placeOrWait gives a connection a place, or has it wait for one.
-func (s *Server) placeOrWait(nc net.Conn) (*Seat, *waiter) {
+// admitOrWait gives a connection a place, or has it wait for one.
+func (s *Server) admitOrWait(nc net.Conn) (*Conn, *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if seat := s.admit(nc); seat != nil {
-		return seat, nil
+	if conn := s.admit(nc); conn != nil {
+		return conn, nil
 	}
-	w := &waiter{conn: nc, admitted: make(chan *Seat, 1)}
+	w := &waiter{conn: nc, admitted: make(chan *Conn, 1)}
 	s.waiters = append(s.waiters, w)
 	return nil, w
 }
 
 // await gives the place for which a connection waits, or nil once its time is up or ctx has ended: it is closed then.
-func (s *Server) await(ctx context.Context, w *waiter) *Seat {
+func (s *Server) await(ctx context.Context, w *waiter) *Conn {
 	timeout := time.NewTimer(admissionTimeout)
 	defer timeout.Stop()
 	select {
-	case seat := <-w.admitted:
-		return seat
+	case conn := <-w.admitted:
+		return conn
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
@@ -83,30 +86,30 @@
 }
 
 // admit gives a connection a place that is free, unless others wait for it. The lock is held, here and below.
-func (s *Server) admit(nc net.Conn) *Seat {
+func (s *Server) admit(nc net.Conn) *Conn {
 	s.makeRoom(1)
-	if len(s.waiters) > 0 || len(s.seats) >= s.capacity() {
+	if len(s.waiters) > 0 || len(s.conns) >= s.capacity() {
 		return nil
 	}
 	return s.add(nc)
 }
 
-func (s *Server) add(nc net.Conn) *Seat {
+func (s *Server) add(nc net.Conn) *Conn {
 	if s.Tap != nil {
 		nc = s.Tap(nc)
 	}
 	now := s.Clock.Now()
-	seat := &Seat{server: s, conn: nc, came: now, since: now}
-	if s.seats == nil {
-		s.seats = map[*Seat]struct{}{}
+	conn := &Conn{server: s, conn: nc, acceptedAt: now, idleSince: now}
+	if s.conns == nil {
+		s.conns = map[*Conn]struct{}{}
 	}
-	s.seats[seat] = struct{}{}
-	return seat
+	s.conns[conn] = struct{}{}
+	return conn
 }
 
 // admitWaiting gives free places to those who wait.
 func (s *Server) admitWaiting() {
-	for len(s.waiters) > 0 && len(s.seats) < s.capacity() {
+	for len(s.waiters) > 0 && len(s.conns) < s.capacity() {
 		w := s.waiters[0]
 		s.waiters = slices.Delete(s.waiters, 0, 1)
 		w.admitted <- s.add(w.conn)
@@ -117,13 +120,13 @@
 // arrive now and for the reserve. It does so in batches, so that not every arrival looks through all connections.
 func (s *Server) makeRoom(arriving int) {
 	wanted := len(s.waiters) + arriving
-	free := s.capacity() - len(s.seats) + s.closing
+	free := s.capacity() - len(s.conns) + s.closing
 	if free >= wanted+s.reserve()/2 {
 		return
 	}
-	if !s.full && free < wanted {
-		s.full = true
-		s.Log.Warn().Int("connections", len(s.seats)).Msg("all places taken: idle connections are closed for new ones")
+	if !s.fullLogged && free < wanted {
+		s.fullLogged = true
+		s.Log.Warn().Int("connections", len(s.conns)).Msg("all places taken: idle connections are closed for new ones")
 	}
 	// With each round in which readers were stuck the batch grows, so that a run of them soon ends.
 	for _, x := range s.evictionCandidates(wanted + s.reserve() + s.stuck - free) {
@@ -132,21 +135,21 @@
 }
 
 // evict closes a connection for a new one, by way of its reader where that may have a request in hand.
-func (s *Server) evict(x *Seat) {
-	if !x.asked || x.until > 0 || !x.hushes {
-		s.leave(x)
+func (s *Server) evict(x *Conn) {
+	if !x.hadRequest || x.requestDeadline > 0 || !x.closeWhenIdle {
+		s.remove(x)
 		x.conn.Close()
 		return
 	}
 	s.requestClose(x)
-	if x.due(s.Clock.Now()) {
-		s.hush(x)
+	if x.shouldClose(s.Clock.Now()) {
+		s.interruptRead(x)
 	}
 }
 
 // requestClose marks a connection for its reader to close, once it has nothing in hand.
-func (s *Server) requestClose(x *Seat) {
-	x.rested, x.stuck, x.closeAskedAt = true, false, time.Now()
+func (s *Server) requestClose(x *Conn) {
+	x.closing, x.stuck, x.closeAskedAt = true, false, time.Now()
 	s.closing++
 	s.checkClosingLater()
 }
@@ -160,16 +163,16 @@
 }
 
 // keep takes such a mark back: a request came, or the connection has ended.
-func (s *Server) keep(x *Seat) {
+func (s *Server) keep(x *Conn) {
 	switch {
-	case !x.rested:
+	case !x.closing:
 		return
 	case x.stuck:
 		s.stuck--
 	default:
 		s.closing--
 	}
-	x.rested, x.stuck = false, false
+	x.closing, x.stuck = false, false
 }
 
 // checkClosing no longer counts on readers that have not closed their connections in time, and goes on for as long as any is
@@ -179,8 +182,8 @@
 	defer s.mu.Unlock()
 	s.checking = false
 	due := time.Now().Add(-evictionTimeout)
-	for x := range s.seats {
-		if x.rested && !x.stuck && !x.closeAskedAt.After(due) {
+	for x := range s.conns {
+		if x.closing && !x.stuck && !x.closeAskedAt.After(due) {
 			x.stuck = true
 			s.stuck++
 			s.closing--
@@ -190,40 +193,40 @@
 	s.checkClosingLater()
 }
 
-// leave takes a connection's place back, and gives it to another one.
-func (s *Server) leave(x *Seat) {
-	if _, placed := s.seats[x]; !placed {
+// remove takes a connection's place back, and gives it to another one.
+func (s *Server) remove(x *Conn) {
+	if _, placed := s.conns[x]; !placed {
 		return
 	}
 	s.keep(x)
-	delete(s.seats, x)
+	delete(s.conns, x)
 	s.admitWaiting()
 }
 
 // evictable is a connection that may be closed for a new one.
 type evictable struct {
-	seat  *Seat
+	conn  *Conn
 	since float64 // when it last did something
 }
 
 // evictionCandidates gives up to count connections to close for new ones: of those that never brought a whole request the
 // ones that have been silent for longest, where such hold many places, else the ones that have been idle for longest. Half a
 // request keeps its place only while it goes on.
-func (s *Server) evictionCandidates(count int) []*Seat {
+func (s *Server) evictionCandidates(count int) []*Conn {
 	now := s.Clock.Now()
 	var silent, idle []evictable
 	silents := 0
-	for x := range s.seats {
-		from, least := x.since, 0.0
-		switch half := x.until > 0 || !x.asked && x.moved.Load() > 0; {
-		case x.open > 0 || x.rested: // that one is closing already, or has bytes in hand
+	for x := range s.conns {
+		from, least := x.idleSince, 0.0
+		switch half := x.requestDeadline > 0 || !x.hadRequest && x.lastReadAt.Load() > 0; {
+		case x.openRequests > 0 || x.closing: // that one is closing already, or has bytes in hand
 			continue
 		case half:
-			from, least = x.last(), stalled
-		case !x.asked:
-			least = silentMost
+			from, least = x.last(), partialGrace
+		case !x.hadRequest:
+			least = silentGrace
 		}
-		if x.asked && x.until == 0 {
+		if x.hadRequest && x.requestDeadline == 0 {
 			idle = append(idle, evictable{x, from})
 			continue
 		}
@@ -234,14 +237,14 @@
 	oldestFirst := func(a, b evictable) int { return cmp.Compare(a.since, b.since) }
 	slices.SortFunc(silent, oldestFirst)
 	slices.SortFunc(idle, oldestFirst)
-	var chosen []*Seat
+	var chosen []*Conn
 	for len(chosen) < count && len(silent)+len(idle) > 0 {
-		crowd := fewSilent*silents > s.most()
+		crowd := silentShare*silents > s.limit()
 		if len(silent) > 0 && (crowd || len(idle) == 0 || silent[0].since <= idle[0].since) {
-			chosen, silent = append(chosen, silent[0].seat), silent[1:]
+			chosen, silent = append(chosen, silent[0].conn), silent[1:]
 			silents--
 		} else {
-			chosen, idle = append(chosen, idle[0].seat), idle[1:]
+			chosen, idle = append(chosen, idle[0].conn), idle[1:]
 		}
 	}
 	return chosen
--- a/front/admission_test.go
+++ b/front/admission_test.go
@@ -16,24 +16,24 @@
 
 // echo serves connections that ask with a byte and are answered with it. Where stopped is not nil, a reader that has
 // answered an s stays there, as one does that gets no processor.
-func echo(stopped <-chan struct{}) func(net.Conn, *Seat) {
-	return func(nc net.Conn, seat *Seat) {
-		seat.Hushes()
-		seat.Update(0, false, 0)
+func echo(stopped <-chan struct{}) func(net.Conn, *Conn) {
+	return func(nc net.Conn, conn *Conn) {
+		conn.CloseWhenIdle()
+		conn.Update(0, false, 0)
 		for b := make([]byte, 1); ; {
-			if _, err := nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && !seat.Quiet() {
+			if _, err := nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && !conn.ShouldClose() {
 				nc.SetReadDeadline(time.Time{})
 				continue
 			} else if err != nil {
 				return
 			}
-			seat.Update(1, true, 0)
+			conn.Update(1, true, 0)
 			nc.Write(b)
 			if b[0] == 'b' { // busy until its client leaves
 				nc.Read(b)
 				return
 			}
-			seat.Update(0, true, 0)
+			conn.Update(0, true, 0)
 			if b[0] == 's' {
 				<-stopped
 			}
@@ -128,8 +128,8 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		open := 0
-		for x := range s.seats {
-			open += x.open
+		for x := range s.conns {
+			open += x.openRequests
 		}
 		return open == s.capacity()
 	}
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -73,7 +73,7 @@
 	return &Front{
 		opt: opt,
 		server: front.Server{
-			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, StallMost: stallMost, WholeMost: wholeMost,
+			Max: opt.MaxConns, FirstByteTimeout: firstMost, IdleTimeout: idleMost, ReadTimeout: stallMost, RequestTimeout: wholeMost,
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: opt.MaxTaken},
@@ -115,17 +115,17 @@
 	f.intake.Limit(f.opt.MaxTaken / int64(parts))
 }
 
-func (f *Front) handle(nc net.Conn, seat *front.Seat) { f.serve(nc, seat, nil) }
+func (f *Front) handle(nc net.Conn, place *front.Conn) { f.serve(nc, place, nil) }
 
 // serve serves a connection; from is what came with one that was handed over, else nil.
-func (f *Front) serve(nc net.Conn, seat *front.Seat, from *estate) {
+func (f *Front) serve(nc net.Conn, place *front.Conn, from *estate) {
 	c := &conn{
-		front: f, net: nc, seat: seat, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+		front: f, net: nc, place: place, open: map[uint16]*request{}, wake: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
-	seat.Yields(c.yield) // before the place is told of anything open or not
-	seat.Hushes()
-	seat.Passes(c.interrupt)
-	in := seat.Moves(nc)
+	place.OnShedPartial(c.yield) // before the place is told of anything open or not
+	place.CloseWhenIdle()
+	place.OnHandOver(c.interrupt)
+	in := place.CountReads(nc)
 	var g errgroup.Group
 	if from != nil {
 		c.elder, c.theirs, c.asked = from.elder, from.theirs, true
@@ -159,7 +159,7 @@
 type conn struct {
 	front *Front
 	net   net.Conn
-	seat  *front.Seat
+	place *front.Conn
 	ended chan struct{} // closed when the reader ends
 
 	mu      sync.Mutex
@@ -195,14 +195,14 @@
 			if passed {
 				buffered = bufio.NewReaderSize(next, 4<<10) // nothing that is not whole comes from there
 				r = &records{r: buffered}
-			} else if r.idle() && buffered.Buffered() == 0 && c.seat.Quiet() {
+			} else if r.idle() && buffered.Buffered() == 0 && c.place.ShouldClose() {
 				return
 			}
 			continue
 		}
 		if err != nil {
 			if errors.Is(err, errRecord) {
-				c.front.opt.Log.Warn().Err(err).Stringer("from", c.seat.From()).Msg("connection dropped")
+				c.front.opt.Log.Warn().Err(err).Stringer("from", c.place.RemoteAddr()).Msg("connection dropped")
 			} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				c.front.opt.Log.Debug().Err(err).Msg("connection ended")
 			}
@@ -330,7 +330,7 @@
 			until = q.begun + wholeMost
 		}
 	}
-	c.seat.Update(len(c.open)-halves+len(c.theirs)+c.pending, c.asked, until)
+	c.place.Update(len(c.open)-halves+len(c.theirs)+c.pending, c.asked, until)
 }
 
 // manage answers a management record.
--- a/front/fastcgi/pass.go
+++ b/front/fastcgi/pass.go
@@ -53,9 +53,9 @@
 	nc.SetReadDeadline(time.Time{})
 	defer func() {
 		if passed {
-			c.seat.Passed(next)
+			c.place.HandedOver(next)
 		} else {
-			c.seat.Passed(nil)
+			c.place.HandedOver(nil)
 		}
 		c.mu.Lock()
 		c.held = false
@@ -173,7 +173,7 @@
 		return
 	}
 	defer nc.Close()
-	f.server.Handle(nc, func(nc net.Conn, seat *front.Seat) { f.serve(nc, seat, e) })
+	f.server.Handle(nc, func(nc net.Conn, place *front.Conn) { f.serve(nc, place, e) })
 }
 
 func readEstate(from *net.UnixConn) (nc net.Conn, e *estate, err error) {
--- a/front/fastcgi/pass_test.go
+++ b/front/fastcgi/pass_test.go
@@ -137,8 +137,8 @@
 		f := newFront(func(core.Event) {})
 		go func() {
 			defer close(ended)
-			f.server.Handle(far, func(nc net.Conn, seat *front.Seat) {
-				f.serve(nc, seat, &estate{elder: elder, theirs: map[uint16]bool{7: false}})
+			f.server.Handle(far, func(nc net.Conn, place *front.Conn) {
+				f.serve(nc, place, &estate{elder: elder, theirs: map[uint16]bool{7: false}})
 			})
 		}()
 		if begun {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -27,10 +27,10 @@
 		const most, first, idle, whole, stall = 6, 2500.0, 4500.0, 8000.0, 2000.0
 		clk := clock.Manual(1e6)
 		s := &Server{
-			Max: most, FirstMost: first, IdleMost: idle, StallMost: stall, WholeMost: whole, Clock: clk, Log: zerolog.Nop(),
+			Max: most, FirstByteTimeout: first, IdleTimeout: idle, ReadTimeout: stall, RequestTimeout: whole, Clock: clk, Log: zerolog.Nop(),
 		}
 		type model struct {
-			*Seat
+			*Conn
 			came, since, until, moved float64
 			open                      int
 			asked                     bool
@@ -49,16 +49,16 @@
 				idles := 0
 				for _, x := range live {
 					half := x.until > 0
-					if x.open == 0 && (half && now-x.moved >= stalled || !half && (x.asked || now-x.since >= silentMost)) {
+					if x.open == 0 && (half && now-x.moved >= partialGrace || !half && (x.asked || now-x.since >= silentGrace)) {
 						idles++
 					}
 				}
-				seat := s.place(&testConn{})
-				if full := len(live) >= most; (seat == nil) != (full && idles == 0) {
-					t.Fatalf("place %v with %d of %d, %d idle", seat, len(live), most, idles)
+				conn := s.tryAdmit(&testConn{})
+				if full := len(live) >= most; (conn == nil) != (full && idles == 0) {
+					t.Fatalf("place %v with %d of %d, %d idle", conn, len(live), most, idles)
 				}
-				if seat != nil {
-					live = append(live, &model{Seat: seat, came: now, since: now})
+				if conn != nil {
+					live = append(live, &model{Conn: conn, came: now, since: now})
 				}
 			case step%4 == 1 && m != nil: // a request begins, or becomes whole
 				if m.until > 0 {
@@ -67,7 +67,7 @@
 				} else {
 					m.until = now + whole
 				}
-				m.Moves(strings.NewReader("x")).Read(make([]byte, 1))
+				m.CountReads(strings.NewReader("x")).Read(make([]byte, 1))
 				m.moved = now
 				m.Update(m.open, m.asked, m.until)
 			case step%4 == 2 && m != nil && m.open > 0: // its answer is written
@@ -96,8 +96,8 @@
 					t.Fatalf("a connection with a request open lost its place: %+v", *x)
 				}
 			}
-			if live = kept; len(live) != len(s.seats) || len(live) > most {
-				t.Fatalf("%d live, %d places", len(live), len(s.seats))
+			if live = kept; len(live) != len(s.conns) || len(live) > most {
+				t.Fatalf("%d live, %d places", len(live), len(s.conns))
 			}
 		}
 	})
@@ -114,16 +114,16 @@
 // Strangers who connect by the hundred and say nothing don't cost the clients their connections.
 func TestStrangersGoFirst(t *testing.T) {
 	clk := clock.Manual(1e6)
-	s := &Server{Max: 40, FirstMost: 2500, IdleMost: 4500, Clock: clk, Log: zerolog.Nop()}
-	usual := make([]*Seat, 20)
+	s := &Server{Max: 40, FirstByteTimeout: 2500, IdleTimeout: 4500, Clock: clk, Log: zerolog.Nop()}
+	usual := make([]*Conn, 20)
 	for i := range usual {
-		usual[i] = s.place(&testConn{})
+		usual[i] = s.tryAdmit(&testConn{})
 		usual[i].Update(1, true, 0)
 		usual[i].Update(0, true, 0)
 	}
 	for range 300 {
 		clk.Advance(10)
-		if s.place(&testConn{}) == nil {
+		if s.tryAdmit(&testConn{}) == nil {
 			t.Fatal("no place")
 		}
 	}
@@ -139,16 +139,16 @@
 // nothing more.
 func TestDrain(t *testing.T) {
 	clk := clock.Manual(1e6)
-	s := &Server{Max: 40, FirstMost: 60000, IdleMost: 60000, Clock: clk, Log: zerolog.Nop()}
-	closed := func(x *Seat) bool { return x.conn.(*testConn).closed }
-	seat := func(open int, until float64) *Seat {
-		x := s.place(&testConn{})
+	s := &Server{Max: 40, FirstByteTimeout: 60000, IdleTimeout: 60000, Clock: clk, Log: zerolog.Nop()}
+	closed := func(x *Conn) bool { return x.conn.(*testConn).closed }
+	conn := func(open int, until float64) *Conn {
+		x := s.tryAdmit(&testConn{})
 		x.Update(open, true, until)
 		return x
 	}
-	idle, busy, half := seat(0, 0), seat(1, 0), seat(0, 1e9)
+	idle, busy, half := conn(0, 0), conn(1, 0), conn(0, 1e9)
 	yielded := 0
-	half.Yields(func() { yielded++; half.Update(0, true, 0) })
+	half.OnShedPartial(func() { yielded++; half.Update(0, true, 0) })
 	s.Drain(true)
 	step := func(ms float64) {
 		clk.Advance(ms)
@@ -160,7 +160,7 @@
 		t.Error("closed before the platform can have noticed")
 	}
 	step(1)
-	fresh := s.place(&testConn{})
+	fresh := s.tryAdmit(&testConn{})
 	if !closed(idle) || closed(busy) || closed(fresh) {
 		t.Error("what is quiet is closed then, and nothing else")
 	}
@@ -177,7 +177,7 @@
 	if step(drainHalf - drainRefuse); yielded != 1 || !closed(half) {
 		t.Errorf("half a request was told to yield %d times", yielded)
 	}
-	last := s.place(&testConn{})
+	last := s.tryAdmit(&testConn{})
 	s.Drain(false)
 	clk.Advance(5000)
 	s.Sweep()
@@ -190,22 +190,22 @@
 // to a new connection, and loses its connection soon. Where answers are owed beside it, it alone is refused.
 func TestHalfRequests(t *testing.T) {
 	clk := clock.Manual(1e6)
-	s := &Server{Max: 2, FirstMost: 2500, IdleMost: 4500, StallMost: 2000, WholeMost: 8000, Clock: clk, Log: zerolog.Nop()}
-	slow, stuck := s.place(&testConn{}), s.place(&testConn{})
+	s := &Server{Max: 2, FirstByteTimeout: 2500, IdleTimeout: 4500, ReadTimeout: 2000, RequestTimeout: 8000, Clock: clk, Log: zerolog.Nop()}
+	slow, stuck := s.tryAdmit(&testConn{}), s.tryAdmit(&testConn{})
 	yielded := 0
-	slow.Yields(func() { yielded++ })
-	move := func(x *Seat) { x.Moves(strings.NewReader("x")).Read(make([]byte, 1)) }
-	for _, x := range []*Seat{slow, stuck} {
+	slow.OnShedPartial(func() { yielded++ })
+	move := func(x *Conn) { x.CountReads(strings.NewReader("x")).Read(make([]byte, 1)) }
+	for _, x := range []*Conn{slow, stuck} {
 		move(x)
 		x.Update(0, false, clk.Now()+8000)
 	}
-	closed := func(x *Seat) bool { return x.conn.(*testConn).closed }
+	closed := func(x *Conn) bool { return x.conn.(*testConn).closed }
 	for range 39 { // over 3 s, a byte at a time
 		clk.Advance(100)
 		move(slow)
 		s.Sweep()
-		if clk.Now() == 1e6+stalled {
-			if s.place(&testConn{}) == nil || !closed(stuck) {
+		if clk.Now() == 1e6+partialGrace {
+			if s.tryAdmit(&testConn{}) == nil || !closed(stuck) {
 				t.Fatal("a stalled half keeps its place")
 			}
 		}
@@ -227,14 +227,14 @@
 // A connection that rested for too long with a few bytes in hand is closed once they stall.
 func TestBytesThatStallKeepNoRest(t *testing.T) {
 	clk := clock.Manual(1e6)
-	s := &Server{Max: 1, IdleMost: 4500, StallMost: 2000, Clock: clk, Log: zerolog.Nop()}
+	s := &Server{Max: 1, IdleTimeout: 4500, ReadTimeout: 2000, Clock: clk, Log: zerolog.Nop()}
 	c := &testConn{}
-	seat := s.place(c)
-	seat.Hushes()
-	seat.Update(1, true, 0)
-	seat.Update(0, true, 0)
+	conn := s.tryAdmit(c)
+	conn.CloseWhenIdle()
+	conn.Update(1, true, 0)
+	conn.Update(0, true, 0)
 	clk.Advance(5000)
-	seat.Moves(strings.NewReader("x")).Read(make([]byte, 1))
+	conn.CountReads(strings.NewReader("x")).Read(make([]byte, 1))
 	for _, x := range []struct {
 		ms     float64
 		closed bool
@@ -252,7 +252,7 @@
 	for how, shut := range map[string]func(s *Server){
 		"it rested for too long": (*Server).Sweep,
 		"its place is wanted": func(s *Server) {
-			if seat := s.place(&testConn{}); seat != nil {
+			if conn := s.tryAdmit(&testConn{}); conn != nil {
 				t.Error("a place was given away with a request in hand")
 			}
 		},
@@ -262,16 +262,16 @@
 			t.Fatal(err)
 		}
 		clk := clock.Manual(1e6)
-		s := &Server{Max: 1, IdleMost: 4500, Clock: clk, Log: zerolog.Nop()}
+		s := &Server{Max: 1, IdleTimeout: 4500, Clock: clk, Log: zerolog.Nop()}
 		read, goOn := make(chan struct{}), make(chan struct{})
 		ctx, end := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		wg.Go(func() {
-			s.Serve(ctx, l, func(nc net.Conn, seat *Seat) {
-				seat.Hushes()
-				seat.Update(0, true, 0)
+			s.Serve(ctx, l, func(nc net.Conn, conn *Conn) {
+				conn.CloseWhenIdle()
+				conn.Update(0, true, 0)
 				for b := make([]byte, 1); ; {
-					if _, err := nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && !seat.Quiet() {
+					if _, err := nc.Read(b); errors.Is(err, os.ErrDeadlineExceeded) && !conn.ShouldClose() {
 						nc.SetReadDeadline(time.Time{})
 						continue
 					} else if err != nil {
@@ -279,9 +279,9 @@
 					}
 					read <- struct{}{}
 					<-goOn
-					seat.Update(1, true, 0)
+					conn.Update(1, true, 0)
 					nc.Write([]byte("a"))
-					seat.Update(0, true, 0)
+					conn.Update(0, true, 0)
 					<-goOn
 				}
 			})
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -127,7 +127,7 @@
 	f := &Front{
 		opt: opt,
 		server: front.Server{
-			Max: opt.MaxConns, FirstMost: firstMost, IdleMost: idleMost, StallMost: stallMost, WholeMost: wholeMost,
+			Max: opt.MaxConns, FirstByteTimeout: firstMost, IdleTimeout: idleMost, ReadTimeout: stallMost, RequestTimeout: wholeMost,
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
 		budget: front.Budget{Most: opt.MaxBytes}, intake: front.Budget{Most: intakeMost}, classes: map[string]Class{}, release: make(chan struct{}, releases),
@@ -195,7 +195,7 @@
 type conn struct {
 	front *Front
 	net   net.Conn
-	seat  *front.Seat
+	place *front.Conn
 	queue chan *slot
 	ended chan struct{} // closed when the writer ends
 
@@ -211,16 +211,16 @@
 	tags uint64
 }
 
-func (f *Front) handle(nc net.Conn, seat *front.Seat) {
+func (f *Front) handle(nc net.Conn, place *front.Conn) {
 	c := &conn{
-		front: f, net: nc, seat: seat, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
+		front: f, net: nc, place: place, queue: make(chan *slot, pipelineMost), ended: make(chan struct{}), open: map[uint64]*slot{},
 	}
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 		c.from = a.AddrPort().Addr().Unmap()
 	}
 	c.source = source(c.from)
-	seat.Hushes()
-	seat.Yields(c.yield)
+	place.CloseWhenIdle()
+	place.OnShedPartial(c.yield)
 	var g errgroup.Group
 	g.Go(func() error { c.write(); return nil })
 	c.read()
@@ -230,11 +230,11 @@
 // read is the reader goroutine.
 func (c *conn) read() {
 	defer close(c.queue)
-	r := bufio.NewReaderSize(c.seat.Moves(c.net), 4<<10)
+	r := bufio.NewReaderSize(c.place.CountReads(c.net), 4<<10)
 	for {
 		c.net.SetReadDeadline(time.Time{}) // the place's own limits hold
 		if _, err := r.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !c.seat.Quiet() { // no drain wants it closed any more
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.place.ShouldClose() { // no drain wants it closed any more
 				continue
 			}
 			c.gone(err)
@@ -297,7 +297,7 @@
 func (c *conn) report(asked bool) {
 	c.mu.Lock() // reader and writer tell in turn
 	defer c.mu.Unlock()
-	c.seat.Update(int(c.unwritten.Load()), asked, c.half)
+	c.place.Update(int(c.unwritten.Load()), asked, c.half)
 }
 
 // goOn lets a client send the body it holds back. Where earlier answers are still to come it says
