--- a/console/console.go
+++ b/console/console.go
@@ -78,10 +78,10 @@
 
 // Serve accepts until the listener closes or ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return s.server.Serve(ctx, l, func(nc net.Conn, seat *front.Conn) { s.handle(ctx, nc, seat) })
+	return s.server.Serve(ctx, l, func(nc net.Conn, conn *front.Conn) { s.handle(ctx, nc, conn) })
 }
 
-func (s *Server) handle(ctx context.Context, nc net.Conn, seat *front.Conn) {
+func (s *Server) handle(ctx context.Context, nc net.Conn, conn *front.Conn) {
 	nc.SetReadDeadline(time.Now().Add(readMost))
 	r := bufio.NewReaderSize(nc, 1<<10)
 	m, err := http1.Read(r, bodyMost, func() { nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) })
@@ -92,14 +92,14 @@
 	} else if err != nil {
 		return // it left, or gave its place up
 	} else {
-		seat.Update(1, true, 0) // a whole call keeps its place
+		conn.Update(1, true, 0) // a whole call keeps its place
 		out = s.answer(ctx, &m)
 	}
 	nc.SetWriteDeadline(time.Now().Add(writeMost))
 	if _, err := nc.Write(out); err != nil {
 		return
 	}
-	seat.Update(0, true, 0)
+	conn.Update(0, true, 0)
 	// Guards against a reset that overtakes the answer where the caller has sent more than its call.
 	if t, ok := nc.(interface{ CloseWrite() error }); ok && t.CloseWrite() == nil {
 		nc.SetReadDeadline(time.Now().Add(lingers))
