replica: split Open into steps, and name its limits as Go does

Open made the parts of Raft for a member alone and for one among others in one function of 80 lines. Each part has its step now, blocks and proposals have files of their own, and limits are called maxX. No change of behaviour.

--- a/replica/links.go
+++ b/replica/links.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -22,19 +20,19 @@
 )
 
 const (
-	handshakeMost = 2 * time.Second
-	forwardMost   = valueMost + nameMost + 1024
+	handshakeTimeout = 2 * time.Second
+	maxForward       = maxValue + maxName + 1024
 )
 
 // links carries Raft and forwarded commands between members, in mutual TLS. It is Raft's StreamLayer.
 type links struct {
-	opt   Options
-	store *Store
-	raft  chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-	wg    sync.WaitGroup
-	seats chan struct{}
+	opt    Options
+	store  *Store
+	raft   chan net.Conn
+	done   chan struct{}
+	once   sync.Once
+	wg     sync.WaitGroup
+	places chan struct{}
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -45,7 +43,7 @@
 	opt.TLS.ClientAuth = tls.RequireAndVerifyClientCert // never less, whatever was passed
 	opt.TLS.MinVersion = tls.VersionTLS13
 	return &links{
-		opt: opt, store: s, raft: make(chan net.Conn), done: make(chan struct{}), seats: make(chan struct{}, linksMost),
+		opt: opt, store: s, raft: make(chan net.Conn), done: make(chan struct{}), places: make(chan struct{}, maxLinks),
 		open: map[net.Conn]struct{}{},
 	}
 }
@@ -68,7 +66,7 @@
 				continue
 			}
 			select {
-			case l.seats <- struct{}{}:
+			case l.places <- struct{}{}:
 			default:
 				c.Close()
 				continue
@@ -76,7 +74,7 @@
 			l.wg.Add(1)
 			go func() {
 				defer l.wg.Done()
-				defer func() { <-l.seats }()
+				defer func() { <-l.places }()
 				l.serve(c)
 			}()
 		}
@@ -94,7 +92,7 @@
 		l.mu.Unlock()
 	}()
 	c := tls.Server(raw, l.opt.TLS)
-	c.SetDeadline(time.Now().Add(handshakeMost))
+	c.SetDeadline(time.Now().Add(handshakeTimeout))
 	var kind [1]byte
 	if _, err := io.ReadFull(c, kind[:]); err != nil { // the handshake comes with the first read
 		l.opt.Log.Warn().Err(err).Msg("link refused")
@@ -120,7 +118,7 @@
 // answer carries out one forwarded command.
 func (l *links) answer(c net.Conn) {
 	c.SetDeadline(time.Now().Add(5 * time.Second))
-	b, err := readBlock(c, forwardMost)
+	b, err := readBlock(c, maxForward)
 	if err != nil {
 		return
 	}
@@ -178,7 +176,7 @@
 			conf.ServerName = host
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeMost)
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	c, err := (&tls.Dialer{Config: conf}).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -225,22 +223,3 @@
 	l.wg.Wait()
 	return nil
 }
-
-func writeBlock(w io.Writer, b []byte) error {
-	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
-	return err
-}
-
-func readBlock(r io.Reader, most uint32) ([]byte, error) {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
-	}
-	n := binary.BigEndian.Uint32(head[:])
-	if n > most {
-		return nil, fmt.Errorf("replica: a block of %d bytes, %d at most", n, most)
-	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(r, b)
-	return b, err
-}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -46,9 +46,12 @@
 }
 
 const (
-	snapshotsKept = 2
-	trailingLogs  = 1024
-	linksMost     = 32
+	retainedSnapshots = 2
+	trailingLogs      = 1024
+	maxLinks          = 32
+
+	memberPace = 500 * time.Millisecond
+	alonePace  = 50 * time.Millisecond
 )
 
 // Store is one member.
@@ -64,80 +67,12 @@
 func Open(opt Options) (*Store, error) {
 	s := &Store{opt: opt, state: newState()}
 	s.state.changed = opt.Changed
-	alone := len(opt.Members) == 0
-	conf := raft.DefaultConfig()
-	pace := opt.Pace
-	if pace == 0 {
-		pace = 500 * time.Millisecond
-		if alone {
-			pace = 50 * time.Millisecond
-		}
-	}
-	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = pace, pace, pace/2
-	conf.CommitTimeout = min(conf.CommitTimeout, pace/4)
-	conf.SnapshotThreshold, conf.TrailingLogs = 4096, trailingLogs
-	conf.Logger = hclog.New(&hclog.LoggerOptions{Output: logWriter{opt.Log}, Level: hclog.Warn, DisableTime: true})
-	conf.LocalID = raft.ServerID(opt.ID)
-	var (
-		logs   raft.LogStore
-		stable raft.StableStore
-		snaps  raft.SnapshotStore
-		trans  raft.Transport
-		peers  []raft.Server
-	)
-	if alone {
-		if opt.ID == "" {
-			conf.LocalID = "alone"
-		}
-		mem := raft.NewInmemStore()
-		logs, stable, snaps = mem, mem, raft.NewInmemSnapshotStore()
-		addr, t := raft.NewInmemTransport("")
-		trans, peers = t, []raft.Server{{ID: conf.LocalID, Address: addr}}
-	} else {
-		if opt.TLS == nil || opt.Listener == nil {
-			return nil, errors.New("replica: members: links need a listener and certificates")
-		}
-		if err := os.MkdirAll(opt.Dir, 0o700); err != nil {
-			return nil, fmt.Errorf("replica: dir: %w", err)
-		}
-		db, err := boltdb.NewBoltStore(filepath.Join(opt.Dir, "raft.db"))
-		if err != nil {
-			return nil, fmt.Errorf("replica: dir: %w", err)
-		}
-		s.disk = db
-		logs, stable = db, db
-		if snaps, err = raft.NewFileSnapshotStoreWithLogger(opt.Dir, snapshotsKept, conf.Logger); err != nil {
-			db.Close()
-			return nil, fmt.Errorf("replica: dir: %w", err)
-		}
-		found := false
-		for _, m := range opt.Members {
-			peers = append(peers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Addr)})
-			found = found || m.ID == opt.ID
-		}
-		if !found {
-			db.Close()
-			return nil, fmt.Errorf("replica: id: %q is not among the members", opt.ID)
-		}
-		s.links = newLinks(opt, s)
-		trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-			Stream: s.links, MaxPool: 3, Timeout: 2 * time.Second, Logger: conf.Logger,
-		})
-	}
-	known, err := raft.HasExistingState(logs, stable, snaps)
-	if err == nil && !known {
-		err = raft.BootstrapCluster(conf, logs, stable, snaps, trans, raft.Configuration{Servers: peers})
-	}
+	parts, err := s.assemble()
 	if err == nil {
-		s.raft, err = raft.NewRaft(conf, s.state, logs, stable, snaps, trans)
+		err = s.startRaft(parts)
 	}
 	if err != nil {
-		if s.links != nil {
-			s.links.Close()
-		}
-		if s.disk != nil {
-			s.disk.Close()
-		}
+		s.release()
 		return nil, fmt.Errorf("replica: %w", err)
 	}
 	if s.links != nil {
@@ -146,18 +81,129 @@
 	return s, nil
 }
 
+// raftParts are what Raft is made of.
+type raftParts struct {
+	conf      *raft.Config
+	logs      raft.LogStore
+	stable    raft.StableStore
+	snapshots raft.SnapshotStore
+	transport raft.Transport
+	servers   []raft.Server
+}
+
+// assemble makes the parts: in memory alone, or on disk and over links among members.
+func (s *Store) assemble() (*raftParts, error) {
+	if len(s.opt.Members) == 0 {
+		return s.assembleAlone(), nil
+	}
+	return s.assembleMember()
+}
+
+func (s *Store) assembleAlone() *raftParts {
+	conf := raftConfig(s.opt, alonePace)
+	if s.opt.ID == "" {
+		conf.LocalID = "alone"
+	}
+	memory := raft.NewInmemStore()
+	addr, transport := raft.NewInmemTransport("")
+	return &raftParts{
+		conf: conf, logs: memory, stable: memory, snapshots: raft.NewInmemSnapshotStore(), transport: transport,
+		servers: []raft.Server{{ID: conf.LocalID, Address: addr}},
+	}
+}
+
+func (s *Store) assembleMember() (*raftParts, error) {
+	servers, err := s.servers()
+	if err != nil {
+		return nil, err
+	}
+	parts := &raftParts{conf: raftConfig(s.opt, memberPace), servers: servers}
+	if err := s.openDisk(parts); err != nil {
+		return nil, fmt.Errorf("dir: %w", err)
+	}
+	s.links = newLinks(s.opt, s)
+	parts.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		Stream: s.links, MaxPool: 3, Timeout: 2 * time.Second, Logger: parts.conf.Logger,
+	})
+	return parts, nil
+}
+
+// servers gives the members in Raft's form, if this one is among them and has what links need.
+func (s *Store) servers() ([]raft.Server, error) {
+	if s.opt.TLS == nil || s.opt.Listener == nil {
+		return nil, errors.New("members: links need a listener and certificates")
+	}
+	var servers []raft.Server
+	found := false
+	for _, m := range s.opt.Members {
+		servers = append(servers, raft.Server{ID: raft.ServerID(m.ID), Address: raft.ServerAddress(m.Addr)})
+		found = found || m.ID == s.opt.ID
+	}
+	if !found {
+		return nil, fmt.Errorf("id: %q is not among the members", s.opt.ID)
+	}
+	return servers, nil
+}
+
+// openDisk opens the log and the snapshots.
+func (s *Store) openDisk(parts *raftParts) error {
+	if err := os.MkdirAll(s.opt.Dir, 0o700); err != nil {
+		return err
+	}
+	db, err := boltdb.NewBoltStore(filepath.Join(s.opt.Dir, "raft.db"))
+	if err != nil {
+		return err
+	}
+	s.disk = db
+	parts.logs, parts.stable = db, db
+	parts.snapshots, err = raft.NewFileSnapshotStoreWithLogger(s.opt.Dir, retainedSnapshots, parts.conf.Logger)
+	return err
+}
+
+// startRaft starts Raft, and founds the cluster where there is no state yet.
+func (s *Store) startRaft(p *raftParts) error {
+	known, err := raft.HasExistingState(p.logs, p.stable, p.snapshots)
+	if err != nil {
+		return err
+	}
+	if !known {
+		founders := raft.Configuration{Servers: p.servers}
+		if err := raft.BootstrapCluster(p.conf, p.logs, p.stable, p.snapshots, p.transport, founders); err != nil {
+			return err
+		}
+	}
+	s.raft, err = raft.NewRaft(p.conf, s.state, p.logs, p.stable, p.snapshots, p.transport)
+	return err
+}
+
+// raftConfig gives Raft's settings, with a pace for where none is set.
+func raftConfig(opt Options, pace time.Duration) *raft.Config {
+	if opt.Pace != 0 {
+		pace = opt.Pace
+	}
+	conf := raft.DefaultConfig()
+	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = pace, pace, pace/2
+	conf.CommitTimeout = min(conf.CommitTimeout, pace/4)
+	conf.SnapshotThreshold, conf.TrailingLogs = 4096, trailingLogs
+	conf.Logger = hclog.New(&hclog.LoggerOptions{Output: logWriter{opt.Log}, Level: hclog.Warn, DisableTime: true})
+	conf.LocalID = raft.ServerID(opt.ID)
+	return conf
+}
+
 // Close ends the member.
 func (s *Store) Close() error {
-	err := s.raft.Shutdown().Error()
+	return errors.Join(s.raft.Shutdown().Error(), s.release())
+}
+
+// release ends the links and closes the disk.
+func (s *Store) release() error {
 	if s.links != nil {
 		s.links.Close()
 	}
 	if s.disk != nil {
-		if e := s.disk.Close(); err == nil {
-			err = e
-		}
+		return s.disk.Close()
 	}
-	return err
+	return nil
 }
 
 // Step makes a step of a name's claim. ok tells whether it was granted, and the record how the claim stands; with an
@@ -203,79 +249,6 @@
 // Snapshot has the state written to disk now.
 func (s *Store) Snapshot() error { return s.raft.Snapshot().Error() }
 
-const retryPause = 20 * time.Millisecond
-
-// propose has a majority agree on a command, by way of the leader. It goes on looking for one until
-// ctx ends, but a command whose fate is unknown is not proposed again.
-func (s *Store) propose(ctx context.Context, c command) (out result, err error) {
-	if len(c.Name) == 0 || len(c.Name) > nameMost || len(c.Value) > valueMost {
-		return out, fmt.Errorf("replica: name: 1 to %d bytes", nameMost)
-	}
-	c.At = s.opt.Clock.Unix()
-	b, err := json.Marshal(c)
-	if err != nil {
-		return out, err
-	}
-	for {
-		res, sure, err := s.once(ctx, b)
-		if err == nil {
-			if res.Err != "" {
-				return out, errors.New("replica: " + res.Err)
-			}
-			return res, nil
-		}
-		// Guards against doing a thing twice, where the first proposal may still be agreed on. A claim's owner may
-		// make its step again.
-		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) {
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
-		}
-		if s.raft.State() == raft.Shutdown {
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
-		}
-		select {
-		case <-ctx.Done():
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
-		case <-time.After(retryPause):
-		}
-	}
-}
-
-// once proposes a command; sure tells that after an error it was not proposed.
-func (s *Store) once(ctx context.Context, b []byte) (res result, sure bool, err error) {
-	if s.Leads() {
-		return s.lead(ctx, b)
-	}
-	addr, _ := s.raft.LeaderWithID()
-	if addr == "" || s.links == nil {
-		return res, true, errors.New("no leader")
-	}
-	return s.links.forward(ctx, string(addr), b)
-}
-
-// lead proposes a command on the leader itself.
-func (s *Store) lead(ctx context.Context, b []byte) (res result, sure bool, err error) {
-	wait := 2 * time.Second
-	if at, ok := ctx.Deadline(); ok {
-		wait = max(time.Until(at), time.Millisecond)
-	}
-	f := s.raft.Apply(b, wait)
-	done := make(chan error, 1)
-	go func() { done <- f.Error() }()
-	select {
-	case err = <-done:
-	case <-ctx.Done():
-		return res, false, ctx.Err()
-	}
-	if err != nil {
-		return res, errors.Is(err, raft.ErrNotLeader) || errors.Is(err, raft.ErrEnqueueTimeout), err
-	}
-	res, ok := f.Response().(result)
-	if !ok {
-		return res, false, errors.New("no result")
-	}
-	return res, true, nil
-}
-
 type logWriter struct{ log zerolog.Logger }
 
 func (w logWriter) Write(b []byte) (int, error) {
--- a/replica/state.go
+++ b/replica/state.go
@@ -55,9 +55,9 @@
 
 // Bounds of what is held.
 const (
-	nameMost   = 512
-	valueMost  = 1 << 20
-	claimsMost = 1 << 20
+	maxName   = 512
+	maxValue  = 1 << 20
+	maxClaims = 1 << 20
 )
 
 // state is the replicated state machine.
@@ -106,7 +106,7 @@
 		if _, revoked := s.Revoked[c.Name]; revoked {
 			return result{}
 		}
-		if len(s.Claims) >= claimsMost {
+		if len(s.Claims) >= maxClaims {
 			return result{Err: "too many claims"}
 		}
 		s.Claims[c.Name] = claims.Record{Owner: c.Owner, Until: c.Until}
@@ -127,7 +127,7 @@
 		if _, revoked := s.Revoked[c.Name]; revoked {
 			return result{}
 		}
-		if !there && len(s.Claims) >= claimsMost {
+		if !there && len(s.Claims) >= maxClaims {
 			return result{Err: "too many claims"}
 		}
 	}
