replica: carry distribution's decisions over the links, first form

Gateways that do not vote need the operator's configuration, revocations and purges. The state machine knows purges now and feeds a Publisher; voters serve watches and have their leader confirmed by a barrier; a Subscriber keeps a gateway's copy and forwards its commands. Not tested end to end yet.

--- a/replica/block.go
+++ b/replica/block.go
@@ -6,18 +6,18 @@
 	"io"
 )
 
-// blockHeader is the length that precedes each block, in bytes.
+// blockHeader is the size of the length that precedes each block.
 const blockHeader = 4
 
 // writeBlock writes a block with its length before it.
 func writeBlock(w io.Writer, b []byte) error {
-	_, err := w.Write(appendBlock(nil, b))
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
 	return err
 }
 
-// appendBlock appends a block as it goes over a link.
-func appendBlock(to, b []byte) []byte {
-	return append(binary.BigEndian.AppendUint32(to, uint32(len(b))), b...)
+// putBlockHeader fills in the length at the beginning of a block that was put together with room for it.
+func putBlockHeader(block []byte) {
+	binary.BigEndian.PutUint32(block, uint32(len(block)-blockHeader))
 }
 
 // readBlock reads a block of up to limit bytes.
--- /dev/null
+++ b/replica/dial.go
@@ -0,0 +1,70 @@
+package replica
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+)
+
+// DialFunc opens a connection, over which a link has its TLS.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// dialer opens links.
+type dialer struct {
+	tls  *tls.Config
+	open DialFunc
+}
+
+// newDialer returns a dialer. Open may be nil.
+func newDialer(conf *tls.Config, open DialFunc) dialer {
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	conf = conf.Clone()
+	conf.MinVersion = tls.VersionTLS13
+	conf.DynamicRecordSizingDisabled = true
+	return dialer{tls: conf, open: open}
+}
+
+// dial opens a link of a kind.
+func (d dialer) dial(ctx context.Context, addr string, kind byte) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	raw, err := d.open(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, d.configFor(addr))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	if _, err := conn.Write([]byte{kind}); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// configFor gives the settings for an address, whose host the other's certificate must name.
+func (d dialer) configFor(addr string) *tls.Config {
+	if d.tls.ServerName != "" {
+		return d.tls
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return d.tls // the handshake fails, as it lacks a name
+	}
+	conf := d.tls.Clone()
+	conf.ServerName = host
+	return conf
+}
+
+// closeNow closes a link at once: to close TLS may wait for an end that does not read.
+func closeNow(conn net.Conn) {
+	if c, ok := conn.(*tls.Conn); ok {
+		c.NetConn().Close()
+		return
+	}
+	conn.Close()
+}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -8,23 +8,67 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+	"turnfork.dev/turnfork/claims"
 )
 
 const retryPause = 20 * time.Millisecond
 
+// errClosed tells that whoever proposes has been closed.
+var errClosed = errors.New("closed")
+
+// proposer has a majority agree on commands.
+type proposer struct {
+	// attempt proposes a command once; sure tells that after an error it was not proposed.
+	attempt func(ctx context.Context, b []byte) (res result, sure bool, err error)
+	// closed tells that no further attempt makes sense.
+	closed func() bool
+	// unixMS is the time of proposals.
+	unixMS func() float64
+}
+
+// step makes a step of a claim.
+func (p *proposer) step(ctx context.Context, name string, step claims.Step) (claims.Record, bool, error) {
+	res, err := p.propose(ctx, command{
+		Op: string(step.Op), Name: name, Owner: step.Owner, Until: step.Until, To: step.To, Outcome: step.Outcome,
+	})
+	return res.Record, res.OK, err
+}
+
+// revoke refuses a token's use until a time in Unix ms.
+func (p *proposer) revoke(ctx context.Context, name string, until float64) error {
+	_, err := p.propose(ctx, command{Op: opRevoke, Name: name, Until: until})
+	return err
+}
+
+// put sets a piece of configuration.
+func (p *proposer) put(ctx context.Context, name string, value any) error {
+	b, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("replica: %s: %w", name, err)
+	}
+	_, err = p.propose(ctx, command{Op: opPut, Name: name, Value: b})
+	return err
+}
+
+// purge makes copies void that are older than now.
+func (p *proposer) purge(ctx context.Context, object uint64, group uint16) error {
+	_, err := p.propose(ctx, command{Op: opPurge, Object: object, Group: group})
+	return err
+}
+
 // propose has a majority agree on a command, by way of the leader. It goes on looking for one until
 // ctx ends, but a command whose fate is unknown is not proposed again.
-func (s *Store) propose(ctx context.Context, c command) (out result, err error) {
-	if len(c.Name) == 0 || len(c.Name) > maxName || len(c.Value) > maxValue {
-		return out, fmt.Errorf("replica: name: 1 to %d bytes", maxName)
+func (p *proposer) propose(ctx context.Context, c command) (out result, err error) {
+	if err := c.check(); err != nil {
+		return out, err
 	}
-	c.At = s.opt.Clock.Unix()
+	c.At = p.unixMS()
 	b, err := json.Marshal(c)
 	if err != nil {
 		return out, err
 	}
 	for {
-		res, sure, err := s.once(ctx, b)
+		res, sure, err := p.attempt(ctx, b)
 		if err == nil {
 			if res.Err != "" {
 				return out, errors.New("replica: " + res.Err)
@@ -33,30 +77,38 @@
 		}
 		// Guards against doing a thing twice, where the first proposal may still be agreed on. A claim's owner may
 		// make its step again.
-		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) {
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
-		}
-		if s.raft.State() == raft.Shutdown {
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) || p.closed() {
+			return out, fmt.Errorf("%w: %w", ErrNoQuorum, err)
 		}
 		select {
 		case <-ctx.Done():
-			return out, fmt.Errorf("%w: %v", ErrNoQuorum, err)
+			return out, fmt.Errorf("%w: %w", ErrNoQuorum, err)
 		case <-time.After(retryPause):
 		}
 	}
 }
 
-// once proposes a command; sure tells that after an error it was not proposed.
-func (s *Store) once(ctx context.Context, b []byte) (res result, sure bool, err error) {
+// check tells whether a command is within the limits.
+func (c *command) check() error {
+	if c.Op != opPurge && len(c.Name) == 0 || len(c.Name) > maxName {
+		return fmt.Errorf("replica: name: 1 to %d bytes", maxName)
+	}
+	if len(c.Value) > maxValue {
+		return fmt.Errorf("replica: value: %d bytes at most", maxValue)
+	}
+	return nil
+}
+
+// attempt proposes a command, here or by way of the leader.
+func (s *Store) attempt(ctx context.Context, b []byte) (res result, sure bool, err error) {
 	if s.Leads() {
 		return s.lead(ctx, b)
 	}
 	addr, _ := s.raft.LeaderWithID()
 	if addr == "" || s.links == nil {
-		return res, true, errors.New("no leader")
+		return res, true, errNoLeader
 	}
-	return s.links.forward(ctx, string(addr), b)
+	return forward(ctx, s.links.dialer, string(addr), b)
 }
 
 // lead proposes a command on the leader itself.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/distribution"
 )
 
 // ErrNoQuorum tells that no majority could be reached in time: nothing is known to have changed.
@@ -42,7 +43,14 @@
 	Clock    *clock.Clock
 	Log      zerolog.Logger
 	Changed  func(name string, value json.RawMessage) // told of operator configuration; must not block
+	Purged   func(c distribution.Change)              // told of purges; must not block
 	Pace     time.Duration                            // heartbeat time-out; 0: 500 ms, alone 50 ms
+
+	Dial   DialFunc            // opens connections to other members; nil: TCP
+	Timing distribution.Timing // of subscribers and confirmations
+	Limits distribution.Limits // of subscribers
+
+	wrapLogs func(raft.LogStore) raft.LogStore // for tests: faults of the disk
 }
 
 const (
@@ -61,12 +69,18 @@
 	state *state
 	links *links
 	disk  io.Closer
+
+	proposer      proposer
+	feed          *feed // nil: alone, without subscribers
+	confirmer     *confirmer
+	verifications chan struct{} // places
 }
 
 // Open starts a member.
 func Open(opt Options) (*Store, error) {
 	s := &Store{opt: opt, state: newState()}
-	s.state.changed = opt.Changed
+	s.state.changed, s.state.purged = opt.Changed, opt.Purged
+	s.proposer = proposer{attempt: s.attempt, closed: s.isShutDown, unixMS: opt.Clock.Unix}
 	parts, err := s.assemble()
 	if err == nil {
 		err = s.startRaft(parts)
@@ -121,13 +135,31 @@
 	if err := s.openDisk(parts); err != nil {
 		return nil, fmt.Errorf("dir: %w", err)
 	}
-	s.links = newLinks(s.opt, s)
+	s.links = newLinks(s.opt, s, s.newWatches())
 	parts.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
 		Stream: s.links, MaxPool: 3, Timeout: 2 * time.Second, Logger: parts.conf.Logger,
 	})
 	return parts, nil
 }
 
+// newWatches makes what serves subscribers. It runs nothing until there is one.
+func (s *Store) newWatches() *watches {
+	timing := timingDefaults(s.opt.Timing)
+	s.feed = newFeed(s.opt.Limits, timing)
+	s.state.feed = s.feed
+	s.verifications = make(chan struct{}, maxVerifications)
+	s.confirmer = newConfirmer(s, s.feed, timing.HeartbeatInterval)
+	w := &watches{
+		feed: s.feed, confirmer: s.confirmer, snapshots: &snapshotCache{state: s.state, feed: s.feed}, timing: timing,
+	}
+	for _, m := range s.opt.Members {
+		if m.ID != s.opt.ID {
+			w.voters = append(w.voters, m.Addr)
+		}
+	}
+	return w
+}
+
 // servers gives the members in Raft's form, if this one is among them and has what links need.
 func (s *Store) servers() ([]raft.Server, error) {
 	if s.opt.TLS == nil || s.opt.Listener == nil {
@@ -156,6 +188,9 @@
 	}
 	s.disk = db
 	parts.logs, parts.stable = db, db
+	if s.opt.wrapLogs != nil {
+		parts.logs = s.opt.wrapLogs(db)
+	}
 	parts.snapshots, err = raft.NewFileSnapshotStoreWithLogger(s.opt.Dir, retainedSnapshots, parts.conf.Logger)
 	return err
 }
@@ -199,6 +234,7 @@
 func (s *Store) release() error {
 	if s.links != nil {
 		s.links.Close()
+		s.confirmer.wait()
 	}
 	if s.disk != nil {
 		return s.disk.Close()
@@ -209,26 +245,22 @@
 // Step makes a step of a name's claim. ok tells whether it was granted, and the record how the claim stands; with an
 // error its fate is not known. It goes on trying until ctx ends, as an owner may make a step again.
 func (s *Store) Step(ctx context.Context, name string, step claims.Step) (r claims.Record, ok bool, err error) {
-	res, err := s.propose(ctx, command{
-		Op: string(step.Op), Name: name, Owner: step.Owner, Until: step.Until, To: step.To, Outcome: step.Outcome,
-	})
-	return res.Record, res.OK, err
+	return s.proposer.step(ctx, name, step)
 }
 
 // Revoke refuses a token's use from now on, until a time in Unix ms.
 func (s *Store) Revoke(ctx context.Context, name string, until float64) error {
-	_, err := s.propose(ctx, command{Op: opRevoke, Name: name, Until: until})
-	return err
+	return s.proposer.revoke(ctx, name, until)
 }
 
 // Put sets a piece of the operator's configuration.
 func (s *Store) Put(ctx context.Context, name string, value any) error {
-	b, err := json.Marshal(value)
-	if err != nil {
-		return fmt.Errorf("replica: %s: %w", name, err)
-	}
-	_, err = s.propose(ctx, command{Op: opPut, Name: name, Value: b})
-	return err
+	return s.proposer.put(ctx, name, value)
+}
+
+// Purge makes copies of an object, or with object 0 of a group, void that are older than now.
+func (s *Store) Purge(ctx context.Context, object uint64, group uint16) error {
+	return s.proposer.purge(ctx, object, group)
 }
 
 // Get reads a piece of the operator's configuration as this member knows it.
@@ -243,6 +275,23 @@
 // Revoked tells whether this member knows a token's use as revoked.
 func (s *Store) Revoked(name string) bool { return s.state.revoked(name) }
 
+// Fresh is always true: a voter's own gateway is not held to a lease.
+func (s *Store) Fresh() bool { return true }
+
+// MaxCopyAge is always 0, no bound, as for Fresh.
+func (s *Store) MaxCopyAge() time.Duration { return 0 }
+
+// Subscribers counts the subscribers of this voter, and the snapshots that are being sent to some.
+func (s *Store) Subscribers() (subscribers, snapshots int) {
+	if s.feed == nil {
+		return 0, 0
+	}
+	return s.feed.subscribers()
+}
+
+// Position is that of the last change in this member's state.
+func (s *Store) Position() distribution.Position { return s.state.position() }
+
 // Leads tells whether this member leads at present.
 func (s *Store) Leads() bool { return s.raft.State() == raft.Leader }
 
--- a/replica/state.go
+++ b/replica/state.go
@@ -8,13 +8,15 @@
 
 	"github.com/hashicorp/raft"
 	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/distribution"
 )
 
 // Operations of the log.
 const (
 	opClaim  = "claim" // of logs written before claims had stages: none becomes the owner's, for good
 	opRevoke = "revoke"
-	opPut    = "put" // operator configuration
+	opPut    = "put"   // operator configuration
+	opPurge  = "purge" // of copies, by object or group
 
 	// The steps of package claims stand under their own names.
 )
@@ -30,6 +32,9 @@
 
 	To      claims.Stage `json:"to,omitempty"`
 	Outcome string       `json:"outcome,omitempty"`
+
+	Object uint64 `json:"object,omitempty"`
+	Group  uint16 `json:"group,omitempty"`
 }
 
 // steps tells whether a command is a step of a claim, which its owner may make again.
@@ -68,8 +73,14 @@
 	Config  map[string]json.RawMessage `json:"config"`
 	Latest  float64                    `json:"latest"` // the highest time seen
 
+	Purges      []distribution.Change `json:"purges,omitempty"` // by revision
+	PurgesSince int64                 `json:"purges_since,omitempty"`
+	Position    distribution.Position `json:"position,omitzero"` // of the last change that is distributed
+
 	sweptAt float64
 	changed func(name string, value json.RawMessage)
+	purged  func(c distribution.Change)
+	feed    *feed // nil: there are no subscribers to tell
 }
 
 func newState() *state {
@@ -82,16 +93,38 @@
 	if err := json.Unmarshal(l.Data, &c); err != nil {
 		return result{Err: "unreadable entry"}
 	}
-	res := s.apply(c)
-	if c.Op == opPut && res.OK && s.changed != nil {
-		s.changed(c.Name, c.Value)
-	}
+	res, change := s.applyAt(distribution.Position{Revision: distribution.Revision(l.Index), Term: l.Term}, c)
+	s.tell(change)
 	return res
 }
 
-func (s *state) apply(c command) result {
+// applyAt carries out a command at its position, and has what it changed distributed in the same step, so that the state
+// and the feed never differ for whoever holds the lock. The change is nil where there is none to distribute.
+func (s *state) applyAt(at distribution.Position, c command) (result, *distribution.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	res := s.apply(c)
+	if !res.OK || !c.distributed() {
+		return res, nil
+	}
+	change := s.change(at, c)
+	s.distribute(change)
+	return res, &change
+}
+
+// tell tells this member's own gateway of a change.
+func (s *state) tell(change *distribution.Change) {
+	switch {
+	case change == nil:
+	case change.Kind == distribution.KindPut && s.changed != nil:
+		s.changed(change.Name, change.Value)
+	case change.Kind == distribution.KindPurge && s.purged != nil:
+		s.purged(*change)
+	}
+}
+
+// apply carries out a command; mu is held.
+func (s *state) apply(c command) result {
 	s.Latest = max(s.Latest, c.At)
 	s.sweep()
 	if c.steps() {
@@ -114,6 +147,7 @@
 		s.Revoked[c.Name] = max(s.Revoked[c.Name], c.Until)
 	case opPut:
 		s.Config[c.Name] = c.Value
+	case opPurge: // kept by distribute, which knows its position
 	default:
 		return result{Err: fmt.Sprintf("unknown operation %q", c.Op)}
 	}
@@ -158,6 +192,7 @@
 			delete(s.Revoked, k)
 		}
 	}
+	s.sweepPurges()
 }
 
 func (s *state) revoked(name string) bool {
@@ -189,17 +224,35 @@
 	if err := json.NewDecoder(r).Decode(fresh); err != nil {
 		return fmt.Errorf("replica: snapshot: %w", err)
 	}
-	s.mu.Lock()
-	s.Claims, s.Revoked, s.Config, s.Latest = fresh.Claims, fresh.Revoked, fresh.Config, fresh.Latest
-	s.mu.Unlock()
+	s.replace(fresh)
 	if s.changed != nil {
 		for name, value := range fresh.Config {
 			s.changed(name, value)
 		}
 	}
+	if s.purged != nil {
+		for _, c := range fresh.Purges {
+			s.purged(c)
+		}
+	}
 	return nil
 }
 
+// replace takes over what another state holds.
+func (s *state) replace(fresh *state) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Claims, s.Revoked, s.Config, s.Latest = fresh.Claims, fresh.Revoked, fresh.Config, fresh.Latest
+	s.Purges, s.PurgesSince = fresh.Purges, fresh.PurgesSince
+	s.Position = fresh.Position
+	if s.Position == (distribution.Position{}) && len(s.Config)+len(s.Revoked) > 0 {
+		s.Position = unrecorded
+	}
+	if s.feed != nil {
+		s.feed.reset(s.Position)
+	}
+}
+
 type snapshot []byte
 
 func (b snapshot) Persist(sink raft.SnapshotSink) error {
--- /dev/null
+++ b/replica/subscriber_status.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"turnfork.dev/turnfork/distribution"
+)
+
+// SubscriberStatus tells how a subscriber stands.
+type SubscriberStatus struct {
+	Position    distribution.Position
+	Fresh       bool
+	CompleteAt  time.Time     // when the state was last known to be complete; zero: never
+	CompleteAge time.Duration // since then; 0: never
+	MaxCopyAge  time.Duration // 0: no bound
+	Voter       string        // address of the voter that is watched; "": none
+	Leader      string        // address that commands go to; "": not known
+	Reconnects  uint64        // watches begun but for the first
+	Snapshots   uint64        // received
+	Digest      uint64        // of the state at Position
+
+	BytesIn, BytesOut       uint64 // over all links, with TLS
+	MessagesIn, MessagesOut uint64 // of watches
+}
+
+// Status tells how the subscriber stands.
+func (s *Subscriber) Status() SubscriberStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	now := s.opt.Now()
+	status := SubscriberStatus{
+		Position: s.view.Position(), Digest: s.view.Digest(),
+		Fresh: s.lease.Fresh(now), CompleteAt: s.lease.CompleteAt(), MaxCopyAge: s.lease.MaxCopyAge(now),
+		Voter: s.voter, Leader: s.leader, Reconnects: max(s.connections, 1) - 1, Snapshots: s.snapshots,
+		BytesIn: s.traffic.bytesIn.Load(), BytesOut: s.traffic.bytesOut.Load(),
+		MessagesIn: s.traffic.messagesIn.Load(), MessagesOut: s.traffic.messagesOut.Load(),
+	}
+	if !status.CompleteAt.IsZero() {
+		status.CompleteAge = now.Sub(status.CompleteAt)
+	}
+	return status
+}
+
+// traffic counts what goes over links.
+type traffic struct {
+	bytesIn, bytesOut       atomic.Uint64
+	messagesIn, messagesOut atomic.Uint64
+}
+
+// count has the bytes of the connections counted that are opened. Open may be nil.
+func (t *traffic) count(open DialFunc) DialFunc {
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := open(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, traffic: t}, nil
+	}
+}
+
+// countedConn counts its bytes.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.bytesIn.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.bytesOut.Add(uint64(n))
+	return n, err
+}
