--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,257 @@
+package replica
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/distribution"
+)
+
+// testTiming is quick, but bears a busy machine under the race detector.
+var testTiming = distribution.Timing{
+	BatchDelay:        10 * time.Millisecond,
+	HeartbeatInterval: 100 * time.Millisecond,
+	LeaseTTL:          1500 * time.Millisecond,
+	SilenceTimeout:    700 * time.Millisecond,
+	PurgeDeadline:     2 * time.Second,
+}
+
+// eventuallyTimeout is how long a condition may take to come true.
+const eventuallyTimeout = 20 * time.Second
+
+// eventually waits for a condition.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(eventuallyTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not in %v: %s", eventuallyTimeout, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// cluster is some voters whose links to each other go through relays.
+type cluster struct {
+	t       testing.TB
+	members []Member
+	dirs    []string
+	certs   func() *tls.Config
+	client  *tls.Config // of subscribers
+	network *network
+	limits  distribution.Limits
+	adjust  func(voter int, opt *Options)
+	stores  []*Store
+}
+
+// newCluster starts voters. Limits are those of each; adjust may change their options further, and be nil.
+func newCluster(t testing.TB, voters int, limits distribution.Limits, adjust func(int, *Options)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, certs: authority(t), network: newNetwork(t), limits: limits, adjust: adjust}
+	c.client = c.certs()
+	listeners := make([]net.Listener, voters)
+	for i := range listeners {
+		var err error
+		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		c.members = append(c.members, Member{ID: fmt.Sprint("m", i), Addr: listeners[i].Addr().String()})
+		c.dirs = append(c.dirs, t.TempDir())
+	}
+	c.stores = make([]*Store, voters)
+	t.Cleanup(c.close)
+	for i, listener := range listeners {
+		c.start(i, listener)
+	}
+	return c
+}
+
+// start starts a voter; a nil listener: on its address of before.
+func (c *cluster) start(voter int, listener net.Listener) {
+	c.t.Helper()
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", c.members[voter].Addr); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	opt := Options{
+		ID: c.members[voter].ID, Members: c.members, Listener: listener, TLS: c.certs(), Dir: c.dirs[voter],
+		Clock: clock.System(), Log: zerolog.Nop(), Pace: 300 * time.Millisecond,
+		Dial: c.network.dialFrom(c.members[voter].ID), Timing: testTiming, Limits: c.limits,
+	}
+	if c.adjust != nil {
+		c.adjust(voter, &opt)
+	}
+	store, err := Open(opt)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.stores[voter] = store
+}
+
+func (c *cluster) stop(voter int) {
+	c.t.Helper()
+	store := c.stores[voter]
+	c.stores[voter] = nil
+	if err := store.Close(); err != nil {
+		c.t.Errorf("voter %d: close: %v", voter, err)
+	}
+}
+
+func (c *cluster) close() {
+	for i, store := range c.stores {
+		if store != nil {
+			c.stop(i)
+		}
+	}
+}
+
+// leader waits for a voter to lead, other than some.
+func (c *cluster) leader(except ...int) (leader int) {
+	c.t.Helper()
+	eventually(c.t, "a leader", func() bool {
+		for i, store := range c.stores {
+			if store != nil && store.Leads() && !contains(except, i) {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// follower gives a voter that does not lead.
+func (c *cluster) follower() int { return (c.leader() + 1) % len(c.stores) }
+
+func contains(list []int, i int) bool {
+	for _, l := range list {
+		if l == i {
+			return true
+		}
+	}
+	return false
+}
+
+// betweenVoters calls do for the relays between a voter and the others, both ways.
+func (c *cluster) betweenVoters(voter int, do func(*relay)) {
+	for i, m := range c.members {
+		if i == voter {
+			continue
+		}
+		do(c.network.between(c.members[voter].ID, m.Addr))
+		do(c.network.between(m.ID, c.members[voter].Addr))
+	}
+}
+
+// subscriber opens a subscriber whose links go through relays of its name.
+func (c *cluster) subscriber(name string, voters []Member, adjust func(*SubscriberOptions)) *testSubscriber {
+	c.t.Helper()
+	s := &testSubscriber{t: c.t, cluster: c, name: name, effects: &recorder{}}
+	opt := SubscriberOptions{
+		Name: name, Voters: voters, TLS: c.client, Clock: clock.System(), Log: zerolog.Nop(), Effects: s.effects,
+		FreshnessChanged: s.noteFreshness, Timing: testTiming, RetryMin: 5 * time.Millisecond, RetryMax: 100 * time.Millisecond,
+		Dial: c.network.dialFrom(name),
+	}
+	if adjust != nil {
+		adjust(&opt)
+	}
+	var err error
+	if s.Subscriber, err = OpenSubscriber(opt); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// testSubscriber is a subscriber with what it told.
+type testSubscriber struct {
+	*Subscriber
+	t       testing.TB
+	cluster *cluster
+	name    string
+	effects *recorder
+
+	mu    sync.Mutex
+	turns []bool // freshness, as it changed
+}
+
+func (s *testSubscriber) noteFreshness(fresh bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turns = append(s.turns, fresh)
+}
+
+// turned gives the changes of freshness.
+func (s *testSubscriber) turned() []bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]bool(nil), s.turns...)
+}
+
+// relay gives the relay to a voter.
+func (s *testSubscriber) relay(voter int) *relay {
+	return s.cluster.network.between(s.name, s.cluster.members[voter].Addr)
+}
+
+// relays gives the relays to all voters.
+func (s *testSubscriber) relays(do func(*relay)) {
+	for i := range s.cluster.members {
+		do(s.relay(i))
+	}
+}
+
+// awaitPosition waits until the subscriber has reached a voter's position.
+func (s *testSubscriber) awaitPosition(at distribution.Position) {
+	s.t.Helper()
+	eventually(s.t, fmt.Sprintf("%s at %v", s.name, at), func() bool { return s.Status().Position == at })
+}
+
+// awaitFresh waits until the subscriber is fresh.
+func (s *testSubscriber) awaitFresh() {
+	s.t.Helper()
+	eventually(s.t, s.name+" fresh", s.Fresh)
+}
+
+// recorder records effects.
+type recorder struct {
+	mu         sync.Mutex
+	configured []string
+	purged     []distribution.Change
+	missed     []int64
+}
+
+func (r *recorder) Configured(name string, value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configured = append(r.configured, name+"="+string(value))
+}
+
+func (r *recorder) Purged(c distribution.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.purged = append(r.purged, c)
+}
+
+func (r *recorder) PurgesMissed(before int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missed = append(r.missed, before)
+}
+
+// objects gives the objects of the purges, in order.
+func (r *recorder) objects() (objects []uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.purged {
+		objects = append(objects, c.Object)
+	}
+	return objects
+}
--- /dev/null
+++ b/replica/relay_test.go
@@ -0,0 +1,204 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// relay is a TCP relay on loopback that a test can cut, stall and slow down.
+type relay struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	isCut   bool
+	toward  [2]bool // whether a direction is stalled
+	delay   time.Duration
+	conns   map[net.Conn]struct{}
+	wg      sync.WaitGroup
+	opened  int // connections so far
+}
+
+// Directions of a relay.
+const (
+	toTarget = 0
+	toDialer = 1
+)
+
+func newRelay(t testing.TB, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	r.changed = sync.NewCond(&r.mu)
+	r.wg.Add(1)
+	go r.accept()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) accept() {
+	defer r.wg.Done()
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			r.serve(conn)
+		}()
+	}
+}
+
+func (r *relay) serve(dialer net.Conn) {
+	defer dialer.Close()
+	target, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	defer target.Close()
+	if !r.enter(dialer, target) {
+		return
+	}
+	defer r.leave(dialer, target)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.copy(target, dialer, toTarget)
+	}()
+	r.copy(dialer, target, toDialer)
+	<-done
+}
+
+// copy copies one direction until it ends, and ends the other with it.
+func (r *relay) copy(to, from net.Conn, direction int) {
+	defer to.Close()
+	defer from.Close()
+	chunk := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(chunk)
+		if err != nil || !r.pass(direction, to) {
+			return
+		}
+		if _, err := to.Write(chunk[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// pass waits while a direction is stalled, and for the delay; false: the connection was cut meanwhile.
+func (r *relay) pass(direction int, conn net.Conn) bool {
+	r.mu.Lock()
+	for r.toward[direction] && r.holds(conn) {
+		r.changed.Wait()
+	}
+	delay, held := r.delay, r.holds(conn)
+	r.mu.Unlock()
+	time.Sleep(delay)
+	return held
+}
+
+func (r *relay) holds(conn net.Conn) bool {
+	_, ok := r.conns[conn]
+	return ok
+}
+
+func (r *relay) enter(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isCut {
+		return false
+	}
+	r.opened++
+	for _, conn := range conns {
+		r.conns[conn] = struct{}{}
+	}
+	return true
+}
+
+func (r *relay) leave(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range conns {
+		delete(r.conns, conn)
+	}
+}
+
+// cut ends all connections and refuses new ones until heal.
+func (r *relay) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isCut = true
+	for conn := range r.conns {
+		conn.Close()
+		delete(r.conns, conn)
+	}
+	r.changed.Broadcast()
+}
+
+// stall holds up what goes in a direction, as a network that loses everything; heal lets it go on.
+func (r *relay) stall(directions ...int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, direction := range directions {
+		r.toward[direction] = true
+	}
+}
+
+// slow delays everything.
+func (r *relay) slow(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// heal ends what cut, stall and slow began.
+func (r *relay) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isCut, r.toward, r.delay = false, [2]bool{}, 0
+	r.changed.Broadcast()
+}
+
+func (r *relay) close() {
+	r.listener.Close()
+	r.cut()
+	r.wg.Wait()
+}
+
+// network gives each pair of a dialer and an address a relay of its own.
+type network struct {
+	t      testing.TB
+	mu     sync.Mutex
+	relays map[[2]string]*relay
+}
+
+func newNetwork(t testing.TB) *network {
+	return &network{t: t, relays: map[[2]string]*relay{}}
+}
+
+// between gives the relay from a dialer to an address.
+func (n *network) between(from, addr string) *relay {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := [2]string{from, addr}
+	if n.relays[key] == nil {
+		n.relays[key] = newRelay(n.t, addr)
+	}
+	return n.relays[key]
+}
+
+// dialFrom gives a dialer its way to the others.
+func (n *network) dialFrom(from string) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, n.between(from, addr).listener.Addr().String())
+	}
+}
