--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/distribution"
 )
@@ -196,6 +197,107 @@
 	return append([]bool(nil), s.turns...)
 }
 
+// monitor checks all the time that the subscriber never claims to have been complete at a time after a change was
+// acknowledged that it does not hold. Acknowledged enters such a change, and the test's end ends the check.
+type monitor struct {
+	s    *testSubscriber
+	mu   sync.Mutex
+	acks []acknowledged
+	stop chan struct{}
+	done chan struct{}
+}
+
+// acknowledged is a change that was acknowledged to its proposer by a time.
+type acknowledged struct {
+	revision distribution.Revision
+	at       time.Time
+}
+
+func (s *testSubscriber) monitor() *monitor {
+	m := &monitor{s: s, stop: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(m.done)
+		for {
+			m.check()
+			select {
+			case <-m.stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	s.t.Cleanup(m.end)
+	return m
+}
+
+// acknowledged enters the last change of a store, which was acknowledged before the call.
+func (m *monitor) acknowledged(by *Store) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.acks = append(m.acks, acknowledged{by.Position().Revision, time.Now()})
+}
+
+func (m *monitor) check() {
+	m.mu.Lock()
+	acks := m.acks
+	m.mu.Unlock()
+	status := m.s.Status()
+	for _, a := range acks {
+		if status.CompleteAt.After(a.at) && status.Position.Revision < a.revision {
+			m.s.t.Errorf("%s claims to be complete at %v after the acknowledgement of %d, and is at %d",
+				m.s.name, status.CompleteAt.Sub(a.at), a.revision, status.Position.Revision)
+		}
+	}
+}
+
+func (m *monitor) end() {
+	close(m.stop)
+	<-m.done
+}
+
+// preferring gives a name of a gateway whose first voter is a given one.
+func (c *cluster) preferring(voter int) string {
+	var addrs []string
+	for _, m := range c.members {
+		addrs = append(addrs, m.Addr)
+	}
+	for i := 0; ; i++ {
+		name := fmt.Sprint("gateway-", i)
+		if distribution.VoterOrder(name, addrs)[0] == c.members[voter].Addr {
+			return name
+		}
+	}
+}
+
+// put sets configuration by way of the leader.
+func (c *cluster) put(name string, value any) {
+	c.t.Helper()
+	if err := c.stores[c.leader()].Put(patient(c.t), name, value); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// awaitVoter waits until a voter has what the leader has.
+func (c *cluster) awaitVoter(voter int) {
+	c.t.Helper()
+	at := c.stores[c.leader()].Position()
+	eventually(c.t, fmt.Sprintf("voter %d at %v", voter, at), func() bool { return c.stores[voter].Position() == at })
+}
+
+// purge makes purges of consecutive objects by way of the leader, many at a time.
+func (c *cluster) purge(first, count uint64) {
+	c.t.Helper()
+	leader := c.stores[c.leader()]
+	var group errgroup.Group
+	group.SetLimit(32)
+	for object := first; object < first+count; object++ {
+		group.Go(func() error { return leader.Purge(patient(c.t), object, 0) })
+	}
+	if err := group.Wait(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // relay gives the relay to a voter.
 func (s *testSubscriber) relay(voter int) *relay {
 	return s.cluster.network.between(s.name, s.cluster.members[voter].Addr)
--- a/replica/relay_test.go
+++ b/replica/relay_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// relayBuffer bounds what the kernel takes of a stalled connection, about.
+const relayBuffer = 64 << 10
+
 // relay is a TCP relay on loopback that a test can cut, stall and slow down.
 type relay struct {
 	listener net.Listener
@@ -17,6 +20,7 @@
 	changed *sync.Cond
 	isCut   bool
 	toward  [2]bool // whether a direction is stalled
+	budget  [2]int  // bytes that a direction passes before it stalls; 0: no such limit
 	delay   time.Duration
 	conns   map[net.Conn]struct{}
 	wg      sync.WaitGroup
@@ -65,6 +69,7 @@
 		return
 	}
 	defer target.Close()
+	target.(*net.TCPConn).SetReadBuffer(relayBuffer) // so that a stall is soon felt
 	if !r.enter(dialer, target) {
 		return
 	}
@@ -85,7 +90,7 @@
 	chunk := make([]byte, 4<<10)
 	for {
 		n, err := from.Read(chunk)
-		if err != nil || !r.pass(direction, to) {
+		if err != nil || !r.pass(direction, to, n) {
 			return
 		}
 		if _, err := to.Write(chunk[:n]); err != nil {
@@ -95,8 +100,12 @@
 }
 
 // pass waits while a direction is stalled, and for the delay; false: the connection was cut meanwhile.
-func (r *relay) pass(direction int, conn net.Conn) bool {
+func (r *relay) pass(direction int, conn net.Conn, bytes int) bool {
 	r.mu.Lock()
+	if r.budget[direction] > 0 {
+		r.budget[direction] -= bytes
+		r.toward[direction] = r.budget[direction] <= 0
+	}
 	for r.toward[direction] && r.holds(conn) {
 		r.changed.Wait()
 	}
@@ -153,6 +162,20 @@
 	}
 }
 
+// stallAfter stalls a direction once it has passed about some bytes.
+func (r *relay) stallAfter(direction, bytes int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget[direction] = bytes
+}
+
+// stalled tells whether a direction is stalled.
+func (r *relay) stalled(direction int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.toward[direction]
+}
+
 // slow delays everything.
 func (r *relay) slow(delay time.Duration) {
 	r.mu.Lock()
@@ -164,7 +187,7 @@
 func (r *relay) heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.isCut, r.toward, r.delay = false, [2]bool{}, 0
+	r.isCut, r.toward, r.budget, r.delay = false, [2]bool{}, [2]int{}, 0
 	r.changed.Broadcast()
 }
 
--- a/replica/subscriber_watch.go
+++ b/replica/subscriber_watch.go
@@ -15,39 +15,34 @@
 // errRefused tells that a voter refused a watch.
 var errRefused = errors.New("replica: refused")
 
-// snapshotTimeout bounds the receipt of a whole snapshot.
-const snapshotTimeout = time.Minute
+const (
+	// encodeTimeout is how long a voter may take to put a snapshot together.
+	encodeTimeout = 20 * time.Second
+	// snapshotTimeout bounds the receipt of a whole snapshot.
+	snapshotTimeout = time.Minute
+)
 
 // run watches one voter after the other until the subscriber is closed.
 func (s *Subscriber) run() {
 	defer close(s.ended)
-	next := 0
+	choice := newVoterChoice(len(s.order))
 	for s.ctx.Err() == nil {
-		at := next % len(s.order)
-		marked, advice, err := s.watch(s.order[at])
-		if s.ctx.Err() != nil {
+		at, wait := choice.next(time.Now())
+		if !s.pause(wait) {
 			return
 		}
+		marked, advice, err := s.watch(s.order[at])
 		s.opt.Log.Debug().Str("voter", s.order[at]).Err(err).Msg("watch ended")
-		next = s.after(at, marked)
 		if marked {
 			s.backoff.Reset()
 		}
-		if !s.pause(s.backoff.Next(advice)) {
+		choice.ended(at, marked, advice, time.Now())
+		if !s.pause(s.backoff.Next(0)) {
 			return
 		}
 	}
 }
 
-// after gives the index of the voter to try after one whose watch ended. After a watch that worked the order begins anew,
-// without the one that was lost, so that gateways come back to the voters that they prefer.
-func (s *Subscriber) after(at int, marked bool) int {
-	if marked && at != 0 {
-		return 0
-	}
-	return at + 1
-}
-
 // pause waits; false: the subscriber was closed.
 func (s *Subscriber) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -184,6 +179,8 @@
 		return w.takeMark(*message.Mark)
 	case message.Snapshot != nil:
 		return w.takeSnapshot(*message.Snapshot)
+	case message.Admission != nil:
+		return w.takeAdmission(*message.Admission)
 	case message.Refusal != nil:
 		w.advice = time.Duration(message.Refusal.RetryAfterMS) * time.Millisecond
 		return fmt.Errorf("%w: %s", errRefused, message.Refusal.Reason)
@@ -191,6 +188,14 @@
 	return nil // of a later version
 }
 
+// takeAdmission gives the voter time to put a snapshot together, where one comes.
+func (w *subscription) takeAdmission(admission admissionMessage) error {
+	if !admission.Snapshot {
+		return nil
+	}
+	return w.conn.SetReadDeadline(time.Now().Add(encodeTimeout))
+}
+
 func (w *subscription) takeBatch(batch *distribution.Batch) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/replica/watch.go
+++ b/replica/watch.go
@@ -126,7 +126,11 @@
 
 // write sends a subscriber what it lacks, and then what comes.
 func (w *watcher) write(ctx context.Context, admission distribution.Admission) error {
-	if admission == distribution.AdmitSnapshot {
+	needsSnapshot := admission == distribution.AdmitSnapshot
+	if err := w.send(voterMessage{Admission: &admissionMessage{Snapshot: needsSnapshot}}); err != nil {
+		return err
+	}
+	if needsSnapshot {
 		if err := w.sendSnapshot(); err != nil {
 			return err
 		}
--- a/replica/watch_messages.go
+++ b/replica/watch_messages.go
@@ -35,10 +35,16 @@
 
 // voterMessage carries one of its fields.
 type voterMessage struct {
-	Refusal  *refusalMessage     `json:"refusal,omitempty"`
-	Snapshot *snapshotMessage    `json:"snapshot,omitempty"`
-	Batch    *distribution.Batch `json:"batch,omitempty"`
-	Mark     *distribution.Mark  `json:"mark,omitempty"`
+	Admission *admissionMessage   `json:"admission,omitempty"`
+	Refusal   *refusalMessage     `json:"refusal,omitempty"`
+	Snapshot  *snapshotMessage    `json:"snapshot,omitempty"`
+	Batch     *distribution.Batch `json:"batch,omitempty"`
+	Mark      *distribution.Mark  `json:"mark,omitempty"`
+}
+
+// admissionMessage begins a watch. It comes at once, as a large snapshot takes its time to be put together.
+type admissionMessage struct {
+	Snapshot bool `json:"snapshot,omitempty"` // whether one comes next
 }
 
 // refusalMessage ends a watch.
