--- a/replica/watch.go
+++ b/replica/watch.go
@@ -11,6 +11,9 @@
 // fullRetryAfter is when a subscriber may come back that found all places for links taken. It adds its own jitter.
 const fullRetryAfter = 5 * time.Second
 
+// watchSendBuffer bounds what the kernel holds for a subscriber that doesn't read; it would hold megabytes for each.
+const watchSendBuffer = 128 << 10
+
 // watches serves the subscribers of a voter.
 //
 // A subscriber costs two goroutines, one that reads its heartbeats and one that writes to it, with a TLS connection between
@@ -36,6 +39,9 @@
 // serve carries out a watch until it ends.
 func (w *watches) serve(conn, raw net.Conn) error {
 	watcher := &watcher{watches: w, conn: conn, raw: raw}
+	if tcp, ok := raw.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		tcp.SetWriteBuffer(watchSendBuffer)
+	}
 	conn.SetReadDeadline(time.Now().Add(handshakeTimeout))
 	block, err := readBlock(conn, maxSubscriberBlock)
 	if err != nil {
