--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"encoding/json"
 	"fmt"
 	"net"
 	"sync"
@@ -357,3 +358,16 @@
 	}
 	return objects
 }
+
+// receiveMessage reads a voter's message from a link.
+func receiveMessage(t testing.TB, link net.Conn) (message voterMessage) {
+	t.Helper()
+	block, err := readBlock(link, maxVoterBlock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(block, &message); err != nil {
+		t.Fatal(err)
+	}
+	return message
+}
