replica: pace a subscriber's retries, and work a digest out once for each position

Thousands of gateways without a leader would each have dialed 50 times a second. Status worked the digest out for each call; with 200 subscribers polled in a test this starved Raft of the processor, and leases lapsed.

--- a/replica/changes.go
+++ b/replica/changes.go
@@ -39,6 +39,7 @@
 // distribute enters a change that was made; mu is held.
 func (s *state) distribute(c distribution.Change) {
 	s.Position = c.Position
+	s.ChangedAt = max(s.ChangedAt, c.At)
 	if c.Kind == distribution.KindPurge {
 		s.Purges = append(s.Purges, c)
 		s.boundPurges()
@@ -83,7 +84,7 @@
 	}
 	return &distribution.Snapshot{
 		At: s.Position, Config: maps.Clone(s.Config), Revocations: revocations,
-		Purges: slices.Clone(s.Purges), PurgesSince: s.PurgesSince, LatestAt: int64(s.Latest),
+		Purges: slices.Clone(s.Purges), PurgesSince: s.PurgesSince, LatestAt: s.ChangedAt,
 	}
 }
 
--- a/replica/feed.go
+++ b/replica/feed.go
@@ -25,7 +25,11 @@
 	scout chan struct{} // wakes one writer
 }
 
+// maxBatchBytes bounds what Limits may ask for: with all names escaped, a batch still fits a block.
+const maxBatchBytes = 128 << 10
+
 func newFeed(limits distribution.Limits, timing distribution.Timing) *feed {
+	limits.BatchBytes = min(limits.BatchBytes, maxBatchBytes)
 	return &feed{
 		timing:    timing,
 		publisher: distribution.NewPublisher(limits, timing, distribution.Position{}),
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -5,16 +5,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/raft"
 	"turnfork.dev/turnfork/claims"
 )
 
-const retryPause = 20 * time.Millisecond
-
-// errClosed tells that whoever proposes has been closed.
-var errClosed = errors.New("closed")
+const (
+	retryPause    = 20 * time.Millisecond
+	maxRetryPause = 640 * time.Millisecond // of a subscriber
+)
 
 // proposer has a majority agree on commands.
 type proposer struct {
@@ -24,6 +25,21 @@
 	closed func() bool
 	// unixMS is the time of proposals.
 	unixMS func() float64
+	// pause is how long to wait after an attempt, counted from 0.
+	pause func(attempt int) time.Duration
+}
+
+// steadyPause is a member's: members are few.
+func steadyPause(int) time.Duration { return retryPause }
+
+// growingPause is a subscriber's: exponential with jitter, as thousands may be without a leader at once, and each attempt
+// costs the voters a handshake.
+func growingPause(attempt int) time.Duration {
+	ceiling := maxRetryPause
+	if doublings := min(attempt, 16); retryPause<<doublings < maxRetryPause {
+		ceiling = retryPause << doublings
+	}
+	return ceiling/2 + rand.N(ceiling/2)
 }
 
 // step makes a step of a claim.
@@ -67,7 +83,7 @@
 	if err != nil {
 		return out, err
 	}
-	for {
+	for attempt := 0; ; attempt++ {
 		res, sure, err := p.attempt(ctx, b)
 		if err == nil {
 			if res.Err != "" {
@@ -83,7 +99,7 @@
 		select {
 		case <-ctx.Done():
 			return out, fmt.Errorf("%w: %w", ErrNoQuorum, err)
-		case <-time.After(retryPause):
+		case <-time.After(p.pause(attempt)):
 		}
 	}
 }
--- a/replica/relay_test.go
+++ b/replica/relay_test.go
@@ -183,6 +183,14 @@
 	r.delay = delay
 }
 
+// release ends a stall. What was held up goes on.
+func (r *relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.toward, r.budget = [2]bool{}, [2]int{}
+	r.changed.Broadcast()
+}
+
 // heal ends what cut, stall and slow began.
 func (r *relay) heal() {
 	r.mu.Lock()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -44,6 +44,7 @@
 	Log      zerolog.Logger
 	Changed  func(name string, value json.RawMessage) // told of operator configuration; must not block
 	Purged   func(c distribution.Change)              // told of purges; must not block
+	Missed   func(before int64)                       // told that purges of before a Unix time in ms may be missing; must not block
 	Pace     time.Duration                            // heartbeat time-out; 0: 500 ms, alone 50 ms
 
 	Dial   DialFunc            // opens connections to other members; nil: TCP
@@ -79,8 +80,8 @@
 // Open starts a member.
 func Open(opt Options) (*Store, error) {
 	s := &Store{opt: opt, state: newState()}
-	s.state.changed, s.state.purged = opt.Changed, opt.Purged
-	s.proposer = proposer{attempt: s.attempt, closed: s.isShutDown, unixMS: opt.Clock.Unix}
+	s.state.changed, s.state.purged, s.state.missed = opt.Changed, opt.Purged, opt.Missed
+	s.proposer = proposer{attempt: s.attempt, closed: s.isShutDown, unixMS: opt.Clock.Unix, pause: steadyPause}
 	parts, err := s.assemble()
 	if err == nil {
 		err = s.startRaft(parts)
--- a/replica/state.go
+++ b/replica/state.go
@@ -75,11 +75,13 @@
 
 	Purges      []distribution.Change `json:"purges,omitempty"` // by revision
 	PurgesSince int64                 `json:"purges_since,omitempty"`
-	Position    distribution.Position `json:"position,omitzero"` // of the last change that is distributed
+	Position    distribution.Position `json:"position,omitzero"`   // of the last change that is distributed
+	ChangedAt   int64                 `json:"changed_at,omitzero"` // the highest time of such a change
 
 	sweptAt float64
 	changed func(name string, value json.RawMessage)
 	purged  func(c distribution.Change)
+	missed  func(before int64)
 	feed    *feed // nil: there are no subscribers to tell
 }
 
@@ -225,17 +227,25 @@
 		return fmt.Errorf("replica: snapshot: %w", err)
 	}
 	s.replace(fresh)
+	s.tellAll(fresh)
+	return nil
+}
+
+// tellAll tells this member's own gateway of all that a snapshot holds.
+func (s *state) tellAll(fresh *state) {
 	if s.changed != nil {
 		for name, value := range fresh.Config {
 			s.changed(name, value)
 		}
 	}
+	if s.missed != nil && fresh.PurgesSince > 0 {
+		s.missed(fresh.PurgesSince)
+	}
 	if s.purged != nil {
 		for _, c := range fresh.Purges {
 			s.purged(c)
 		}
 	}
-	return nil
 }
 
 // replace takes over what another state holds.
@@ -244,7 +254,7 @@
 	defer s.mu.Unlock()
 	s.Claims, s.Revoked, s.Config, s.Latest = fresh.Claims, fresh.Revoked, fresh.Config, fresh.Latest
 	s.Purges, s.PurgesSince = fresh.Purges, fresh.PurgesSince
-	s.Position = fresh.Position
+	s.Position, s.ChangedAt = fresh.Position, fresh.ChangedAt
 	if s.Position == (distribution.Position{}) && len(s.Config)+len(s.Revoked) > 0 {
 		s.Position = unrecorded
 	}
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -77,7 +77,8 @@
 	snapshots   uint64    // received
 	forgotAt    time.Time // when Forget was last called
 
-	fallback atomic.Uint32 // index into order of the voter for commands while the leader is not known
+	digest   atomic.Pointer[knownDigest] // nil: none since a snapshot was received
+	fallback atomic.Uint32               // index into order of the voter for commands while the leader is not known
 
 	freshness   sync.Mutex // guards what follows, and the order of FreshnessChanged
 	told        bool
@@ -105,7 +106,7 @@
 	s.backoff = distribution.NewBackoff(opt.RetryMin, opt.RetryMax, opt.Random)
 	s.dialer = newDialer(opt.TLS, s.traffic.count(opt.Dial))
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.proposer = proposer{attempt: s.attempt, closed: s.isClosed, unixMS: opt.Clock.Unix}
+	s.proposer = proposer{attempt: s.attempt, closed: s.isClosed, unixMS: opt.Clock.Unix, pause: growingPause}
 	go s.run()
 	return s, nil
 }
--- a/replica/subscriber_status.go
+++ b/replica/subscriber_status.go
@@ -32,7 +32,7 @@
 	defer s.mu.RUnlock()
 	now := s.opt.Now()
 	status := SubscriberStatus{
-		Position: s.view.Position(), Digest: s.view.Digest(),
+		Position: s.view.Position(), Digest: s.currentDigest(),
 		Fresh: s.lease.Fresh(now), CompleteAt: s.lease.CompleteAt(), MaxCopyAge: s.lease.MaxCopyAge(now),
 		Voter: s.voter, Leader: s.leader, Reconnects: max(s.connections, 1) - 1, Snapshots: s.snapshots,
 		BytesIn: s.traffic.bytesIn.Load(), BytesOut: s.traffic.bytesOut.Load(),
@@ -44,6 +44,23 @@
 	return status
 }
 
+// knownDigest is a digest that was worked out.
+type knownDigest struct {
+	at    distribution.Position
+	value uint64
+}
+
+// currentDigest gives the digest of the state, which takes a while to work out for a large one; mu is held for reading.
+func (s *Subscriber) currentDigest() uint64 {
+	at := s.view.Position()
+	if known := s.digest.Load(); known != nil && known.at == at {
+		return known.value
+	}
+	known := &knownDigest{at: at, value: s.view.Digest()}
+	s.digest.Store(known)
+	return known.value
+}
+
 // traffic counts what goes over links.
 type traffic struct {
 	bytesIn, bytesOut       atomic.Uint64
--- a/replica/subscriber_watch.go
+++ b/replica/subscriber_watch.go
@@ -248,6 +248,7 @@
 	}
 	w.mu.Lock()
 	w.view.Restore(&snapshot, w.wallClock())
+	w.digest.Store(nil)
 	w.snapshots++
 	w.mu.Unlock()
 	return w.extend()
