Let a gateway subscribe to the replicated state in place of voting

Need: configuration, revocations and purges of the replicated store reach its voters only. With 3,400 gateways each would be a voter.

Change: [replica] subscribe = true in the operator's file. internal/controlplane opens the state as a voter, a subscriber or alone and brings changes into force: configuration at the signed front, purges at the core. While a subscriber is stale the core asks for no copy older than the purge deadline less half a second, also for what was decided before and has not left; a claim is not begun (503 with Retry-After, nothing to take back); the console tells the age.

Ruled out: a bound of the mark's own age: a copy made after the mark may be older than a purge that is missing.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -6,6 +6,8 @@
 // learned keeps nobody from the token, and a use that may have run is never given a second time.
 package claims
 
+import "errors"
+
 // Stage is how far a use has come.
 type Stage string
 
@@ -17,6 +19,9 @@
 	Doubt Stage = "doubt" // it may have run, and no more can be known
 )
 
+// ErrNotProposed tells that a step was refused before anything was proposed: nothing has to be taken back.
+var ErrNotProposed = errors.New("claims: the step was not proposed")
+
 // Record is what is known of a use.
 type Record struct {
 	Owner   string  `json:"owner"` // the request that has it
--- a/config/operator.go
+++ b/config/operator.go
@@ -195,15 +195,17 @@
 	PrivateFile string `toml:"private_file"`
 }
 
-// Replica is this member of the replicated store; without members it is alone and in memory.
+// Replica is this member of the replicated store, or one that subscribes to its changes; without members the store is alone
+// and in memory.
 type Replica struct {
-	ID      string           `toml:"id"`
-	Dir     string           `toml:"dir"`
-	Listen  string           `toml:"listen"`
-	CA      string           `toml:"ca_file"`
-	Cert    string           `toml:"cert_file"`
-	Key     string           `toml:"key_file"`
-	Members []replica.Member `toml:"member"`
+	ID        string           `toml:"id"`
+	Subscribe bool             `toml:"subscribe"` // it does not vote: the members are the voters
+	Dir       string           `toml:"dir"`
+	Listen    string           `toml:"listen"`
+	CA        string           `toml:"ca_file"`
+	Cert      string           `toml:"cert_file"`
+	Key       string           `toml:"key_file"`
+	Members   []replica.Member `toml:"member"`
 }
 
 // DefaultLeeway is how much clocks may differ, in seconds, where the file says nothing.
@@ -363,17 +365,29 @@
 func (o *Operator) checkReplica() error {
 	r := o.Replica
 	if len(r.Members) == 0 {
+		if r.Subscribe {
+			return fmt.Errorf("replica.member: missing: a subscriber needs voters")
+		}
 		return nil
 	}
-	for name, v := range map[string]string{
-		"id": r.ID, "dir": r.Dir, "ca_file": r.CA, "cert_file": r.Cert, "key_file": r.Key,
-	} {
+	required := map[string]string{"id": r.ID, "ca_file": r.CA, "cert_file": r.Cert, "key_file": r.Key}
+	if !r.Subscribe {
+		required["dir"] = r.Dir
+	}
+	for name, v := range required {
 		if v == "" {
 			return fmt.Errorf("replica.%s: missing", name)
 		}
 	}
-	if err := address("replica.listen", r.Listen); err != nil {
-		return err
+	switch {
+	case r.Subscribe && r.Dir != "":
+		return fmt.Errorf("replica.dir: a subscriber keeps nothing on disk")
+	case r.Subscribe && r.Listen != "":
+		return fmt.Errorf("replica.listen: a subscriber takes no links")
+	case !r.Subscribe:
+		if err := address("replica.listen", r.Listen); err != nil {
+			return err
+		}
 	}
 	for i, m := range r.Members {
 		if m.ID == "" {
--- a/core/core.go
+++ b/core/core.go
@@ -36,6 +36,10 @@
 	Settle   float64 // ms that a store may take to notice the end of an attempt; 0: 40
 	Clock    *clock.Clock
 	Log      zerolog.Logger
+
+	// MaxCopyAge bounds the age of copies that are asked for; 0: no bound. It stands while purges may be missing that are
+	// not known here. It must be safe for concurrent use. Nil: there is never a bound.
+	MaxCopyAge func() time.Duration
 }
 
 var errEnded = errors.New("core: ended")
@@ -180,6 +184,8 @@
 		ago := max(0, c.opt.Clock.Unix()-ev.At)
 		c.tell(control.Purged{Object: control.ObjectID(ev.Object), Group: ev.Group, Ago: clock.Duration(ago)})
 		c.renew(ev)
+	case CopyAgeBounded:
+		c.boundCopyAge()
 	case Bar:
 		c.bar(ev)
 	case Share:
@@ -241,16 +247,7 @@
 		if r.answered || r.open == 0 || p.Object != 0 && r.Object != p.Object || p.Object == 0 && r.Group != p.Group {
 			continue
 		}
-		age := clock.Ms(c.module.OldestCopy(r.id))
-		for _, t := range r.attempts {
-			switch {
-			case t.over || age <= 0:
-			case t.held != nil:
-				t.held.MaxAge = age
-			default:
-				c.up.Renew(t.key, age)
-			}
-		}
+		c.askForYounger(r, c.maxCopyAge(r, clock.Ms(c.module.OldestCopy(r.id))))
 	}
 }
 
--- a/core/send.go
+++ b/core/send.go
@@ -33,7 +33,7 @@
 	c.leaveOrHold(t, Send{
 		Key: t.key, To: t.to, Source: uint32(a.Source), Fill: a.Source != a.To, Txn: r.Txn, Class: r.Class,
 		Name: r.Name, Part: r.Part, Keep: a.Keep, Join: a.Join, HeldOnly: a.HeldOnly, Timeout: clock.Ms(a.Timeout),
-		MaxAge: clock.Ms(a.MaxAge), Known: r.Known, Body: r.Body, Write: r.write, Once: r.once,
+		MaxAge: c.maxCopyAge(r, clock.Ms(a.MaxAge)), Known: r.Known, Body: r.Body, Write: r.write, Once: r.once,
 		Dedupe: r.Dedupe, NotAfter: clock.Ms(a.Until), Over: r.Over,
 	})
 	c.traceSend(r, t, a)
--- a/distribution/lease.go
+++ b/distribution/lease.go
@@ -80,5 +80,11 @@
 	if !l.completeAt.IsZero() && now.Sub(l.completeAt) <= l.timing.PurgeDeadline {
 		return 0
 	}
-	return max(l.timing.PurgeDeadline-copyAgeMargin, time.Millisecond) // 0 would be no bound
+	return l.timing.StaleCopyAge()
+}
+
+// StaleCopyAge is the age up to which a copy is sure not to be older than a purge that has to hold by now, whatever purges
+// are missing.
+func (t Timing) StaleCopyAge() time.Duration {
+	return max(t.withDefaults().PurgeDeadline-copyAgeMargin, time.Millisecond) // 0 would be no bound
 }
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -568,7 +568,9 @@
 		r, ok, err := f.opt.Claims.Step(ctx, s.use, step)
 		if err != nil {
 			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("claim not made")
-			f.settle(s.use, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whatever was agreed on
+			if !errors.Is(err, claims.ErrNotProposed) {
+				f.settle(s.use, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whatever was agreed on
+			}
 			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
 			return false
 		}
--- a/operate.go
+++ b/operate.go
@@ -38,6 +38,8 @@
 	pending  int       // of them not written down yet
 	others   kin.Others
 	told     string // the last trouble with the files, told once
+
+	subscription func() *console.Subscription // how the replicated state is known here; nil: nobody asks
 }
 
 // Reasons why a gateway is not ready.
@@ -265,6 +267,9 @@
 		s.Disabled = append(s.Disabled, fmt.Sprintf("s-%08x", id))
 	}
 	s.Ready = len(s.Why) == 0
+	if o.subscription != nil {
+		s.Subscription = o.subscription()
+	}
 	return s
 }
 
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -18,7 +18,7 @@
 )
 
 // ErrStale tells that a claim was not begun, as this gateway does not know at present whether what it holds is complete.
-var ErrStale = errors.New("replica: stale")
+var ErrStale = fmt.Errorf("replica: stale: %w", claims.ErrNotProposed)
 
 // SubscriberOptions are what a subscriber is made of.
 type SubscriberOptions struct {
--- a/turnfork.go
+++ b/turnfork.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -14,7 +13,6 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -26,7 +24,7 @@
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front/fastcgi"
 	"turnfork.dev/turnfork/front/signed"
-	"turnfork.dev/turnfork/replica"
+	"turnfork.dev/turnfork/internal/controlplane"
 	"turnfork.dev/turnfork/upstream/both"
 	"turnfork.dev/turnfork/upstream/resp"
 	"turnfork.dev/turnfork/upstream/web"
@@ -127,9 +125,10 @@
 		Float64("dial_timeout_ms", node.DialTimeout).Float64("idle_close_ms", node.IdleClose).Msg("the module's settings")
 	// The upstreams post to the core and the core sends by the upstreams: the core is made first.
 	up := &struct{ core.Upstream }{}
+	plane := controlplane.New(cfg.Operator, cfg.Clock, cfg.Log)
 	c, err := core.New(core.Options{
 		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: cfg.Clock, Flow: node.Flow,
-		Log: cfg.Log,
+		Log: cfg.Log, MaxCopyAge: plane.CopyAgeBound(),
 	}, up)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -199,16 +198,11 @@
 	}
 
 	var adopt func(*net.UnixConn)
-	var changed atomic.Pointer[signed.Front]
-	store, err := openReplica(cfg, func(name string, value json.RawMessage) {
-		if f := changed.Load(); f != nil {
-			f.Changed(name, value)
-		}
-	})
-	if err != nil {
+	if err := plane.Open(c.Post); err != nil {
 		return err
 	}
-	defer store.Close()
+	defer plane.Close()
+	own.subscription = plane.Subscription
 
 	if node.Listen != "" {
 		f := fastcgi.New(fastcgi.Options{
@@ -232,17 +226,11 @@
 			fd = 0
 		}
 		f := signed.New(signed.Options{
-			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: store,
+			Post: c.Post, Clock: cfg.Clock, Log: cfg.Log, Classes: classes(node), Ring: ring, Claims: plane,
 			Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
 			MaxConns: room.front, Tap: tap("signed"), Limits: o.Limit.Options(), CORS: signed.CORS{Origins: o.Cors.Origins, Headers: o.Cors.Headers, MaxAge: o.Cors.MaxAgeS}, RetryAfter: retryAfter(node), MaxBytes: bytesOf(unwrittenPart, node),
 		})
-		changed.Store(f)
-		for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy} { // what came before the front was there
-			var value json.RawMessage
-			if ok, err := store.Get(name, &value); ok && err == nil {
-				f.Changed(name, value)
-			}
-		}
+		plane.Configure(f.Changed, signed.ConfigKeys, signed.ConfigPolicy)
 		if addrs.Signed, err = listen("listen", o.Listen, fd, f); err != nil {
 			return err
 		}
@@ -374,29 +362,6 @@
 	}
 }
 
-// openReplica opens this member of the replicated store: alone and in memory unless the operator's
-// file names members.
-func openReplica(cfg Config, changed func(string, json.RawMessage)) (*replica.Store, error) {
-	opt := replica.Options{Clock: cfg.Clock, Log: cfg.Log, Changed: changed}
-	if o := cfg.Operator; o != nil && len(o.Replica.Members) > 0 {
-		conf, err := o.TLS()
-		if err != nil {
-			return nil, err
-		}
-		l, err := net.Listen("tcp", o.Replica.Listen)
-		if err != nil {
-			return nil, fmt.Errorf("replica.listen: %w", err)
-		}
-		opt.ID, opt.Members, opt.Listener, opt.TLS, opt.Dir = o.Replica.ID, o.Replica.Members, l, conf, o.Path(o.Replica.Dir)
-		s, err := replica.Open(opt)
-		if err != nil {
-			return nil, errors.Join(err, l.Close())
-		}
-		return s, nil
-	}
-	return replica.Open(opt)
-}
-
 func classes(n config.Node) (out []signed.Class) {
 	for i, c := range n.Settings.Classes {
 		out = append(out, signed.Class{Name: n.Classes[i], Deadline: clock.Ms(c.Deadline), Fresh: clock.Ms(c.Fresh), Write: c.Write})
