--- a/distribution/lease.go
+++ b/distribution/lease.go
@@ -51,9 +51,7 @@
 			continue
 		}
 		l.pending = l.pending[i+1:]
-		if sent.sentAt.After(l.completeAt) {
-			l.completeAt = sent.sentAt
-		}
+		l.completeAt = sent.sentAt
 		return true
 	}
 	return false
--- a/distribution/publisher_test.go
+++ b/distribution/publisher_test.go
@@ -243,6 +243,21 @@
 			confirm u 0
 			next a => mark 0 of 4`,
 	},
+	{
+		name: "a heartbeat between a confirmation and its mark takes nothing away",
+		script: `
+			subscribe a 0 => resume
+			heartbeat a 1 => begin
+			begin r
+			heartbeat a 2 => begin
+			begin s
+			confirm s 0
+			heartbeat a 3 => begin
+			next a => mark 0 of 2
+			begin t
+			confirm t 0
+			next a => mark 0 of 3`,
+	},
 	{
 		name: "a mark waits for its changes",
 		script: `
@@ -318,6 +333,23 @@
 			reset 20
 			snapshot d 7.2 => overrun`,
 	},
+	{
+		name: "a reset to an older or another history overruns",
+		at:   "5",
+		script: `
+			append 7
+			subscribe old 5 => resume
+			subscribe new 7 => resume
+			subscribe other 7 => resume
+			reset 5
+			next old => -
+			next new => overrun
+			subscribe term 5 => resume
+			reset 5.2
+			next old => overrun
+			next term => overrun
+			count => 4 0`,
+	},
 	{
 		name: "a replayed change is passed over",
 		at:   "4",
--- a/distribution/view_test.go
+++ b/distribution/view_test.go
@@ -153,6 +153,24 @@
 			},
 			purgesKnown: 1,
 		},
+		{
+			name: "purges are missed where the history was lost",
+			steps: []viewStep{
+				{apply: batch(at(0, 0), purge(5, 1, 0)), told: []string{"purge 1/7 at 0"}, at: at(5, 1)},
+				{
+					restore: &Snapshot{At: at(3, 2), PurgesSince: viewNow - 60_000, LatestAt: viewNow},
+					told:    []string{"missed before -60000"},
+					at:      at(3, 2),
+				},
+				{
+					restore: &Snapshot{At: at(3, 3), PurgesSince: viewNow - 60_000, LatestAt: viewNow},
+					told:    []string{"missed before -60000"},
+					at:      at(3, 3),
+				},
+				{restore: &Snapshot{At: at(4, 3), PurgesSince: viewNow - 60_000, LatestAt: viewNow}, at: at(4, 3)},
+			},
+			purgesKnown: 1,
+		},
 		{
 			name: "what no longer counts is forgotten",
 			steps: []viewStep{
