--- a/distribution/admission.go
+++ b/distribution/admission.go
@@ -31,7 +31,7 @@
 }
 
 // The shortest pauses that refusals ask for. A pause is between once and twice as long. A subscriber refused as
-// RefuseBehind comes back after a heartbeat interval or two, as by then a confirmation has told more.
+// RefuseBehind comes back after a heartbeat interval or two, as by then a further confirmation has ended.
 const (
 	fullRetryAfter = 5 * time.Second
 	busyRetryAfter = time.Second
@@ -93,13 +93,13 @@
 	return ok && p.confirmations.confirmed > begun
 }
 
-// refuse makes a refusal with a pause between least and twice that. Successive pauses follow the multiples of the golden
+// refuse makes a refusal with a pause between minPause and twice that. Successive pauses follow the multiples of the golden
 // ratio, which spread any run of refusals evenly over the range without randomness.
-func (p *Publisher) refuse(reason Refusal, least time.Duration) Decision {
+func (p *Publisher) refuse(reason Refusal, minPause time.Duration) Decision {
 	const goldenRatio = 0x9E3779B97F4A7C15 // of 2^64
 	p.admission.refusals++
 	fraction := float64(p.admission.refusals*goldenRatio>>11) / (1 << 53)
-	pause := least + time.Duration(fraction*float64(least))
+	pause := minPause + time.Duration(fraction*float64(minPause))
 	return Decision{Admission: AdmitRefuse, Refusal: reason, RetryAfter: pause}
 }
 
--- a/distribution/lease.go
+++ b/distribution/lease.go
@@ -41,7 +41,7 @@
 
 // Renew enters a mark, received on the connection on which its heartbeat was sent, with the position that the view holds. It
 // tells whether the mark counted: it must name a heartbeat of this connection, and the view must hold every change up to it.
-// The time of its receipt plays no part.
+// The time of its receipt does not matter.
 func (l *Lease) Renew(m Mark, held Position) bool {
 	if held.Revision < m.Through {
 		return false
--- a/distribution/limits.go
+++ b/distribution/limits.go
@@ -35,10 +35,10 @@
 	return l
 }
 
-// batchChanges is the most changes of one batch.
+// batchChanges is the limit of the changes in one batch.
 func (l Limits) batchChanges() int { return max(1, l.JournalChanges/minJournalBatches) }
 
-// batchBytes is the most bytes of one batch, unless it is a single change.
+// batchBytes is the limit of the size of one batch, unless it is a single change.
 func (l Limits) batchBytes() int { return min(l.BatchBytes, l.JournalBytes/minJournalBatches) }
 
 // size is what a change counts for in JournalBytes and BatchBytes.
--- a/distribution/publisher.go
+++ b/distribution/publisher.go
@@ -146,8 +146,9 @@
 // NeedsConfirmation tells whether a heartbeat, or a subscriber refused as RefuseBehind, waits for a round that has not begun.
 func (p *Publisher) NeedsConfirmation() bool { return p.confirmations.requested }
 
-// Confirm ends a round with success: every change acknowledged before its beginning has a revision of through at most. The
-// leader's address goes into the marks. A round that failed is not told at all.
+// Confirm ends a round with success: every change acknowledged, or given out by any voter, before its beginning has a
+// revision of through at most. So the leader takes through once it has applied everything that was committed when it received
+// the request, and before a majority confirms it. Its address goes into the marks. A round that failed is not entered at all.
 func (p *Publisher) Confirm(c Confirmation, through Revision, leader string) {
 	p.confirmations.confirm(c, through, leader)
 }
--- a/distribution/view.go
+++ b/distribution/view.go
@@ -157,9 +157,9 @@
 }
 
 // Restore replaces the state by a snapshot's. Revocations and purges that the snapshot lacks stay as long as they count, as
-// a history that was lost may have held them. Effects are told of what differs from the state before.
+// a history that was lost may have held them. Effects are notified of what differs from the state before.
 //
-// Purges may have been missed, and Effects are told so, where the snapshot is not at the view's position and either
+// Purges may have been missed, and Effects are notified, where the snapshot is not at the view's position and either
 //   - its revision is not above the view's, so that the view's history was lost and the snapshot's may have parted from it at
 //     any time, or
 //   - the newest change in the view was proposed less than proposalDisorder after PurgesSince, so that changes that the view
