replica: retry a failed confirmation soon, and end its link without a race

After an election a voter's next round came an interval later, which added to the silence that makes subscribers turn away. A round that timed out while its link was being closed read a nil connection: the test of 200 subscribers crashed on it once in four runs under load.

--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -112,6 +112,7 @@
 		last = time.Now()
 		if err := c.round(ctx, link); err != nil {
 			c.store.opt.Log.Debug().Err(err).Msg("leader not confirmed")
+			c.request(urgent) // the heartbeats that it was for still wait: after an election they need not longer
 		}
 	}
 }
--- a/replica/confirm_link.go
+++ b/replica/confirm_link.go
@@ -53,7 +53,8 @@
 	if err := l.connect(ctx, addr); err != nil {
 		return answer, err
 	}
-	stop := context.AfterFunc(ctx, func() { l.conn.SetDeadline(time.Unix(1, 0)) })
+	conn := l.conn // the function below may run when the link is closed already
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	question, err := encodeBlock(confirmQuestion{})
 	if err != nil {
