Test a gateway that subscribes through the loss of all voters, and the bound on copies

Change: TestGatewayThatSubscribes runs a whole gateway against three voters: purges and keys come into force, the voters end and come back. Cases for attempts that wait when the bound on copies' age begins, and for the operator's file. The stand-in's certificates carry their authority's, so that they can be written as files. turnfork.Config takes the time limits.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -79,6 +79,8 @@
 		`[limits]|[limit]`:                             "limit",
 		`listen = "127.0.0.1:7001"|listen = "7001"`:    "replica.listen",
 		`base = "http://127.0.0.1:9000|base = "ftp://`: "store[3].base",
+		`dir = "state"|subscribe = true`:               "replica.listen",
+		`listen = "127.0.0.1:7001"|subscribe = true`:   "replica.dir",
 	} {
 		old, new, _ := strings.Cut(change, "|")
 		if !strings.Contains(string(text), old) {
--- a/core/overlap_test.go
+++ b/core/overlap_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	far     bool // only a second copy at the same store counts
 	mu      sync.Mutex
 	answers map[uint64][]core.Answer
+
+	maxCopyAge atomic.Int64 // the bound on copies' age that the core is told of; 0: none
 }
 
 func (r *rig) Answer(tag uint64, a core.Answer) {
@@ -64,6 +67,7 @@
 	pool := resp.New(resp.Options{
 		DialTimeout: 5000, ProbeTimeout: 5000, Streams: 100, MaxConns: 40, Clock: r.clock, Log: zerolog.Nop(),
 	}, func(ev core.Event) { r.core.Post(ev) })
+	opt.MaxCopyAge = func() time.Duration { return time.Duration(r.maxCopyAge.Load()) }
 	if r.core, err = core.New(opt, pool); err != nil {
 		t.Fatal(err)
 	}
--- a/core/waiting_test.go
+++ b/core/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
@@ -52,6 +53,17 @@
 			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
 		{"its group is purged", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Purge{Group: 3, At: r.clock.Unix()}) },
 			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+		{"copies' age is bounded", func(r *rig, _ *atomic.Bool) {
+			r.maxCopyAge.Store(int64(6500 * time.Millisecond))
+			r.core.Post(core.CopyAgeBounded{})
+		}, func(_ *rig, second []standin.Call) bool {
+			return len(second) > 0 && second[0].Fields["fresh"] == "6500"
+		}},
+		{"copies' age is bounded, and the object is purged", func(r *rig, _ *atomic.Bool) {
+			r.maxCopyAge.Store(int64(6500 * time.Millisecond))
+			r.core.Post(core.Purge{Object: 7, At: r.clock.Unix()})
+			r.core.Post(core.CopyAgeBounded{})
+		}, func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
 		{"the client leaves", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Leave{From: r, Tag: 1}) },
 			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
 		{"the client leaves, which the core does not hear yet", func(_ *rig, over *atomic.Bool) { over.Store(true) },
--- a/internal/standin/authority.go
+++ b/internal/standin/authority.go
@@ -52,7 +52,7 @@
 			return nil, err
 		}
 		return &tls.Config{
-			Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
+			Certificates: []tls.Certificate{{Certificate: [][]byte{der, root.Raw}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
 		}, nil
 	}, nil
 }
--- /dev/null
+++ b/subscribe_test.go
@@ -0,0 +1,267 @@
+package turnfork
+
+import (
+	"context"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/console"
+	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
+)
+
+// subscriberFile is the operator's file of a gateway that subscribes to the voters of a trio.
+const subscriberFile = `
+listen = "127.0.0.1:0"
+console = "127.0.0.1:0"
+operator_secret = "a secret for this test alone"
+[[class]]
+name = "app-assets"
+deadline_ms = 2500
+fresh_s = 3
+[[class]]
+name = "firmware"
+deadline_ms = 5000
+[[class]]
+name = "ride-end"
+deadline_ms = 3000
+write = true
+[[store]]
+id = 1
+kind = "cache"
+addr = %q
+[[store]]
+id = 2
+kind = "origin"
+addr = %q
+[[key]]
+id = "url"
+kind = "hmac"
+secret = %q
+[replica]
+id = "phones-9"
+subscribe = true
+ca_file = "ca.pem"
+cert_file = "cert.pem"
+key_file = "key.pem"
+`
+
+// shortLease are time limits that keep the test short; the purge deadline stays as it is.
+var shortLease = distribution.Timing{
+	HeartbeatInterval: 100 * time.Millisecond, LeaseTTL: 800 * time.Millisecond, SilenceTimeout: 400 * time.Millisecond,
+	BatchDelay: 20 * time.Millisecond,
+}
+
+// subscribed is a gateway that subscribes to a trio's voters.
+type subscribed struct {
+	*trio
+	store *standin.Store
+	addrs Addrs
+}
+
+func newSubscribed(t *testing.T) *subscribed {
+	s := &subscribed{trio: newTrio(t, 3000)}
+	var err error
+	s.store, err = standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+		return "ACK", "tag=0a,why=local,minted=1", []byte("piece"), true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.store.Close() })
+	dir := t.TempDir()
+	s.writeCertificates(dir)
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
+	file := fmt.Sprintf(subscriberFile, s.store.Addr(), s.store.Addr(), secret)
+	for _, m := range s.members {
+		file += fmt.Sprintf("[[replica.member]]\nid = %q\naddr = %q\n", m.ID, m.Addr)
+	}
+	operator, err := config.ParseOperator(file, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ready, ended := make(chan Addrs, 1), make(chan error, 1)
+	go func() {
+		ended <- Run(ctx, Config{
+			Node: operator.Node(1), Operator: operator, Log: zerolog.Nop(), Clock: s.clock, Distribution: shortLease,
+			Ready: func(a Addrs) { ready <- a },
+		})
+	}()
+	t.Cleanup(func() { stop(); <-ended })
+	select {
+	case s.addrs = <-ready:
+	case err := <-ended:
+		t.Fatal(err)
+	}
+	return s
+}
+
+// writeCertificates writes a member's certificate and its authority's as the operator's file names them.
+func (s *subscribed) writeCertificates(dir string) {
+	conf, err := s.cert()
+	if err != nil {
+		s.Fatal(err)
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(conf.Certificates[0].PrivateKey)
+	if err != nil {
+		s.Fatal(err)
+	}
+	for name, block := range map[string]*pem.Block{
+		"cert.pem": {Type: "CERTIFICATE", Bytes: conf.Certificates[0].Certificate[0]},
+		"key.pem":  {Type: "PRIVATE KEY", Bytes: key},
+		"ca.pem":   {Type: "CERTIFICATE", Bytes: conf.Certificates[0].Certificate[1]},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			s.Fatal(err)
+		}
+	}
+}
+
+func (s *subscribed) subscription() *console.Subscription {
+	s.Helper()
+	resp, err := http.Get("http://" + s.addrs.Console.String() + "/ready")
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var state console.State
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil || state.Subscription == nil {
+		s.Fatalf("the console tells of no subscription: %+v, %v", state, err)
+	}
+	return state.Subscription
+}
+
+func (s *subscribed) await(what string, ok func() bool) {
+	s.Helper()
+	for limit := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(limit) {
+			s.Fatalf("never: %s; %+v", what, s.subscription())
+		}
+	}
+}
+
+// get asks for an object with a key, and gives the status and the age in ms that the store was asked for (-1: none).
+func (s *subscribed) get(keys *ring.Ring, key, class string, object uint64) (status, fresh int) {
+	s.Helper()
+	path := fmt.Sprintf("/v1/%s/%016x/0", class, object)
+	issued, err := keys.Issue(key, token.Terms{URI: path, Until: s.clock.Unix()/1000 + 600, ID: fmt.Sprint("n", object)})
+	if err != nil {
+		s.Fatal(err)
+	}
+	before := len(s.store.Calls("GET"))
+	resp, err := http.Get("http://" + s.addrs.Signed.String() + issued.URL)
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	calls := s.store.Calls("GET")
+	if len(calls) == before {
+		return resp.StatusCode, -1
+	}
+	text, asked := calls[len(calls)-1].Fields["fresh"]
+	if !asked {
+		return resp.StatusCode, -1
+	}
+	fresh, err = strconv.Atoi(text)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return resp.StatusCode, fresh
+}
+
+// end ends a ride, and gives the status.
+func (s *subscribed) end(nonce string) int {
+	s.Helper()
+	resp, err := http.Post("http://"+s.addrs.Signed.String()+s.url(nonce), "", nil)
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// A gateway that does not vote serves by what the voters tell it: keys and purges come into force, and its claims are agreed
+// on. Without voters it knows that it is stale: it serves on, asks for no copy that a missing purge could make void, and
+// begins no single-use work. It becomes fresh once they are back, with the change that was made meanwhile.
+func TestGatewayThatSubscribes(t *testing.T) {
+	s := newSubscribed(t)
+	s.await("fresh", func() bool { return s.subscription().Fresh })
+	if status, fresh := s.get(s.keys, "url", "firmware", 1); status != http.StatusOK || fresh != -1 {
+		t.Errorf("fresh: status %d, copies of %d ms", status, fresh)
+	}
+	if status := s.end("fresh"); status != http.StatusOK {
+		t.Errorf("fresh: a ride's end has %d", status)
+	}
+
+	patient, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	voter := s.stores[s.leader()]
+	if err := voter.Purge(patient, 2, 0); err != nil {
+		t.Fatal(err)
+	}
+	purged := s.clock.Unix()
+	s.await("the purge", func() bool { _, fresh := s.get(s.keys, "url", "firmware", 2); return fresh > 0 })
+	if _, fresh := s.get(s.keys, "url", "firmware", 2); float64(fresh) > s.clock.Unix()-purged {
+		t.Errorf("a copy of %d ms will do, %v ms after a purge", fresh, s.clock.Unix()-purged)
+	}
+	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("n", 32)))
+	next := []token.Key{{ID: "next", Kind: token.HMAC, Secret: secret}, {ID: "url", Kind: token.HMAC,
+		Secret: base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))}}
+	keys, err := ring.New(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := voter.Put(patient, signed.ConfigKeys, next); err != nil {
+		t.Fatal(err)
+	}
+	s.await("the new key", func() bool { status, _ := s.get(keys, "next", "firmware", 3); return status == http.StatusOK })
+
+	for _, store := range s.stores {
+		store.Close()
+	}
+	s.await("stale", func() bool { return !s.subscription().Fresh })
+	bound := int(distribution.Timing{}.StaleCopyAge().Milliseconds())
+	if got := s.subscription(); int(got.MaxCopyAgeMS) != bound || got.AgeMS < 0 {
+		t.Errorf("stale: %+v", got)
+	}
+	if status, fresh := s.get(keys, "next", "firmware", 4); status != http.StatusOK || fresh != bound {
+		t.Errorf("stale: status %d, copies of %d ms", status, fresh)
+	}
+	if status, fresh := s.get(keys, "next", "app-assets", 5); status != http.StatusOK || fresh != 3000 {
+		t.Errorf("stale, of a class that is fresh for 3 s: status %d, copies of %d ms", status, fresh)
+	}
+	ends := len(s.store.Calls("GET"))
+	if status := s.end("stale"); status != http.StatusServiceUnavailable || len(s.store.Calls("GET")) != ends {
+		t.Errorf("stale: a ride's end has %d, or was sent on", status)
+	}
+
+	for i := range s.stores {
+		s.open(i, nil, 3000)
+	}
+	s.await("fresh again", func() bool { return s.subscription().Fresh })
+	if status, fresh := s.get(keys, "next", "firmware", 6); status != http.StatusOK || fresh != -1 {
+		t.Errorf("fresh again: status %d, copies of %d ms", status, fresh)
+	}
+	if status := s.end("again"); status != http.StatusOK {
+		t.Errorf("fresh again: a ride's end has %d", status)
+	}
+}
--- a/turnfork.go
+++ b/turnfork.go
@@ -22,6 +22,7 @@
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/console"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/front/fastcgi"
 	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/internal/controlplane"
@@ -41,6 +42,8 @@
 	Reload   <-chan config.Node                      // a configuration read anew; nil: none comes
 	Ready    func(Addrs)                             // told once the fronts listen; nil: nobody asks
 	Tap      func(front string, c net.Conn) net.Conn // wraps the fronts' connections, for recording; nil: none
+
+	Distribution distribution.Timing // of the replicated state's way here; the zero value takes the defaults
 }
 
 // Addrs are the addresses that the fronts listen on, nil where one is off.
@@ -126,6 +129,7 @@
 	// The upstreams post to the core and the core sends by the upstreams: the core is made first.
 	up := &struct{ core.Upstream }{}
 	plane := controlplane.New(cfg.Operator, cfg.Clock, cfg.Log)
+	plane.Timing = cfg.Distribution
 	c, err := core.New(core.Options{
 		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: cfg.Clock, Flow: node.Flow,
 		Log: cfg.Log, MaxCopyAge: plane.CopyAgeBound(),
