--- /dev/null
+++ b/replica/command_test.go
@@ -0,0 +1,132 @@
+package replica
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/distribution"
+)
+
+// mute is a voter that takes commands and closes their links without an answer.
+type mute struct {
+	listener net.Listener
+	mu       sync.Mutex
+	commands []string
+}
+
+func newMute(t *testing.T, conf *tls.Config) *mute {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", serverConfig(conf))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &mute{listener: listener}
+	go m.accept()
+	t.Cleanup(func() { listener.Close() })
+	return m
+}
+
+func (m *mute) accept() {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return
+		}
+		go m.take(conn)
+	}
+}
+
+func (m *mute) take(conn net.Conn) {
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(eventuallyTimeout))
+	var kind [1]byte
+	if _, err := io.ReadFull(conn, kind[:]); err != nil || kind[0] != linkForward {
+		return
+	}
+	block, err := readBlock(conn, maxForward)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.commands = append(m.commands, string(block))
+}
+
+func (m *mute) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.commands)
+}
+
+// A command whose fate is not known is not repeated, unless it is a claim's own step.
+func TestSubscriberRepeatsOnlySteps(t *testing.T) {
+	certs := authority(t)
+	voter := newMute(t, certs())
+	s, err := OpenSubscriber(SubscriberOptions{
+		Name: "gateway", Voters: []Member{{ID: "mute", Addr: voter.listener.Addr().String()}}, TLS: certs(),
+		Clock: clock.System(), Log: zerolog.Nop(), Timing: testTiming,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i, do := range []func() error{
+		func() error { return s.Put(patient(t), "policy", 1) },
+		func() error { return s.Revoke(patient(t), "use", 1) },
+		func() error { return s.Purge(patient(t), 1, 1) },
+	} {
+		if err := do(); !errors.Is(err, ErrNoQuorum) {
+			t.Errorf("%d: %v", i, err)
+		}
+		if got := voter.count(); got != i+1 {
+			t.Errorf("%d: %d commands sent", i, got)
+		}
+	}
+	before := voter.count()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := s.Step(ctx, "k", claims.Step{Op: claims.Release, Owner: "a"})
+		done <- err
+	}()
+	eventually(t, "the step to be repeated", func() bool { return voter.count() >= before+2 })
+	cancel()
+	if err := <-done; !errors.Is(err, ErrNoQuorum) {
+		t.Error(err)
+	}
+}
+
+// A subscriber that does not know the leader learns it from whichever voter it asks, and passes over voters that are gone.
+func TestCommandFindsLeader(t *testing.T) {
+	c := newCluster(t, 3, distribution.Limits{}, nil)
+	leader := c.leader()
+	s := c.subscriber("gateway", c.members, nil)
+	for i := range s.order {
+		s.leads("")
+		s.fallback.Store(uint32(i))
+		if err := s.Put(patient(t), "policy", i); err != nil {
+			t.Errorf("by way of %d: %v", i, err)
+		}
+		if got := s.commandAddress(); got != c.members[c.leader()].Addr {
+			t.Errorf("by way of %d: commands go to %s", i, got)
+		}
+	}
+	gone := (leader + 1) % 3
+	s.relay(gone).cut()
+	s.leads("")
+	s.fallback.Store(uint32(slices.Index(s.order, c.members[gone].Addr)))
+	if err := s.Put(patient(t), "policy", "last"); err != nil {
+		t.Error(err)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,6 +1,9 @@
-// Package replica is the gateway's small replicated store, over Raft: operator configuration,
-// revocations and the claims of single-use tokens. Every change is agreed on by a majority; a member
-// that has lost it changes nothing.
+// Package replica is the gateway's small replicated store, over Raft: operator configuration, revocations, purges and the
+// claims of single-use tokens. Every change is agreed on by a majority of its members, the voters; a member that has lost it
+// changes nothing.
+//
+// Gateways that do not vote hold a copy ([Subscriber]), which a voter keeps up to date by a watch. Package distribution
+// decides what goes over it, and when such a copy may be relied on.
 package replica
 
 import (
