Count the turns at a cold store by the calls that it bears, not by the dearest class's aim

Need: found on reading the change again: turns were counted by the longest aim of the settings, which is well over a call's sending time, so that fewer gateways had theirs at once than the 2 x root of N + 2 that are chance: less of what a cold store can do is used where each gateway asks for it seldom.

Change: N is what the settings allow, at least what all earn over the part of it that is used, in calls of the dearest class as its sending time was learned. How long a turn lasts stays with the settings alone, as all have to count alike.

Measured: the bounds of both tests hold as before (1 to 200 gateways, weights 1, 4 and 20).

--- a/control/control.go
+++ b/control/control.go
@@ -986,10 +986,10 @@
 }
 
 // onTurn tells whether this front may spend what it has saved up for a cold member, up to a call: many take
-// turns, no more at once than chance allows beside what all earn in a span. All count by the settings.
+// turns, no more at once than the 2 x root of N + 2 that are chance. Turns follow from the settings.
 func (c *Controller) onTurn(m *member, rate, earned float64) bool {
 	sharers := float64(c.sharers(m))
-	atOnce := 2 + 2*math.Sqrt(rate*sharers*c.set.FallFor.Seconds()/c.dearest)
+	atOnce := 2 + 2*math.Sqrt(rate*sharers/coldUse*c.set.FallFor.Seconds()/slices.Max(c.work))
 	_, phase := math.Modf(earned/c.dearest + goldenPart*float64(uint64(c.set.Front)+mix(uint64(m.ID))>>40))
 	return phase*sharers < atOnce
 }
