--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -45,13 +45,13 @@
 }
 
 const (
-	staleMost = 4096    // IDs remembered; a connection with more takes no new work
-	staleFor  = 10000.0 // ms for which they are, unless requests last longer
+	maxStale = 4096    // IDs remembered; a connection with more takes no new work
+	staleTTL = 10000.0 // ms for which they are, unless requests last longer
 
-	batchMost  = 16 << 10 // bytes written at once, and the last chunk's beyond that
-	bufferMost = 1 << 20  // bytes that a writer keeps room for
+	maxBatch  = 16 << 10 // bytes written at once, and the last chunk's beyond that
+	maxBuffer = 1 << 20  // bytes that a writer keeps room for
 
-	proofsMost = 4 // PINGs behind DROPs that may be open on a connection
+	maxProofs = 4 // PINGs behind DROPs that may be open on a connection
 )
 
 func newConn(p *Pool, q *peer, nc net.Conn) *conn {
@@ -82,7 +82,7 @@
 
 // retire keeps an ID from being used here again for a while.
 func (c *conn) retire(wire string) {
-	if len(c.stale) < staleMost {
+	if len(c.stale) < maxStale {
 		c.stale[wire] = c.pool.now()
 	} else {
 		c.leaving = true
@@ -92,7 +92,7 @@
 // forget drops the IDs for which no answer can still come.
 func (c *conn) forget(now float64) {
 	for id, at := range c.stale {
-		if now-at > max(staleFor, c.pool.opt.Longest) {
+		if now-at > max(staleTTL, c.pool.opt.Longest) {
 			delete(c.stale, id)
 		}
 	}
@@ -130,7 +130,7 @@
 // proves that it has read them. A store that takes nothing new is not asked, nor one that leaves several such questions open.
 func (c *conn) prove(drops []core.Key) (tag string) {
 	_, barred := c.pool.bars[c.peer.id]
-	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= proofsMost || c.pool.opt.NoProbes {
+	if len(drops) == 0 || barred || !c.peer.ready || len(c.proofs) >= maxProofs || c.pool.opt.NoProbes {
 		return ""
 	}
 	c.pool.probes++
@@ -223,7 +223,7 @@
 		batch, n, failed = nil, 0, nil
 		return false
 	})
-	if cap(c.buf) > bufferMost {
+	if cap(c.buf) > maxBuffer {
 		c.buf = nil
 	}
 	if err == nil {
@@ -302,7 +302,7 @@
 	}
 	var drops []core.Key
 	size, next := 0, 0
-	for ; next < len(c.out) && size < batchMost; next++ {
+	for ; next < len(c.out) && size < maxBatch; next++ {
 		k := c.out[next]
 		c.queued -= k.size
 		switch a := k.of; {
@@ -374,7 +374,7 @@
 
 func (p *pieces) Read(b []byte) (int, error) {
 	at := p.until
-	if next := time.Now().Add(answerLimit); !at.IsZero() && next.Before(at) {
+	if next := time.Now().Add(answerPieceTimeout); !at.IsZero() && next.Before(at) {
 		at = next
 	}
 	p.net.SetReadDeadline(at)
@@ -393,7 +393,7 @@
 		if _, err = r.Peek(1); err != nil {
 			break
 		}
-		in.until = time.Now().Add(answerMost)
+		in.until = time.Now().Add(answerTimeout)
 		var a answer
 		if a, err = readAnswer(r); err == nil {
 			var ev core.Event
--- a/upstream/resp/pieces_test.go
+++ b/upstream/resp/pieces_test.go
@@ -23,12 +23,12 @@
 	var b [4]byte
 	p.Read(b[:])
 	before := time.Now()
-	p.until = before.Add(answerMost)
+	p.until = before.Add(answerTimeout)
 	p.Read(b[:])
 	p.Read(b[:])
-	p.until = before.Add(answerLimit / 4)
+	p.until = before.Add(answerPieceTimeout / 4)
 	p.Read(b[:])
-	if !c.at[0].IsZero() || c.at[1].Before(before.Add(answerLimit)) || c.at[2].Before(c.at[1]) || !c.at[3].Equal(p.until) {
+	if !c.at[0].IsZero() || c.at[1].Before(before.Add(answerPieceTimeout)) || c.at[2].Before(c.at[1]) || !c.at[3].Equal(p.until) {
 		t.Errorf("%v from %v on", c.at, before)
 	}
 }
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -32,20 +32,20 @@
 }
 
 const (
-	idlePart     = 0.8             // of the idle time, after which this side closes: no request crosses a close
-	writeLimit   = 2 * time.Second // a store that takes nothing for so long loses the connection
-	queuedMost   = 2 << 20         // bytes that wait for one connection's writer
-	silentWork   = 500.0           // ms without a byte since work was written, for its end to count as silence
-	silentMost   = 1000.0          // ms of silence from then on, until a connection is left
-	sweepEvery   = 250 * time.Millisecond
-	proofFor     = 2000.0 // ms since its last use for which a connection that is left stays for the answer to a PING
-	connsPerPeer = 8
-	spareConns   = 8                      // kept for stores without one
-	dialAgain    = 1000.0                 // ms after a failed dial until a further connection is tried beside others
-	fewOpen      = 2                      // attempts on each connection before the next one is dialled
-	answerLimit  = 500 * time.Millisecond // from one piece of an answer to the next
-	answerMost   = 2 * time.Second        // from an answer's first byte to its last, however it goes on
-	readBuffer   = 4 << 10
+	idlePart           = 0.8             // of the idle time, after which this side closes: no request crosses a close
+	writeLimit         = 2 * time.Second // a store that takes nothing for so long loses the connection
+	maxQueued          = 2 << 20         // bytes that wait for one connection's writer
+	silentWork         = 500.0           // ms without a byte since work was written, for its end to count as silence
+	maxSilence         = 1000.0          // ms of silence from then on, until a connection is left
+	sweepInterval      = 250 * time.Millisecond
+	proofTTL           = 2000.0 // ms since its last use for which a connection that is left stays for the answer to a PING
+	connsPerPeer       = 8
+	spareConns         = 8                      // kept for stores without one
+	redialDelay        = 1000.0                 // ms after a failed dial until a further connection is tried beside others
+	fewOpen            = 2                      // attempts on each connection before the next one is dialled
+	answerPieceTimeout = 500 * time.Millisecond // from one piece of an answer to the next
+	answerTimeout      = 2 * time.Second        // from an answer's first byte to its last, however it goes on
+	readBuffer         = 4 << 10
 )
 
 // Pool is the upstream. Events go to its sink, always from goroutines of its own.
@@ -475,7 +475,7 @@
 		return nil
 	}
 	c := q.pick(a.wire, p.opt.Streams)
-	more := c == nil || len(c.open) >= fewOpen && p.now() > q.failed+dialAgain
+	more := c == nil || len(c.open) >= fewOpen && p.now() > q.failed+redialDelay
 	if more && !q.dialing && p.conns < p.opt.MaxConns && q.kept() < p.perPeer() {
 		q.dialing = true
 		p.conns++
@@ -510,7 +510,7 @@
 		return len(a.open) < len(b.open)
 	}
 	for _, c := range q.conns {
-		if !c.leaving && !c.broken && !c.idle() && len(c.open) < streams && c.queued < queuedMost && !c.used(wire) &&
+		if !c.leaving && !c.broken && !c.idle() && len(c.open) < streams && c.queued < maxQueued && !c.used(wire) &&
 			(best == nil || better(c, best)) {
 			best = c
 		}
@@ -590,7 +590,7 @@
 // sweep closes connections that are idle or silent.
 func (p *Pool) sweep() {
 	defer p.wg.Done()
-	t := time.NewTicker(sweepEvery)
+	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -607,13 +607,13 @@
 				// A connection on which work was given up and nothing has come since may lead to a
 				// machine that vanished: new work asks with a new connection, whose failure proves that
 				// nothing ran.
-				if c.silentSince > 0 && now-c.silentSince > silentMost {
+				if c.silentSince > 0 && now-c.silentSince > maxSilence {
 					c.leaving = true
 				}
 				if c.idle() {
 					c.leaving = true
 				}
-				if c.leaving && now-c.lastUse > proofFor { // silent: what its DROPs did stays in doubt
+				if c.leaving && now-c.lastUse > proofTTL { // silent: what its DROPs did stays in doubt
 					ended = append(ended, c.unproven()...)
 				}
 				c.closeIfDone()
--- a/upstream/web/web.go
+++ b/upstream/web/web.go
@@ -42,10 +42,10 @@
 }
 
 const (
-	bodyMost     = 256 << 10
+	maxBody      = 256 << 10
 	bodyPiece    = 4 << 10 // bytes of a request's body between two looks at whether anybody waits for it
 	probeTimeout = 240     // ms
-	probesMost   = 32
+	maxProbes    = 32
 )
 
 // Upstream carries attempts out as HTTP requests: GET for a part, POST for a write. The object is
@@ -278,8 +278,8 @@
 }
 
 func readAll(r io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, bodyMost+1))
-	if err == nil && len(b) > bodyMost {
+	b, err := io.ReadAll(io.LimitReader(r, maxBody+1))
+	if err == nil && len(b) > maxBody {
 		err = errLong
 	}
 	return b, err
@@ -292,7 +292,7 @@
 	go func() {
 		defer u.wg.Done()
 		ev := core.Probed{Member: member, Result: control.Unreached}
-		if n := u.probes.Add(1); ok && n <= probesMost {
+		if n := u.probes.Add(1); ok && n <= maxProbes {
 			ev.Result = u.probe(store)
 		}
 		u.probes.Add(-1)
--- a/upstream/web/web_test.go
+++ b/upstream/web/web_test.go
@@ -93,7 +93,7 @@
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		case "long":
-			w.Write(make([]byte, bodyMost+1))
+			w.Write(make([]byte, maxBody+1))
 		case "hang":
 			select {
 			case <-r.Context().Done():
