Say how a gateway subscribes, with a file to start from

Measured: TestSubscriberFile reads the file and meets each wrong field by name; go test ./config green.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -79,8 +79,43 @@
 		`[limits]|[limit]`:                             "limit",
 		`listen = "127.0.0.1:7001"|listen = "7001"`:    "replica.listen",
 		`base = "http://127.0.0.1:9000|base = "ftp://`: "store[3].base",
-		`dir = "state"|subscribe = true`:               "replica.listen",
-		`listen = "127.0.0.1:7001"|subscribe = true`:   "replica.dir",
+	} {
+		old, new, _ := strings.Cut(change, "|")
+		if !strings.Contains(string(text), old) {
+			t.Fatalf("%q is not in the file", old)
+		}
+		if _, err := ParseOperator(strings.Replace(string(text), old, new, 1), dir); err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+}
+
+// A subscriber's file names the voters and nothing that only a voter has.
+func TestSubscriberFile(t *testing.T) {
+	text, err := os.ReadFile("../deploy/subscriber.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	os.Mkdir(filepath.Join(dir, "secrets"), 0o700)
+	for name, v := range map[string]string{
+		"operator": "a secret of the operator", "main-store": "s", "url-1": "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=",
+		"pack-1.pem": testKey,
+	} {
+		os.WriteFile(filepath.Join(dir, "secrets", name), []byte(v), 0o600)
+	}
+	o, err := ParseOperator(string(text), dir)
+	if err != nil || !o.Replica.Subscribe || len(o.Replica.Members) != 5 {
+		t.Fatalf("%v, %+v", err, o)
+	}
+	voters := string(text)[strings.Index(string(text), "[[replica.member]]"):]
+	for change, field := range map[string]string{
+		"subscribe = true|subscribe = true\nlisten = \"127.0.0.1:7009\"": "replica.listen",
+		"subscribe = true|subscribe = true\ndir = \"state\"":             "replica.dir",
+		"subscribe = true|subscribe = false":                             "replica.dir",
+		"key_file = \"secrets/gateway.key\"|":                            "replica.key_file",
+		voters + "|":                                                     "replica.member",
+		"addr = \"127.0.0.1:7005\"|addr = \"7005\"":                      "replica.member[4].addr",
 	} {
 		old, new, _ := strings.Cut(change, "|")
 		if !strings.Contains(string(text), old) {
