Ask on new connections after the lull in the test of many gateways at a cold store

Seen: the test failed once in a run of all tests under the race detector: the gateways close what has been idle for 4.5 s, and the clock had moved on by 12 s on the connections that the next requests use. The clock could also leave requests behind that a slow machine takes late.

Change: each round has its own connections, and the clock goes on once all its requests are taken.

--- a/cold_test.go
+++ b/cold_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,8 +54,8 @@
 	return append(append(b, record(4, id, nil)...), record(5, id, nil)...)
 }
 
-// ends reads up to the ends of so many requests.
-func ends(r io.Reader, requests int) error {
+// ends reads up to the ends of so many requests, and counts them.
+func ends(r io.Reader, requests int, ended *atomic.Int64) error {
 	for requests > 0 {
 		var head [8]byte
 		if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -65,6 +66,7 @@
 		}
 		if head[1] == 3 {
 			requests--
+			ended.Add(1)
 		}
 	}
 	return nil
@@ -85,7 +87,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer func() { stop(); running.Wait() }()
-	var clients []net.Conn
+	var fronts []Addrs
 	for i := range gateways {
 		text := fmt.Sprintf(coldFleet, i*7919+1, store.Addr(), weight, int64(clk.Now()), i, gateways, gateways)
 		node, err := config.Parse([]byte(text), "", "")
@@ -99,25 +101,32 @@
 				t.Error(err)
 			}
 		})
-		c, err := net.Dial("tcp", (<-ready).FastCGI.String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
-		clients = append(clients, c)
+		fronts = append(fronts, <-ready)
 	}
-	// ask has every gateway asked for so many parts, and gives the calls that came until all are answered, the clock
-	// moving on by ms meanwhile.
+	// ask has every gateway asked for so many parts on a new connection, and gives the calls that came until all are
+	// answered, the clock moving on by ms meanwhile.
 	asked := uint64(0)
 	ask := func(parts int, ms float64) int {
 		before := len(store.Calls("GET"))
 		answered := make(chan error, gateways)
-		for _, c := range clients {
+		var ended atomic.Int64
+		for _, f := range fronts {
+			c, err := net.Dial("tcp", f.FastCGI.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
 			for id := range parts {
 				asked++
 				c.Write(fastcgiGet(uint16(id+1), asked))
 			}
-			go func() { answered <- ends(bufio.NewReader(c), parts) }()
+			go func() { answered <- ends(bufio.NewReader(c), parts, &ended) }()
+		}
+		for taken := 0; taken < parts*gateways; time.Sleep(time.Millisecond) { // before their time goes on
+			taken = int(ended.Load())
+			for _, f := range fronts {
+				taken += f.Fronts.Open()
+			}
 		}
 		const step = 50.0
 		for left := gateways; left > 0; {
