Spread the first calls to a cold store over the time in which each gateway earns one

Left was the first budget, a whole call at each where it was a part of one before: all send one in the moment in which the store comes up, and all are late.

Change: a gateway begins with the part of a call that its place among the turns gives it: evenly spread, and whole when its turn comes.

--- a/control/control.go
+++ b/control/control.go
@@ -980,13 +980,13 @@
 		return true
 	}
 	span, call, sharers := c.set.FallFor.Seconds(), slices.Max(c.work), float64(c.sharers(m))
-	if m.filledAt == 0 {
-		m.budget, m.filledAt = call, c.now
+	_, phase := math.Modf(earned/c.dearest + goldenPart*float64(uint64(c.set.Front)+mix(uint64(m.ID))>>40))
+	if m.filledAt == 0 { // else all would send one request each in the moment in which the member comes up
+		m.budget, m.filledAt = call*phase, c.now
 	}
 	m.budget = min(m.budget+rate*(c.now-m.filledAt).Seconds(), max(rate*span*coldBurst, call))
 	m.filledAt = c.now
 	atOnce := bears/call + 2*math.Sqrt(bears/call) - rate*sharers*span/min(call, c.dearest)
-	_, phase := math.Modf(earned/c.dearest + goldenPart*float64(uint64(c.set.Front)+mix(uint64(m.ID))>>40))
 	return m.budget >= work && phase*sharers < atOnce
 }
 
