replica: abandon a confirmation when the leader changes

A voter's question to a leader whose host had vanished waited for the round to time out, while the marks for its subscribers were missing.

--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -45,6 +45,9 @@
 	ended  chan struct{}      // closed at the end of the newest run
 
 	requests [2]chan struct{} // by urgency
+
+	roundMu sync.Mutex
+	abandon context.CancelFunc // of the round under way; nil: there is none
 }
 
 func newConfirmer(s *Store, f *feed, interval time.Duration) *confirmer {
@@ -107,6 +110,7 @@
 func (c *confirmer) run(ctx context.Context) {
 	link := &confirmLink{store: c.store}
 	defer link.close()
+	go c.watchLeader(ctx)
 	var last time.Time
 	for c.awaitRequest(ctx, last) {
 		last = time.Now()
@@ -159,6 +163,8 @@
 func (c *confirmer) round(ctx context.Context, link *confirmLink) error {
 	ctx, cancel := context.WithTimeout(ctx, max(c.interval, minRoundTimeout))
 	defer cancel()
+	c.setAbandon(cancel)
+	defer c.setAbandon(nil)
 	round := c.feed.beginConfirmation()
 	through, leader, err := c.store.confirmLeader(ctx, link)
 	if err != nil {
@@ -168,6 +174,40 @@
 	return nil
 }
 
+func (c *confirmer) setAbandon(abandon context.CancelFunc) {
+	c.roundMu.Lock()
+	defer c.roundMu.Unlock()
+	c.abandon = abandon
+}
+
+// watchLeader has a round abandoned, and another made soon, when this member learns that another leads or that none does.
+// A question to a leader that was cut off would otherwise wait for its time to end, while subscribers wait for marks.
+func (c *confirmer) watchLeader(ctx context.Context) {
+	changes := make(chan raft.Observation, 1)
+	observer := raft.NewObserver(changes, false, func(o *raft.Observation) bool {
+		_, ok := o.Data.(raft.LeaderObservation)
+		return ok
+	})
+	c.store.raft.RegisterObserver(observer)
+	defer c.store.raft.DeregisterObserver(observer)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+			c.abandonRound()
+		}
+	}
+}
+
+func (c *confirmer) abandonRound() {
+	c.roundMu.Lock()
+	defer c.roundMu.Unlock()
+	if c.abandon != nil {
+		c.abandon() // the round fails, and has the next one requested
+	}
+}
+
 // confirmLeader confirms this member where it leads, and else asks the leader to confirm itself.
 func (s *Store) confirmLeader(ctx context.Context, link *confirmLink) (through distribution.Revision, leader string, err error) {
 	if s.Leads() {
