--- a/gateway.go
+++ b/gateway.go
@@ -16,7 +16,7 @@
 	"turnfork.dev/turnfork/front/fastcgi"
 	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/internal/controlplane"
-	"turnfork.dev/turnfork/internal/kin"
+	"turnfork.dev/turnfork/internal/handover"
 	"turnfork.dev/turnfork/upstream/both"
 	"turnfork.dev/turnfork/upstream/resp"
 	"turnfork.dev/turnfork/upstream/web"
@@ -37,8 +37,8 @@
 	pool  *resp.Pool
 	plane *controlplane.Plane
 
-	processes *kin.Kin
-	operated  *operated
+	registry *handover.Registry
+	operated *operated
 
 	fronts    []serving
 	listeners []net.Listener // of the fronts, in the same order
@@ -126,9 +126,9 @@
 	if gw.Operator != nil {
 		suffix = "_" + gw.Operator.Listen
 	}
-	gw.processes = openKin(gw.Shared, gw.node, suffix, gw.Log)
-	gw.closeLater(func() { gw.processes.Close() })
-	gw.operated = newOperated(gw.core, gw.processes, gw.Log)
+	gw.registry = openRegistry(gw.Shared, gw.node, suffix, gw.Log)
+	gw.closeLater(func() { gw.registry.Close() })
+	gw.operated = newOperated(gw.core, gw.registry, gw.Log)
 	if gw.node.Changelog != "" {
 		gw.operated.waits[waitLog] = struct{}{}
 	}
@@ -238,7 +238,7 @@
 		go gw.core.Post(core.Share{Processes: processes})
 	}
 	own.hold(own.held)
-	own.share(1 + own.others.Serving + own.others.Leaving)
+	own.share(1 + own.siblings.Serving + own.siblings.Leaving)
 	return nil
 }
 
@@ -317,7 +317,7 @@
 	if gw.adopt == nil || gw.node.SocketFD == 0 {
 		return nil
 	}
-	l, err := gw.processes.Listen()
+	l, err := gw.registry.Listen()
 	if err != nil { // such as a path too long for a socket
 		gw.Log.Warn().Err(err).Msg("no connections can be taken over from another process")
 		return nil
@@ -329,7 +329,7 @@
 // nothing any more.
 func (gw *gateway) serve(ctx context.Context, g *errgroup.Group) {
 	for !gw.operated.ready() && !gw.operated.alone() && !ended(ctx, gw.Stop) {
-		wait(ctx, lookEvery/5)
+		wait(ctx, siblingCheckInterval/5)
 	}
 	for i, f := range gw.fronts {
 		g.Go(func() error { return f.Serve(ctx, gw.listeners[i]) })
@@ -347,7 +347,7 @@
 func (gw *gateway) shutDown(ctx context.Context) {
 	within := stopWithin(gw.node)
 	if gw.operated.stop() {
-		leave(ctx, gw.Config, gw.listeners, gw.fronts, gw.processes.Heir(), within)
+		leave(ctx, gw.Config, gw.listeners, gw.fronts, gw.registry.Successor(), within)
 	} else {
 		drain(ctx, gw.Config, gw.listeners, gw.open, within)
 	}
--- a/internal/kin/kin.go
+++ b/internal/handover/registry.go
@@ -1,6 +1,6 @@
-// Package kin lets the processes of one gateway know of each other while one replaces the other, and keeps what the
+// Package handover lets the processes of one gateway know of each other while one replaces the other, and keeps what the
 // operators' orders left: which stores are out, and whether the gateway is drained. All of it is files in one folder.
-package kin
+package handover
 
 import (
 	"context"
@@ -28,46 +28,46 @@
 
 // Errors of the file.
 var (
-	ErrDamaged = errors.New("the file of orders can't be read")
+	ErrCorrupt = errors.New("the file of orders can't be read")
 	errFormat  = errors.New("of another format")
 )
 
 const (
-	format     = 1
-	fileMost   = 1 << 20
-	storesMost = 1 << 14 // stores that may be out at once
-	stateName  = "orders.json"
-	lockName   = "lock"
-	living     = "p-" // before the name of a process's own file
-	making     = "new-"
-	handing    = "h-" // before the name of the socket at which a process takes connections over
-	dialMost   = 500 * time.Millisecond
-	nameLen    = 10 // a socket's path may have about 100 bytes
-	lockRetry  = 2 * time.Millisecond
+	format            = 1
+	maxFileSize       = 1 << 20
+	maxStores         = 1 << 14 // stores that may be out at once
+	stateName         = "orders.json"
+	lockName          = "lock"
+	livePrefix        = "p-" // before the name of a process's own file
+	tempPrefix        = "new-"
+	socketPrefix      = "h-" // before the name of the socket at which a process takes connections over
+	dialTimeout       = 500 * time.Millisecond
+	nameLen           = 10 // a socket's path may have about 100 bytes
+	lockRetryInterval = 2 * time.Millisecond
 
 	serving = 's'
 	leaving = 'l'
 )
 
-// Others counts the other processes of the gateway.
-type Others struct{ Serving, Leaving int }
+// SiblingCount counts the other processes of the gateway.
+type SiblingCount struct{ Serving, Leaving int }
 
-// Kin is this process among those of its gateway. A nil one stands alone and keeps nothing.
-type Kin struct {
+// Registry is this process among those of its gateway. A nil one stands alone and keeps nothing.
+type Registry struct {
 	dir  string
 	name string
 	own  *os.File // locked for as long as the process lives
 }
 
 // Open enters this process in a folder, which is made.
-func Open(dir string) (*Kin, error) {
+func Open(dir string) (*Registry, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
-	k := &Kin{dir: dir, name: living + rand.Text()[:nameLen]}
+	k := &Registry{dir: dir, name: livePrefix + rand.Text()[:nameLen]}
 	// Guards against another one that finds the file not yet locked and takes its process for dead: it gets its
 	// name once it is locked.
-	first := filepath.Join(dir, making+rand.Text())
+	first := filepath.Join(dir, tempPrefix+rand.Text())
 	f, err := os.OpenFile(first, os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
@@ -86,7 +86,7 @@
 }
 
 // Leave tells the others that this process takes nothing new any more.
-func (k *Kin) Leave() error {
+func (k *Registry) Leave() error {
 	if k == nil {
 		return nil
 	}
@@ -95,7 +95,7 @@
 }
 
 // Close takes this process out of the folder.
-func (k *Kin) Close() error {
+func (k *Registry) Close() error {
 	if k == nil {
 		return nil
 	}
@@ -106,25 +106,25 @@
 }
 
 // socket is where the process of a name takes connections over.
-func (k *Kin) socket(name string) string {
-	return filepath.Join(k.dir, handing+strings.TrimPrefix(name, living))
+func (k *Registry) socket(name string) string {
+	return filepath.Join(k.dir, socketPrefix+strings.TrimPrefix(name, livePrefix))
 }
 
 // Listen has this process take connections over from others; nil, where it stands alone.
-func (k *Kin) Listen() (*net.UnixListener, error) {
+func (k *Registry) Listen() (*net.UnixListener, error) {
 	if k == nil {
 		return nil, nil
 	}
 	return net.ListenUnix("unix", &net.UnixAddr{Name: k.socket(k.name), Net: "unix"})
 }
 
-// Heir gives the way to a process that serves and takes connections over; nil: there is none.
-func (k *Kin) Heir() func() (*net.UnixConn, error) {
+// Successor gives the way to a process that serves and takes connections over; nil: there is none.
+func (k *Registry) Successor() func() (*net.UnixConn, error) {
 	for _, name := range k.serving() {
 		path := k.socket(name)
 		if _, err := os.Stat(path); err == nil {
 			return func() (*net.UnixConn, error) {
-				c, err := (&net.Dialer{Timeout: dialMost}).Dial("unix", path)
+				c, err := (&net.Dialer{Timeout: dialTimeout}).Dial("unix", path)
 				if err != nil {
 					return nil, err
 				}
@@ -135,9 +135,9 @@
 	return nil
 }
 
-// Look counts the others that live, and clears away what dead ones left. A process that was killed no longer holds
+// Siblings counts the others that live, and clears away what dead ones left. A process that was killed no longer holds
 // the lock on its file, whatever became of its number.
-func (k *Kin) Look() (o Others, err error) {
+func (k *Registry) Siblings() (o SiblingCount, err error) {
 	err = k.each(func(_ string, leaves bool) {
 		if leaves {
 			o.Leaving++
@@ -149,7 +149,7 @@
 }
 
 // serving names the others that serve.
-func (k *Kin) serving() (names []string) {
+func (k *Registry) serving() (names []string) {
 	k.each(func(name string, leaves bool) {
 		if !leaves {
 			names = append(names, name)
@@ -159,7 +159,7 @@
 }
 
 // each calls fn for every other process that lives.
-func (k *Kin) each(fn func(name string, leaves bool)) error {
+func (k *Registry) each(fn func(name string, leaves bool)) error {
 	if k == nil {
 		return nil
 	}
@@ -168,7 +168,7 @@
 		return err
 	}
 	for _, e := range list {
-		if !strings.HasPrefix(e.Name(), living) || e.Name() == k.name {
+		if !strings.HasPrefix(e.Name(), livePrefix) || e.Name() == k.name {
 			continue
 		}
 		path := filepath.Join(k.dir, e.Name())
@@ -190,7 +190,7 @@
 }
 
 // Read gives the orders; those of a folder that holds none are empty.
-func (k *Kin) Read() (s State, err error) {
+func (k *Registry) Read() (s State, err error) {
 	if k == nil {
 		return s, nil
 	}
@@ -202,18 +202,18 @@
 		return s, err
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, fileMost+1))
+	text, err := io.ReadAll(io.LimitReader(f, maxFileSize+1))
 	if err != nil {
 		return s, err
 	}
-	if len(text) > fileMost {
-		return s, fmt.Errorf("%w: more than %d bytes", ErrDamaged, fileMost)
+	if len(text) > maxFileSize {
+		return s, fmt.Errorf("%w: more than %d bytes", ErrCorrupt, maxFileSize)
 	}
 	if err := json.Unmarshal(text, &s); err != nil {
-		return State{}, fmt.Errorf("%w: %w", ErrDamaged, err)
+		return State{}, fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
-	if s.Format != format || len(s.Disabled) > storesMost {
-		return State{}, fmt.Errorf("%w: %w", ErrDamaged, errFormat)
+	if s.Format != format || len(s.Disabled) > maxStores {
+		return State{}, fmt.Errorf("%w: %w", ErrCorrupt, errFormat)
 	}
 	slices.Sort(s.Disabled)
 	s.Disabled = slices.Compact(s.Disabled)
@@ -222,7 +222,7 @@
 
 // Change alters the orders, one process at a time. Where the file is damaged it starts from what this process
 // holds. The file is put in place whole, so that a reader sees the old or the new one, also after a crash.
-func (k *Kin) Change(ctx context.Context, held State, alter func(*State)) (s State, err error) {
+func (k *Registry) Change(ctx context.Context, held State, alter func(*State)) (s State, err error) {
 	if k == nil {
 		alter(&held)
 		return held, nil
@@ -243,10 +243,10 @@
 		select {
 		case <-ctx.Done():
 			return s, ctx.Err()
-		case <-time.After(lockRetry):
+		case <-time.After(lockRetryInterval):
 		}
 	}
-	if s, err = k.Read(); errors.Is(err, ErrDamaged) {
+	if s, err = k.Read(); errors.Is(err, ErrCorrupt) {
 		s, err = held, nil
 	}
 	if err != nil {
@@ -259,7 +259,7 @@
 	if err != nil {
 		return s, err
 	}
-	next := filepath.Join(k.dir, making+rand.Text())
+	next := filepath.Join(k.dir, tempPrefix+rand.Text())
 	if err := os.WriteFile(next, append(text, '\n'), 0o600); err != nil {
 		os.Remove(next)
 		return s, err
--- a/internal/kin/kin_test.go
+++ b/internal/handover/registry_test.go
@@ -1,4 +1,4 @@
-package kin
+package handover
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-func open(t *testing.T, dir string) *Kin {
+func open(t *testing.T, dir string) *Registry {
 	t.Helper()
 	k, err := Open(dir)
 	if err != nil {
@@ -27,22 +27,22 @@
 	defer a.Close()
 	for _, step := range []struct {
 		do   func() error
-		want Others
+		want SiblingCount
 	}{
-		{func() error { return nil }, Others{Serving: 1}},
-		{b.Leave, Others{Leaving: 1}},
-		{b.own.Close, Others{}}, // killed
-		{func() error { b = open(t, dir); return nil }, Others{Serving: 1}},
-		{func() error { return b.Close() }, Others{}},
+		{func() error { return nil }, SiblingCount{Serving: 1}},
+		{b.Leave, SiblingCount{Leaving: 1}},
+		{b.own.Close, SiblingCount{}}, // killed
+		{func() error { b = open(t, dir); return nil }, SiblingCount{Serving: 1}},
+		{func() error { return b.Close() }, SiblingCount{}},
 	} {
 		if err := step.do(); err != nil {
 			t.Fatal(err)
 		}
-		if got, err := a.Look(); err != nil || got != step.want {
+		if got, err := a.Siblings(); err != nil || got != step.want {
 			t.Errorf("%+v, not %+v: %v", got, step.want, err)
 		}
 	}
-	if list, _ := filepath.Glob(filepath.Join(dir, living+"*")); len(list) != 1 {
+	if list, _ := filepath.Glob(filepath.Join(dir, livePrefix+"*")); len(list) != 1 {
 		t.Errorf("what a killed process left is not cleared away: %v", list)
 	}
 }
@@ -56,7 +56,7 @@
 	defer b.Close()
 	ctx := context.Background()
 	var wg sync.WaitGroup
-	for i, k := range []*Kin{a, b} {
+	for i, k := range []*Registry{a, b} {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -77,7 +77,7 @@
 	}
 	for _, text := range []string{"", "{", `{"format":2}`, "null"} {
 		os.WriteFile(filepath.Join(dir, stateName), []byte(text), 0o600)
-		if _, err := a.Read(); !errors.Is(err, ErrDamaged) {
+		if _, err := a.Read(); !errors.Is(err, ErrCorrupt) {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
@@ -87,8 +87,8 @@
 	if got, err := b.Read(); err != nil || !got.Draining {
 		t.Errorf("%+v %v", got, err)
 	}
-	var none *Kin // alone, nothing is kept
-	if o, err := none.Look(); err != nil || o != (Others{}) || none.Leave() != nil || none.Close() != nil {
+	var none *Registry // alone, nothing is kept
+	if o, err := none.Siblings(); err != nil || o != (SiblingCount{}) || none.Leave() != nil || none.Close() != nil {
 		t.Errorf("%+v %v", o, err)
 	}
 	if s, err := none.Change(ctx, State{}, func(s *State) { s.Draining = true }); err != nil || !s.Draining {
--- a/operate.go
+++ b/operate.go
@@ -15,18 +15,18 @@
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/console"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/kin"
+	"turnfork.dev/turnfork/internal/handover"
 )
 
 // operated is the gateway as operators see it: what they may ask of it, what it tells of itself, and what it shares
 // with a process that replaces it or that it replaces.
 type operated struct {
-	core   *core.Core
-	fronts []serving
-	open   func() int
-	kin    *kin.Kin
-	share  func(processes int) // sets this process's part of what the gateway may use
-	log    zerolog.Logger
+	core     *core.Core
+	fronts   []serving
+	open     func() int
+	registry *handover.Registry
+	share    func(processes int) // sets this process's part of what the gateway may use
+	log      zerolog.Logger
 
 	orders chan struct{} // held by the one that carries an order out
 	writes chan writing  // orders that hold here and are to be written down for the other process
@@ -34,9 +34,9 @@
 	mu       sync.Mutex
 	waits    map[string]struct{} // what has yet to happen before it is ready
 	stopping bool
-	held     kin.State // the orders that hold here
-	pending  int       // of them not written down yet
-	others   kin.Others
+	held     handover.State // the orders that hold here
+	pending  int            // of them not written down yet
+	siblings handover.SiblingCount
 	told     string // the last trouble with the files, told once
 
 	subscription func() *console.Subscription // how the replicated state is known here; nil: nobody asks
@@ -49,31 +49,31 @@
 )
 
 const (
-	lookEvery  = 50 * time.Millisecond  // at the other process and its orders: well inside the grace for a ban
-	stallTold  = 500 * time.Millisecond // without progress, that is logged
-	followMost = 200 * time.Millisecond
-	writeWait  = 500 * time.Millisecond // that an answer waits for the disk
-	writeMost  = 5 * time.Second        // for the other process to let go of the lock
-	writesMost = 64
+	siblingCheckInterval = 50 * time.Millisecond  // at the other process and its orders: well inside the grace for a ban
+	stallLogThreshold    = 500 * time.Millisecond // without progress, that is logged
+	followTimeout        = 200 * time.Millisecond
+	writeAckTimeout      = 500 * time.Millisecond // that an answer waits for the disk
+	writeTimeout         = 5 * time.Second        // for the other process to let go of the lock
+	maxWrites            = 64
 )
 
 // writing is an order to be written down; done, with room for one, is told how that ended.
 type writing struct {
-	alter func(*kin.State)
+	alter func(*handover.State)
 	done  chan error
 }
 
-func newOperated(c *core.Core, k *kin.Kin, log zerolog.Logger) *operated {
+func newOperated(c *core.Core, registry *handover.Registry, log zerolog.Logger) *operated {
 	return &operated{
-		core: c, kin: k, log: log, orders: make(chan struct{}, 1), writes: make(chan writing, writesMost), waits: map[string]struct{}{waitFront: {}},
+		core: c, registry: registry, log: log, orders: make(chan struct{}, 1), writes: make(chan writing, maxWrites), waits: map[string]struct{}{waitFront: {}},
 		share: func(int) {},
 	}
 }
 
-// openKin enters the process among those of its gateway, in the folder that they share. Without one, or where it can't
+// openRegistry enters the process among those of its gateway, in the folder that they share. Without one, or where it can't
 // be used, the process stands alone: to serve comes first. So does one that listens at a port of the machine's choice,
 // as no other process can be meant to listen there too.
-func openKin(dir string, n config.Node, more string, log zerolog.Logger) *kin.Kin {
+func openRegistry(dir string, n config.Node, more string, log zerolog.Logger) *handover.Registry {
 	if _, port, err := net.SplitHostPort(n.Listen); dir == "" || err == nil && port == "0" && n.SocketFD == 0 {
 		return nil
 	}
@@ -83,7 +83,7 @@
 		}
 		return '_'
 	}
-	k, err := kin.Open(filepath.Join(dir, strings.Map(clean, "turnfork_"+n.Name+"_"+n.Listen+more)))
+	k, err := handover.Open(filepath.Join(dir, strings.Map(clean, "turnfork_"+n.Name+"_"+n.Listen+more)))
 	if err != nil {
 		log.Error().Err(err).Msg("the shared folder can't be used: no other process can take over from this one")
 		return nil
@@ -93,10 +93,10 @@
 
 // inherit takes up the orders that were left, before anything is sent.
 func (o *operated) inherit() {
-	o.others, _ = o.kin.Look()
-	s, err := o.kin.Read()
+	o.siblings, _ = o.registry.Siblings()
+	s, err := o.registry.Read()
 	o.trouble(err)
-	if s.Draining && o.others.Serving+o.others.Leaving == 0 {
+	if s.Draining && o.siblings.Serving+o.siblings.Leaving == 0 {
 		// The drain was of a process that has ended: a new start serves. What is out stays out.
 		s.Draining = false
 	}
@@ -104,7 +104,7 @@
 		o.core.Handle(core.Bar{Member: id, On: true, Listed: true}) // nothing else runs yet
 	}
 	o.held = s
-	o.share(1 + o.others.Serving + o.others.Leaving)
+	o.share(1 + o.siblings.Serving + o.siblings.Leaving)
 }
 
 // trouble logs what is wrong with the files, once as long as it stays the same.
@@ -121,10 +121,10 @@
 
 // watch looks at the other process and at the orders given to it, until ctx ends.
 func (o *operated) watch(ctx context.Context) {
-	if o.kin == nil {
+	if o.registry == nil {
 		return
 	}
-	t := time.NewTicker(lookEvery)
+	t := time.NewTicker(siblingCheckInterval)
 	defer t.Stop()
 	for rested := time.Now(); ; rested = time.Now() {
 		select {
@@ -134,22 +134,22 @@
 		}
 		// Tells two causes of late answers apart, which look alike from outside.
 		woke := time.Now()
-		if late := woke.Sub(rested); late > stallTold {
+		if late := woke.Sub(rested); late > stallLogThreshold {
 			o.log.Warn().Dur("ms", late).Msg("this process stood still")
 		}
-		others, err := o.kin.Look()
+		others, err := o.registry.Siblings()
 		o.mu.Lock()
 		o.trouble(err)
-		if err == nil && others != o.others {
+		if err == nil && others != o.siblings {
 			o.log.Info().Int("serving", others.Serving).Int("leaving", others.Leaving).Msg("other processes of this gateway")
-			if others.Serving+others.Leaving != o.others.Serving+o.others.Leaving {
+			if others.Serving+others.Leaving != o.siblings.Serving+o.siblings.Leaving {
 				o.share(1 + others.Serving + others.Leaving)
 			}
-			o.others = others
+			o.siblings = others
 		}
 		o.mu.Unlock()
 		o.follow(ctx)
-		if took := time.Since(woke); took > stallTold {
+		if took := time.Since(woke); took > stallLogThreshold {
 			o.log.Warn().Dur("ms", took).Msg("the shared folder answers slowly")
 		}
 	}
@@ -159,7 +159,7 @@
 func (o *operated) alone() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.others.Serving == 0
+	return o.siblings.Serving == 0
 }
 
 // ready tells whether nothing is left that the process waited for, its fronts aside.
@@ -172,9 +172,9 @@
 
 // follow carries out here what was ordered at another process.
 func (o *operated) follow(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, followMost)
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
-	s, err := o.kin.Read() // outside of the lock: an order must not wait for a disk
+	s, err := o.registry.Read() // outside of the lock: an order must not wait for a disk
 	if !o.take(ctx) {
 		return
 	}
@@ -216,7 +216,7 @@
 func (o *operated) give() { <-o.orders }
 
 // hold notes the orders that hold here from now on.
-func (o *operated) hold(s kin.State) {
+func (o *operated) hold(s handover.State) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	change := o.held.Change // which the one that writes keeps
@@ -236,10 +236,10 @@
 
 // stop tells that the process ends, and whether another one serves in its place.
 func (o *operated) stop() (replaced bool) {
-	if err := o.kin.Leave(); err != nil {
+	if err := o.registry.Leave(); err != nil {
 		o.log.Error().Err(err).Msg("the other process can't be told that this one leaves")
 	}
-	others, _ := o.kin.Look()
+	others, _ := o.registry.Siblings()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.stopping = true
@@ -251,7 +251,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := console.State{
-		Draining: o.held.Draining, Disabled: []string{}, Open: o.open(), Processes: 1 + o.others.Serving + o.others.Leaving,
+		Draining: o.held.Draining, Disabled: []string{}, Open: o.open(), Processes: 1 + o.siblings.Serving + o.siblings.Leaving,
 	}
 	for what := range o.waits {
 		s.Why = append(s.Why, what)
@@ -275,12 +275,12 @@
 
 // Drain empties the gateway, or ends that.
 func (o *operated) Drain(ctx context.Context, on bool) error {
-	return o.order(ctx, nil, func(s *kin.State) { s.Draining = on })
+	return o.order(ctx, nil, func(s *handover.State) { s.Draining = on })
 }
 
 // Disable takes a store out, or lets it serve again.
 func (o *operated) Disable(ctx context.Context, id uint32, on bool) error {
-	return o.order(ctx, func() error { return o.bar(ctx, id, on, false) }, func(s *kin.State) {
+	return o.order(ctx, func() error { return o.bar(ctx, id, on, false) }, func(s *handover.State) {
 		s.Disabled = slices.DeleteFunc(s.Disabled, func(x uint32) bool { return x == id })
 		if on {
 			s.Disabled = append(s.Disabled, id)
@@ -291,7 +291,7 @@
 
 // order has an order hold here, by first and alter, and then written down for the other process. Guards against a disk
 // that stalls: the order holds before anything is written, and where no other process lives nobody waits for the file.
-func (o *operated) order(ctx context.Context, first func() error, alter func(*kin.State)) error {
+func (o *operated) order(ctx context.Context, first func() error, alter func(*handover.State)) error {
 	if !o.take(ctx) {
 		return ctx.Err()
 	}
@@ -305,13 +305,13 @@
 	held := o.held
 	held.Disabled = slices.Clone(held.Disabled)
 	alter(&held)
-	alone := o.others == (kin.Others{})
-	if o.kin != nil {
+	alone := o.siblings == (handover.SiblingCount{})
+	if o.registry != nil {
 		o.pending++
 	}
 	o.mu.Unlock()
 	o.hold(held)
-	if o.kin == nil {
+	if o.registry == nil {
 		return nil
 	}
 	w := writing{alter, make(chan error, 1)}
@@ -320,7 +320,7 @@
 	case o.writes <- w:
 		select {
 		case err = <-w.done:
-		case <-time.After(writeWait):
+		case <-time.After(writeAckTimeout):
 		case <-ctx.Done():
 		}
 	default:
@@ -350,8 +350,8 @@
 			held := o.held
 			o.mu.Unlock()
 			held.Disabled = slices.Clone(held.Disabled)
-			limit, cancel := context.WithTimeout(ctx, writeMost)
-			s, err := o.kin.Change(limit, held, w.alter)
+			limit, cancel := context.WithTimeout(ctx, writeTimeout)
+			s, err := o.registry.Change(limit, held, w.alter)
 			cancel()
 			o.mu.Lock()
 			o.pending--
--- a/operate_test.go
+++ b/operate_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/internal/kin"
+	"turnfork.dev/turnfork/internal/handover"
 )
 
 // drained stands in for a front.
@@ -28,7 +28,7 @@
 // nothing read meanwhile undoes it.
 func TestOrderHoldsBeforeItIsWritten(t *testing.T) {
 	dir := t.TempDir()
-	k, err := kin.Open(dir)
+	k, err := handover.Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,7 +51,7 @@
 		t.Errorf("alone: %v, front %t, %+v", err, f.on, o.State())
 	}
 	o.mu.Lock()
-	o.others.Serving = 1
+	o.siblings.Serving = 1
 	o.mu.Unlock()
 	if err := o.Drain(ctx, true); err == nil || !o.State().Draining {
 		t.Errorf("with another process that can't be told: %v", err)
