--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -24,6 +24,19 @@
 	PurgeDeadline:     2 * time.Second,
 }
 
+// undisturbed gives a cluster and a subscriber of a test that checks that its lease never lapses: limits that a machine with
+// other work does not exceed by itself.
+var undisturbed = struct {
+	voter      func(voter int, opt *Options)
+	subscriber func(opt *SubscriberOptions)
+}{
+	func(_ int, opt *Options) { opt.Pace = time.Second },
+	func(opt *SubscriberOptions) {
+		opt.Timing.LeaseTTL = distribution.DefaultLeaseTTL
+		opt.Timing.SilenceTimeout = distribution.DefaultSilenceTimeout
+	},
+}
+
 // eventuallyTimeout is how long a condition may take to come true.
 const eventuallyTimeout = 20 * time.Second
 
