--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -186,7 +186,7 @@
 	return s
 }
 
-// testSubscriber is a subscriber with what it told.
+// testSubscriber is a subscriber with what it was notified of.
 type testSubscriber struct {
 	*Subscriber
 	t       testing.TB
--- a/replica/faults_test.go
+++ b/replica/faults_test.go
@@ -89,7 +89,7 @@
 			}
 			s.effects.mu.Lock()
 			if len(s.effects.missed) == 0 {
-				t.Error("not told that purges may be missing")
+				t.Error("not notified that purges may be missing")
 			}
 			s.effects.mu.Unlock()
 			c.put("policy", "new")
@@ -179,7 +179,7 @@
 	s.awaitFresh()
 }
 
-// Purges are kept for their retention by the log's own times, and what a snapshot lacks is told.
+// Purges are kept for their retention by the log's own times, and a snapshot says from when on it has them all.
 func TestPurgeRetention(t *testing.T) {
 	const minute = 60 * 1000.0
 	s := newState()
--- a/replica/hardcases_test.go
+++ b/replica/hardcases_test.go
@@ -22,7 +22,7 @@
 	return status.Position, status.Digest
 }
 
-// checkOncesInOrder checks that each purge was told once, in the order of the log.
+// checkOncesInOrder checks that each purge was received once, in the order of the log.
 func checkOncesInOrder(t *testing.T, effects *recorder, want int) {
 	t.Helper()
 	effects.mu.Lock()
@@ -34,7 +34,7 @@
 			t.Errorf("purge of revision %d behind %d", purge.Revision, last)
 		}
 		if seen[purge.Object] {
-			t.Errorf("purge of %d told twice", purge.Object)
+			t.Errorf("purge of %d received twice", purge.Object)
 		}
 		last, seen[purge.Object] = purge.Revision, true
 	}
@@ -64,7 +64,7 @@
 	}
 }
 
-// A voter is killed with half of a batch on its way. Its subscriber goes on at another: nothing is lost, nothing told twice,
+// A voter is killed with half of a batch on its way. Its subscriber goes on at another: nothing is lost, nothing received twice,
 // and the order holds.
 func TestVoterKilledInBatch(t *testing.T) {
 	c := newCluster(t, 3, distribution.Limits{}, nil)
@@ -197,7 +197,7 @@
 	if age := s.MaxCopyAge(); age != 0 {
 		t.Errorf("copies are bounded to %v though fresh", age)
 	}
-	eventually(t, "told of each turn", func() bool { return slices.Equal(s.turned(), []bool{true, false, true}) })
+	eventually(t, "notified of each turn", func() bool { return slices.Equal(s.turned(), []bool{true, false, true}) })
 	if _, ok, err := s.Step(patient(t), "begun", claims.Step{Op: claims.Send, Owner: "a"}); !ok || err != nil {
 		t.Errorf("send of the claim begun before: %v, %v", ok, err)
 	}
--- a/replica/links.go
+++ b/replica/links.go
@@ -35,7 +35,7 @@
 	maxRaftLinks        = 128 // for as long as Raft has them, also those whose other end is lost
 	maxConfirmLinks     = 16
 	maxForwards         = 256
-	maxRefusals         = 64 // watches that are told that all places are taken
+	maxRefusals         = 64 // watches that are refused, as all places are taken
 )
 
 // links carries Raft, commands, confirmations and watches, in mutual TLS. It is Raft's StreamLayer.
@@ -110,7 +110,7 @@
 	return hosts
 }
 
-// maxWatches bounds the links of subscribers, some of whom are only told to come back.
+// maxWatches bounds the links of subscribers, some of whom are only refused.
 func maxWatches(limits distribution.Limits) int {
 	subscribers := limits.Subscribers
 	if subscribers == 0 {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -45,9 +45,9 @@
 	Dir      string       // of the log and the snapshots
 	Clock    *clock.Clock
 	Log      zerolog.Logger
-	Changed  func(name string, value json.RawMessage) // told of operator configuration; must not block
-	Purged   func(c distribution.Change)              // told of purges; must not block
-	Missed   func(before int64)                       // told that purges of before a Unix time in ms may be missing; must not block
+	Changed  func(name string, value json.RawMessage) // notified of operator configuration; must not block
+	Purged   func(c distribution.Change)              // notified of purges; must not block
+	Missed   func(before int64)                       // notified that purges of before a Unix time in ms may be missing; must not block
 	Pace     time.Duration                            // heartbeat time-out; 0: 500 ms, alone 50 ms
 
 	Dial   DialFunc            // opens connections to other members; nil: TCP
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -28,9 +28,9 @@
 	Clock  *clock.Clock
 	Log    zerolog.Logger
 
-	// Effects is told of changes, in order; nil: nobody. Its methods must not block, nor call the Subscriber.
+	// Effects is notified of changes, in order; nil: nobody. Its methods must not block, nor call the Subscriber.
 	Effects distribution.Effects
-	// FreshnessChanged is told when the state becomes fresh or stale; it begins as stale. It must not block, nor close the
+	// FreshnessChanged is notified when the state becomes fresh or stale; it begins as stale. It must not block, nor close the
 	// Subscriber.
 	FreshnessChanged func(fresh bool)
 
@@ -81,12 +81,12 @@
 	fallback atomic.Uint32               // index into order of the voter for commands while the leader is not known
 
 	freshness   sync.Mutex // guards what follows, and the order of FreshnessChanged
-	told        bool
+	notified    bool
 	expiry      *time.Timer
 	expiryEnded bool
 }
 
-// OpenSubscriber starts a subscriber. It is stale until a voter has told it all.
+// OpenSubscriber starts a subscriber. It is stale until it has received all from a voter.
 func OpenSubscriber(opt SubscriberOptions) (*Subscriber, error) {
 	if len(opt.Voters) == 0 || opt.TLS == nil || opt.Clock == nil {
 		return nil, errors.New("replica: a subscriber needs voters, certificates and a clock")
--- a/replica/subscriber_freshness.go
+++ b/replica/subscriber_freshness.go
@@ -16,10 +16,10 @@
 	if fresh {
 		s.armExpiry()
 	}
-	if fresh == s.told {
+	if fresh == s.notified {
 		return
 	}
-	s.told = fresh
+	s.notified = fresh
 	if s.opt.FreshnessChanged != nil {
 		s.opt.FreshnessChanged(fresh)
 	}
