--- /dev/null
+++ b/internal/hollow/gateway_test.go
@@ -0,0 +1,104 @@
+package hollow
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/front/signed"
+)
+
+// recorder keeps what an observer is told.
+type recorder struct {
+	mu      sync.Mutex
+	purges  []uint64
+	configs []string
+	missed  []int64
+}
+
+func (r *recorder) PurgeInForce(object uint64, _ uint16, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.purges = append(r.purges, object)
+}
+
+func (r *recorder) ConfigInForce(name string, _ []byte, _ time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configs = append(r.configs, name)
+}
+
+func (r *recorder) PurgesMissed(before int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.missed = append(r.missed, before)
+}
+
+func newGateway(t testing.TB, observer Observer) *Gateway {
+	t.Helper()
+	operator, err := config.ParseOperator(OperatorText(DefaultStores), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := New(Options{Operator: operator, Seed: 1, Clock: clock.System(), Log: zerolog.Nop(), Observer: observer})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+// Purges are reported in order once the core holds them, and a flush waits for all before it.
+func TestPurgesComeIntoForceInOrder(t *testing.T) {
+	var told recorder
+	g := newGateway(t, &told)
+	const purges = 100
+	for i := range purges {
+		g.Purged(distribution.Change{Kind: distribution.KindPurge, Object: uint64(i + 1), At: time.Now().UnixMilli()})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if !g.Flush(ctx) {
+		t.Fatal("the core did not reach the purges")
+	}
+	told.mu.Lock()
+	defer told.mu.Unlock()
+	if len(told.purges) != purges {
+		t.Fatalf("%d purges reported, want %d", len(told.purges), purges)
+	}
+	for i, object := range told.purges {
+		if object != uint64(i+1) {
+			t.Fatalf("purge %d is of object %d", i, object)
+		}
+	}
+}
+
+// Keys, policy and changes of the store list are taken in as values that the gateway's own parsers accept.
+func TestConfigurationIsTakenIn(t *testing.T) {
+	var told recorder
+	g := newGateway(t, &told)
+	g.Configured(signed.ConfigPolicy, []byte(`{"leeway_ms":1000,"token_seconds":600}`))
+	g.Configured(ConfigStores, []byte(`{"stores":[{"id":3,"addr":"127.0.0.1:9","zone":1,"kind":0,"weight":5}]}`))
+	g.Configured("withdrawn", nil)
+	g.PurgesMissed(7)
+	if len(told.configs) != 2 || told.configs[0] != signed.ConfigPolicy || told.configs[1] != ConfigStores {
+		t.Errorf("configuration reported: %v", told.configs)
+	}
+	if len(told.missed) != 1 || told.missed[0] != 7 {
+		t.Errorf("missed purges reported: %v", told.missed)
+	}
+}
+
+// What a gateway costs at rest and at the deployment's rate of purges.
+func BenchmarkPurge(b *testing.B) {
+	g := newGateway(b, nil)
+	for i := 0; b.Loop(); i++ {
+		g.Purged(distribution.Change{Kind: distribution.KindPurge, Object: uint64(i + 1), At: time.Now().UnixMilli()})
+	}
+	g.Flush(context.Background())
+}
--- /dev/null
+++ b/internal/hollow/operator.go
@@ -0,0 +1,57 @@
+package hollow
+
+import (
+	"fmt"
+	"strings"
+)
+
+// DefaultStores is the number of stores that a gateway of the full deployment knows.
+const DefaultStores = 560
+
+// One store in this many is a parent, and the last one is the origin.
+const parentInterval = 20
+
+// OperatorText writes an operator's file with a number of stores, as a gateway of the deployment reads it. No store is
+// reached at its address: a hollow gateway dials none.
+func OperatorText(stores int) string {
+	var text strings.Builder
+	text.WriteString(`name = "hollow"
+listen = "127.0.0.1:0"
+
+[module]
+flow_kb_per_s = 3400
+
+[[class]]
+name = "firmware"
+aim_ms = 600
+aim_stretch = 2
+deadline_ms = 5000
+worth = 2
+
+[[class]]
+name = "ride-end"
+aim_ms = 700
+deadline_ms = 3000
+worth = 3
+write = true
+
+[[key]]
+id = "try-url"
+kind = "hmac"
+secret = "dHJ5LWl0LXRyeS1pdC10cnktaXQtdHJ5LWl0LXRyeSE="
+`)
+	for i := range stores {
+		fmt.Fprintf(&text, "\n[[store]]\nid = %d\nkind = %q\naddr = \"127.0.0.1:9\"\n", i+1, storeKind(i, stores))
+	}
+	return text.String()
+}
+
+func storeKind(i, stores int) string {
+	switch {
+	case i == stores-1:
+		return "origin"
+	case i%parentInterval == parentInterval-1:
+		return "parent"
+	}
+	return "cache"
+}
--- /dev/null
+++ b/scale/cluster.go
@@ -0,0 +1,340 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/replica"
+)
+
+const (
+	startTimeout        = 90 * time.Second
+	pollInterval        = 200 * time.Millisecond
+	gatewaysPerProcess  = 500
+	maxGatewayProcesses = 12
+)
+
+// clusterOptions are what a cluster is made of.
+type clusterOptions struct {
+	topology Topology
+	voters   int
+	stores   int
+	seed     uint64
+	dir      string    // for the voters' files
+	log      io.Writer // what the children say
+}
+
+// cluster is the set of processes of a run.
+type cluster struct {
+	options   clusterOptions
+	authority *Authority
+	members   []replica.Member
+	relay     *Process
+	gateways  []*gatewayProcess
+
+	mu     sync.Mutex
+	voters []*voterProcess
+}
+
+// voterProcess is a voter's process; a voter that was killed has none.
+type voterProcess struct {
+	id      string
+	setup   voterSetup
+	process *Process
+}
+
+// gatewayProcess runs some of the gateways.
+type gatewayProcess struct {
+	process *Process
+	numbers []int // of its gateways, in the topology
+}
+
+// startCluster starts all processes and waits until every gateway is fresh. It ends them all where that fails.
+func startCluster(ctx context.Context, options clusterOptions, progress *progress) (c *cluster, err error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	c = &cluster{options: options}
+	defer func() {
+		if err != nil {
+			c.stop()
+		}
+	}()
+	var addresses []net.IP
+	for voter := range options.voters {
+		addresses = append(addresses, net.ParseIP(voterIP(voter)), net.ParseIP(relayIP(voter)))
+	}
+	if c.authority, err = NewAuthority(addresses); err != nil {
+		return c, err
+	}
+	if err = c.startVoters(ctx); err != nil {
+		return c, err
+	}
+	progress.print("%d voters run", options.voters)
+	routes, err := c.startRelay(ctx)
+	if err != nil {
+		return c, err
+	}
+	if err = c.startGateways(ctx, routes); err != nil {
+		return c, err
+	}
+	progress.print("%d gateways in %d processes started", options.topology.Gateways, len(c.gateways))
+	if err = c.awaitFresh(ctx, progress); err != nil {
+		return c, err
+	}
+	return c, nil
+}
+
+// voterIP and relayIP are the loopback addresses of a voter, and of the relay in front of it. They differ from the one
+// that outgoing connections come from, so that none of those can take a voter's port while it is down.
+func voterIP(voter int) string { return fmt.Sprintf("127.0.1.%d", voter+1) }
+func relayIP(voter int) string { return fmt.Sprintf("127.0.2.%d", voter+1) }
+
+// freeAddress finds a port that is free at an address.
+func freeAddress(ip string) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", fmt.Errorf("scale: a port: %w", err)
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func (c *cluster) startVoters(ctx context.Context) error {
+	for voter := range c.options.voters {
+		address, err := freeAddress(voterIP(voter))
+		if err != nil {
+			return err
+		}
+		c.members = append(c.members, replica.Member{ID: voterID(voter), Addr: address})
+	}
+	for _, member := range c.members {
+		identity, err := c.authority.Issue(member.ID)
+		if err != nil {
+			return err
+		}
+		c.voters = append(c.voters, &voterProcess{id: member.ID, setup: voterSetup{
+			Own: []string{member.ID}, Members: c.members, Dir: c.options.dir, Identity: identity,
+		}})
+	}
+	var group errgroup.Group
+	for voter := range c.voters {
+		group.Go(func() error { return c.startVoter(ctx, voter) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	_, err := c.awaitLeader(ctx)
+	return err
+}
+
+// startVoter starts a voter, for the first time or anew with the files that it left.
+func (c *cluster) startVoter(ctx context.Context, voter int) error {
+	process, err := StartProcess(RoleVoters, c.options.log)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.voters[voter].process = process
+	setup := c.voters[voter].setup
+	c.mu.Unlock()
+	return process.Call(ctx, methodStart, setup, nil)
+}
+
+// killVoter ends a voter as a crash does.
+func (c *cluster) killVoter(voter int) {
+	if process := c.voterProcess(voter); process != nil {
+		c.mu.Lock()
+		c.voters[voter].process = nil
+		c.mu.Unlock()
+		process.Kill()
+	}
+}
+
+// voterProcess gives a voter's process; nil: it is down.
+func (c *cluster) voterProcess(voter int) *Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.voters[voter].process
+}
+
+// awaitLeader waits for a leader and gives its number.
+func (c *cluster) awaitLeader(ctx context.Context) (int, error) {
+	for {
+		for voter := range c.voters {
+			process := c.voterProcess(voter)
+			if process == nil {
+				continue
+			}
+			var leads leadership
+			if process.Call(ctx, methodLeads, empty{}, &leads) == nil && leads.Leader != "" {
+				return voter, nil
+			}
+		}
+		if !pause(ctx, pollInterval) {
+			return 0, fmt.Errorf("scale: no leader: %w", ctx.Err())
+		}
+	}
+}
+
+func (c *cluster) startRelay(ctx context.Context) (routes relayRoutes, err error) {
+	if c.relay, err = StartProcess(RoleRelay, c.options.log); err != nil {
+		return routes, err
+	}
+	setup := relaySetup{Sites: c.options.topology.Sites, Voters: c.members}
+	for voter := range c.members {
+		setup.IPs = append(setup.IPs, relayIP(voter))
+	}
+	err = c.relay.Call(ctx, methodStart, setup, &routes)
+	return routes, err
+}
+
+func (c *cluster) startGateways(ctx context.Context, routes relayRoutes) error {
+	topology := c.options.topology
+	processes := min(maxGatewayProcesses, (topology.Gateways+gatewaysPerProcess-1)/gatewaysPerProcess)
+	var group errgroup.Group
+	for part, numbers := range topology.split(processes) {
+		process, err := StartProcess(RoleGateways, c.options.log)
+		if err != nil {
+			return errors.Join(err, group.Wait())
+		}
+		c.gateways = append(c.gateways, &gatewayProcess{process: process, numbers: numbers})
+		identity, err := c.authority.Issue(fmt.Sprintf("gateways-%d", part))
+		if err != nil {
+			return errors.Join(err, group.Wait())
+		}
+		setup := gatewaysSetup{Stores: c.options.stores, Seed: c.options.seed + uint64(numbers[0]), Identity: identity}
+		for _, number := range numbers {
+			site := topology.Site(number)
+			setup.Gateways = append(setup.Gateways, gatewaySpec{Name: gatewayName(number), Voters: routes.Sites[site]})
+		}
+		group.Go(func() error { return process.Call(ctx, methodStart, setup, nil) })
+	}
+	return group.Wait()
+}
+
+// states asks all gateways what they hold.
+func (c *cluster) states(ctx context.Context) ([]State, error) {
+	parts := make([][]State, len(c.gateways))
+	var group errgroup.Group
+	for i, part := range c.gateways {
+		group.Go(func() error { return part.process.Call(ctx, methodStates, empty{}, &parts[i]) })
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	var all []State
+	for _, part := range parts {
+		all = append(all, part...)
+	}
+	return all, nil
+}
+
+// awaitFresh waits until every gateway holds a lease.
+func (c *cluster) awaitFresh(ctx context.Context, progress *progress) error {
+	for {
+		states, err := c.states(ctx)
+		if err != nil {
+			return err
+		}
+		fresh := 0
+		for _, state := range states {
+			if state.Fresh {
+				fresh++
+			}
+		}
+		progress.print("%d of %d gateways are fresh", fresh, c.options.topology.Gateways)
+		if fresh == c.options.topology.Gateways {
+			return nil
+		}
+		if !pause(ctx, time.Second) {
+			return fmt.Errorf("scale: %d of %d gateways are fresh: %w", fresh, c.options.topology.Gateways, ctx.Err())
+		}
+	}
+}
+
+// restartGateways has gateways end and start anew, all at once.
+func (c *cluster) restartGateways(ctx context.Context, numbers []int) error {
+	chosen := map[int]bool{}
+	for _, number := range numbers {
+		chosen[number] = true
+	}
+	var group errgroup.Group
+	for _, part := range c.gateways {
+		var asked restartRequest
+		for place, number := range part.numbers {
+			if chosen[number] {
+				asked.Gateways = append(asked.Gateways, place)
+			}
+		}
+		if len(asked.Gateways) > 0 {
+			group.Go(func() error { return part.process.Call(ctx, methodRestart, asked, nil) })
+		}
+	}
+	return group.Wait()
+}
+
+// setLink sets the network between sites and voters.
+func (c *cluster) setLink(ctx context.Context, condition linkCondition) error {
+	return c.relay.Call(ctx, methodLink, condition, nil)
+}
+
+// stop ends all processes and removes nothing: the folder is the caller's.
+func (c *cluster) stop() {
+	var all []*Process
+	for _, part := range c.gateways {
+		all = append(all, part.process)
+	}
+	if c.relay != nil {
+		all = append(all, c.relay)
+	}
+	for voter := range c.voters {
+		if process := c.voterProcess(voter); process != nil {
+			all = append(all, process)
+		}
+	}
+	var stopping sync.WaitGroup
+	for _, process := range all {
+		stopping.Go(process.Stop)
+	}
+	stopping.Wait()
+}
+
+// temporaryDir makes a folder for a run.
+func temporaryDir() (string, error) {
+	dir, err := os.MkdirTemp("", "turnfork-scale-")
+	if err != nil {
+		return "", fmt.Errorf("scale: folder: %w", err)
+	}
+	return filepath.Clean(dir), nil
+}
+
+// pause waits, and tells whether ctx still runs.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// progress prints lines with the time since a run began.
+type progress struct {
+	begin time.Time
+	out   io.Writer
+}
+
+func newProgress(out io.Writer) *progress { return &progress{begin: time.Now(), out: out} }
+
+func (p *progress) print(format string, values ...any) {
+	fmt.Fprintf(p.out, "%6.1f s  %s\n", time.Since(p.begin).Seconds(), fmt.Sprintf(format, values...))
+}
--- /dev/null
+++ b/scale/driver.go
@@ -0,0 +1,110 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	proposalTimeout    = 3 * time.Second  // of one attempt at one voter
+	operationTimeout   = 15 * time.Second // after which its proposer gives up
+	proposalRetryPause = 50 * time.Millisecond
+)
+
+// driver proposes the operations of a load at their times, each at a voter drawn for it, and again at another one where
+// that fails. To propose a change twice is harmless.
+type driver struct {
+	cluster *cluster
+	random  *rand.Rand
+
+	mu           sync.Mutex
+	acked        []AckedChange
+	acknowledged int
+	failed       int // given up
+	retried      int
+}
+
+func newDriver(c *cluster, seed uint64) *driver {
+	return &driver{cluster: c, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// run proposes until the last operation has ended.
+func (d *driver) run(ctx context.Context, operations []Operation) {
+	begin := time.Now()
+	var proposing sync.WaitGroup
+	for _, operation := range operations {
+		if !pause(ctx, time.Until(begin.Add(operation.At))) {
+			break
+		}
+		voter := d.random.IntN(len(d.cluster.voters))
+		proposing.Go(func() { d.propose(ctx, operation, voter) })
+	}
+	proposing.Wait()
+}
+
+// propose turns to one voter after the other until an operation is acknowledged.
+func (d *driver) propose(ctx context.Context, operation Operation, voter int) {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	for {
+		if at, ok := d.attempt(ctx, operation, voter); ok {
+			d.enter(operation, at)
+			return
+		}
+		d.count(&d.retried)
+		voter = (voter + 1) % len(d.cluster.voters)
+		if !pause(ctx, proposalRetryPause) {
+			d.count(&d.failed)
+			return
+		}
+	}
+}
+
+func (d *driver) attempt(ctx context.Context, operation Operation, voter int) (at time.Time, ok bool) {
+	process := d.cluster.voterProcess(voter)
+	if process == nil {
+		return at, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	var ack acknowledgement
+	err := process.Call(ctx, methodPropose, proposal{Member: voterID(voter), Operation: operation}, &ack)
+	return ack.At, err == nil
+}
+
+func (d *driver) enter(operation Operation, at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.acknowledged++
+	if operation.Key == 0 {
+		return
+	}
+	d.acked = append(d.acked, AckedChange{
+		Key: operation.Key, Kind: operation.Kind, Name: operation.Name, Burst: operation.Burst, At: at,
+	})
+}
+
+func (d *driver) count(counter *int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	*counter++
+}
+
+// acknowledgedChanges gives what was acknowledged and can be observed, in that order.
+func (d *driver) acknowledgedChanges() []AckedChange {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := slices.Clone(d.acked)
+	slices.SortFunc(out, func(a, b AckedChange) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// counts gives how many operations were acknowledged and given up, and how many attempts were repeated.
+func (d *driver) counts() (acknowledged, failed, retried int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.acknowledged, d.failed, d.retried
+}
--- /dev/null
+++ b/scale/histogram.go
@@ -0,0 +1,51 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramLongest = time.Hour
+	histogramDigits  = 3
+)
+
+// newHistogram returns a histogram of durations in microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramLongest.Microseconds(), histogramDigits)
+}
+
+// recordDuration enters a duration; what is out of range counts as the nearest that is in.
+func recordDuration(histogram *hdrhistogram.Histogram, duration time.Duration) {
+	duration = min(max(duration, time.Microsecond), histogramLongest)
+	if err := histogram.RecordValue(duration.Microseconds()); err != nil {
+		panic(fmt.Sprintf("scale: a duration in range: %v", err))
+	}
+}
+
+// Distribution sums a histogram up, in milliseconds.
+type Distribution struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// summarize sums a histogram up.
+func summarize(histogram *hdrhistogram.Histogram) Distribution {
+	quantile := func(percent float64) float64 { return float64(histogram.ValueAtQuantile(percent)) / 1000 }
+	return Distribution{
+		Count: histogram.TotalCount(), P50: quantile(50), P99: quantile(99), P999: quantile(99.9),
+		Max: float64(histogram.Max()) / 1000,
+	}
+}
+
+// mergeSnapshot adds a snapshot to a histogram.
+func mergeSnapshot(into *hdrhistogram.Histogram, snapshot *hdrhistogram.Snapshot) {
+	if snapshot != nil {
+		into.Merge(hdrhistogram.Import(snapshot))
+	}
+}
--- /dev/null
+++ b/scale/monitor.go
@@ -0,0 +1,212 @@
+package scale
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	monitorInterval = time.Second
+	statsTimeout    = 900 * time.Millisecond
+)
+
+// monitor asks all processes of a cluster for their use of the machine, each second.
+type monitor struct {
+	cluster *cluster
+
+	mu     sync.Mutex
+	series map[Role][]*usageSeries
+	byPID  map[int]*usageSeries
+}
+
+// usageSeries are the samples of one process.
+type usageSeries struct {
+	gateways int // how many it runs
+	samples  []ProcessStats
+}
+
+func newMonitor(c *cluster) *monitor {
+	return &monitor{cluster: c, series: map[Role][]*usageSeries{}, byPID: map[int]*usageSeries{}}
+}
+
+// run samples until ctx ends.
+func (m *monitor) run(ctx context.Context) {
+	for {
+		m.sample(ctx)
+		if !pause(ctx, monitorInterval) {
+			return
+		}
+	}
+}
+
+// sample asks all processes at once. One that does not answer, as it is paused or down, is left out.
+func (m *monitor) sample(ctx context.Context) {
+	var asking sync.WaitGroup
+	ask := func(process *Process, gateways int) {
+		asking.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, statsTimeout)
+			defer cancel()
+			var stats ProcessStats
+			if process.Call(ctx, methodStats, empty{}, &stats) == nil {
+				m.enter(process, gateways, stats)
+			}
+		})
+	}
+	for _, part := range m.cluster.gateways {
+		ask(part.process, len(part.numbers))
+	}
+	for voter := range m.cluster.voters {
+		if process := m.cluster.voterProcess(voter); process != nil {
+			ask(process, 0)
+		}
+	}
+	ask(m.cluster.relay, 0)
+	asking.Wait()
+}
+
+func (m *monitor) enter(process *Process, gateways int, stats ProcessStats) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	series := m.byPID[stats.PID]
+	if series == nil {
+		series = &usageSeries{gateways: gateways}
+		m.byPID[stats.PID] = series
+		m.series[process.Role] = append(m.series[process.Role], series)
+	}
+	series.samples = append(series.samples, stats)
+}
+
+// Usage is what processes of one role used, in all and at the most. Processor time is in percent of a core.
+type Usage struct {
+	CPUMean        float64 `json:"cpu_mean_percent"`         // of all together
+	CPUPeak        float64 `json:"cpu_peak_percent"`         // of the one that used most, within a second
+	CPUHighestMean float64 `json:"cpu_highest_mean_percent"` // of the one that used most over its time
+	RSSMax         int64   `json:"rss_max_bytes"`            // of all together
+	RSSHighest     int64   `json:"rss_highest_bytes"`        // of the one that held most
+	Descriptors    int     `json:"descriptors_highest"`
+	Goroutines     int     `json:"goroutines_highest"`
+	Processes      int     `json:"processes"`
+}
+
+// usage sums up the processes of a role over the time that was sampled.
+func (m *monitor) usage(role Role) (out Usage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, series := range m.series[role] {
+		mean, peak := series.processor()
+		out.CPUMean += mean
+		out.CPUPeak = max(out.CPUPeak, peak)
+		out.CPUHighestMean = max(out.CPUHighestMean, mean)
+		resident := series.maxRSS()
+		out.RSSMax += resident
+		out.RSSHighest = max(out.RSSHighest, resident)
+		for _, sample := range series.samples {
+			out.Descriptors = max(out.Descriptors, sample.Descriptors)
+			out.Goroutines = max(out.Goroutines, sample.Goroutines)
+		}
+	}
+	out.Processes = len(m.series[role])
+	return out
+}
+
+// gatewayPeak is the most processor time that gateways used within a second, in percent of a core for each.
+func (m *monitor) gatewayPeak() (peak float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, series := range m.series[RoleGateways] {
+		_, most := series.processor()
+		peak = max(peak, most/float64(series.gateways))
+	}
+	return peak
+}
+
+// processor gives the mean use of a core in percent, and the highest between two samples.
+func (s *usageSeries) processor() (mean, peak float64) {
+	for i := 1; i < len(s.samples); i++ {
+		peak = max(peak, corePercent(s.samples[i-1], s.samples[i]))
+	}
+	if len(s.samples) > 1 {
+		mean = corePercent(s.samples[0], s.samples[len(s.samples)-1])
+	}
+	return mean, peak
+}
+
+func (s *usageSeries) maxRSS() (most int64) {
+	for _, sample := range s.samples {
+		most = max(most, sample.RSS)
+	}
+	return most
+}
+
+func corePercent(from, to ProcessStats) float64 {
+	return 100 * float64(to.CPU-from.CPU) / float64(to.At.Sub(from.At))
+}
+
+// TrafficReport is what the connections between gateways and voters carried, each second.
+type TrafficReport struct {
+	GatewayBytesIn    float64   `json:"gateway_bytes_in_per_s"` // of one gateway on average
+	GatewayBytesOut   float64   `json:"gateway_bytes_out_per_s"`
+	GatewayRecordsIn  float64   `json:"gateway_records_in_per_s"`
+	GatewayRecordsOut float64   `json:"gateway_records_out_per_s"`
+	GatewayBytesPeak  float64   `json:"gateway_bytes_peak_per_s"` // both ways, in the second with most
+	VoterBytesOut     []float64 `json:"voter_bytes_out_per_s"`
+	VoterBytesIn      []float64 `json:"voter_bytes_in_per_s"`
+	VoterRecordsOut   []float64 `json:"voter_records_out_per_s"`
+	VoterConnections  []int64   `json:"voter_connections_max"`
+	ConnectionsOpened int64     `json:"connections_opened"`
+}
+
+// traffic sums up what the relay carried, for a number of gateways.
+func (m *monitor) traffic(gateways int) (out TrafficReport) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.series[RoleRelay]) == 0 || len(m.series[RoleRelay][0].samples) < 2 {
+		return out
+	}
+	samples := m.series[RoleRelay][0].samples
+	first, last := samples[0], samples[len(samples)-1]
+	each := float64(gateways)
+	for voter := range first.Traffic {
+		rate := trafficRate(first, last, voter)
+		out.GatewayBytesIn += rate.bytesOut / each
+		out.GatewayBytesOut += rate.bytesIn / each
+		out.GatewayRecordsIn += rate.recordsOut / each
+		out.GatewayRecordsOut += rate.recordsIn / each
+		out.VoterBytesOut = append(out.VoterBytesOut, rate.bytesOut)
+		out.VoterBytesIn = append(out.VoterBytesIn, rate.bytesIn)
+		out.VoterRecordsOut = append(out.VoterRecordsOut, rate.recordsOut)
+		out.ConnectionsOpened += last.Traffic[voter].Accepted - first.Traffic[voter].Accepted
+		out.VoterConnections = append(out.VoterConnections, maxConnections(samples, voter))
+	}
+	for i := 1; i < len(samples); i++ {
+		total := 0.0
+		for voter := range first.Traffic {
+			rate := trafficRate(samples[i-1], samples[i], voter)
+			total += rate.bytesIn + rate.bytesOut
+		}
+		out.GatewayBytesPeak = max(out.GatewayBytesPeak, total/each)
+	}
+	return out
+}
+
+// voterRate is the traffic of a voter in a second, as the voter sees it.
+type voterRate struct{ bytesIn, bytesOut, recordsIn, recordsOut float64 }
+
+func trafficRate(from, to ProcessStats, voter int) voterRate {
+	seconds := to.At.Sub(from.At).Seconds()
+	before, after := from.Traffic[voter], to.Traffic[voter]
+	return voterRate{
+		bytesIn: float64(after.BytesIn-before.BytesIn) / seconds, bytesOut: float64(after.BytesOut-before.BytesOut) / seconds,
+		recordsIn:  float64(after.RecordsIn-before.RecordsIn) / seconds,
+		recordsOut: float64(after.RecordsOut-before.RecordsOut) / seconds,
+	}
+}
+
+func maxConnections(samples []ProcessStats, voter int) int64 {
+	most := slices.MaxFunc(samples, func(a, b ProcessStats) int {
+		return int(a.Traffic[voter].Connections - b.Traffic[voter].Connections)
+	})
+	return most.Traffic[voter].Connections
+}
--- /dev/null
+++ b/scale/recorder.go
@@ -0,0 +1,65 @@
+package scale
+
+import (
+	"sync"
+	"time"
+)
+
+// Times are kept in 32 bits, as units since a recorder's start: enough for hours at a hundredth of a millisecond.
+const recordedUnit = 10 * time.Microsecond
+
+// recorder keeps when each change came into force at each gateway of a process.
+type recorder struct {
+	start    time.Time
+	gateways int
+
+	mu   sync.Mutex
+	rows map[uint64][]int32 // by the change's key: a time for each gateway; 0: not yet
+}
+
+func newRecorder(gateways int) *recorder {
+	return &recorder{start: time.Now(), gateways: gateways, rows: map[uint64][]int32{}}
+}
+
+// record enters the first time at which a change came into force at a gateway.
+func (r *recorder) record(key uint64, gateway int, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.rows[key]
+	if row == nil {
+		row = make([]int32, r.gateways)
+		r.rows[key] = row
+	}
+	if row[gateway] == 0 {
+		row[gateway] = int32(max(1, at.Sub(r.start)/recordedUnit))
+	}
+}
+
+// times gives when a change came into force at each gateway; a zero time stands for never.
+func (r *recorder) times(key uint64) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]time.Time, r.gateways)
+	for i, units := range r.rows[key] {
+		if units != 0 {
+			out[i] = r.start.Add(time.Duration(units) * recordedUnit)
+		}
+	}
+	return out
+}
+
+// gatewayObserver enters what one gateway reports.
+type gatewayObserver struct {
+	recorder *recorder
+	gateway  int
+}
+
+func (o gatewayObserver) PurgeInForce(object uint64, group uint16, at time.Time) {
+	o.recorder.record(PurgeKey(object, group), o.gateway, at)
+}
+
+func (o gatewayObserver) ConfigInForce(name string, value []byte, at time.Time) {
+	o.recorder.record(ConfigKey(name, value), o.gateway, at)
+}
+
+func (gatewayObserver) PurgesMissed(int64) {}
--- /dev/null
+++ b/scale/relay.go
@@ -0,0 +1,275 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"turnfork.dev/turnfork/replica"
+)
+
+const (
+	relayDialTimeout = 2 * time.Second
+	relayBufferBytes = 8 << 10
+	acceptRetryPause = 10 * time.Millisecond
+)
+
+// relayWorker carries connections between sites and voters, and holds them up or ends them as it is told.
+type relayWorker struct {
+	mu     sync.Mutex
+	sites  []*siteLink
+	ports  []net.Listener
+	tasks  sync.WaitGroup
+	meters []trafficMeter // by voter
+}
+
+var _ worker = (*relayWorker)(nil)
+
+func (r *relayWorker) handle(ctx context.Context, method string, body json.RawMessage) (any, error) {
+	switch method {
+	case methodStart:
+		setup, err := decodeBody[relaySetup](body)
+		if err != nil {
+			return nil, err
+		}
+		return r.start(setup)
+	case methodLink:
+		condition, err := decodeBody[linkCondition](body)
+		if err != nil {
+			return nil, err
+		}
+		return empty{}, r.setCondition(condition)
+	case methodStats:
+		stats, err := ownStats()
+		stats.Traffic = r.traffic()
+		return stats, err
+	}
+	return nil, fmt.Errorf("%w: %s", errUnknownMethod, method)
+}
+
+// start listens for each site and voter on a port of its own.
+func (r *relayWorker) start(setup relaySetup) (relayRoutes, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var routes relayRoutes
+	r.meters = make([]trafficMeter, len(setup.Voters))
+	for range setup.Sites {
+		link := newSiteLink()
+		r.sites = append(r.sites, link)
+		var addresses []replica.Member
+		for i, voter := range setup.Voters {
+			listener, err := net.Listen("tcp", net.JoinHostPort(setup.IPs[i], "0"))
+			if err != nil {
+				return routes, fmt.Errorf("scale: relay: %w", err)
+			}
+			r.ports = append(r.ports, listener)
+			r.tasks.Go(func() { link.accept(listener, route{voter.Addr, &r.meters[i]}, &r.tasks) })
+			port := listener.Addr().(*net.TCPAddr).Port
+			addresses = append(addresses, replica.Member{
+				ID: voter.ID, Addr: net.JoinHostPort(setup.IPs[i], strconv.Itoa(port)),
+			})
+		}
+		routes.Sites = append(routes.Sites, addresses)
+	}
+	return routes, nil
+}
+
+// traffic gives the counts by voter.
+func (r *relayWorker) traffic() (out []Traffic) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.meters {
+		out = append(out, r.meters[i].read())
+	}
+	return out
+}
+
+func (r *relayWorker) setCondition(condition linkCondition) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, site := range condition.Sites {
+		if site < 0 || site >= len(r.sites) {
+			return fmt.Errorf("scale: relay: no site %d", site)
+		}
+		r.sites[site].set(condition)
+	}
+	return nil
+}
+
+func (r *relayWorker) close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var failed []error
+	for _, listener := range r.ports {
+		failed = append(failed, listener.Close())
+	}
+	for _, site := range r.sites {
+		site.set(linkCondition{Cut: true})
+	}
+	r.tasks.Wait()
+	return errors.Join(failed...)
+}
+
+// route leads to a voter, and counts what goes there and back.
+type route struct {
+	voter string // its address
+	meter *trafficMeter
+}
+
+// siteLink is the network between one site and the voters.
+type siteLink struct {
+	mu    sync.Mutex
+	cut   bool
+	delay time.Duration
+	flow  chan struct{} // closed while the link carries data
+	open  map[net.Conn]struct{}
+}
+
+func newSiteLink() *siteLink {
+	flowing := make(chan struct{})
+	close(flowing)
+	return &siteLink{flow: flowing, open: map[net.Conn]struct{}{}}
+}
+
+// set puts a condition into force.
+func (s *siteLink) set(condition linkCondition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = condition.Delay
+	s.setStalled(condition.Stall && !condition.Cut)
+	s.cut = condition.Cut
+	if !s.cut {
+		return
+	}
+	for conn := range s.open {
+		conn.Close()
+	}
+}
+
+// setStalled stops the flow or opens it. The caller holds the lock.
+func (s *siteLink) setStalled(stalled bool) {
+	flowing := false
+	select {
+	case <-s.flow:
+		flowing = true
+	default:
+	}
+	switch {
+	case stalled && flowing:
+		s.flow = make(chan struct{})
+	case !stalled && !flowing:
+		close(s.flow)
+	}
+}
+
+// admit enters a connection, unless the link is cut.
+func (s *siteLink) admit(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		return false
+	}
+	s.open[conn] = struct{}{}
+	return true
+}
+
+func (s *siteLink) remove(conn net.Conn) {
+	conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, conn)
+}
+
+// passage waits until the link carries data.
+func (s *siteLink) passage() {
+	s.mu.Lock()
+	delay, flow := s.delay, s.flow
+	s.mu.Unlock()
+	<-flow
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
+// accept takes connections for a voter until the listener is closed.
+func (s *siteLink) accept(listener net.Listener, route route, tasks *sync.WaitGroup) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptor is free
+			time.Sleep(acceptRetryPause)
+			continue
+		}
+		tasks.Go(func() { s.carry(conn, route) })
+	}
+}
+
+// carry joins a connection to a voter until either side ends.
+func (s *siteLink) carry(near net.Conn, route route) {
+	defer s.remove(near)
+	if !s.admit(near) {
+		return
+	}
+	far, err := net.DialTimeout("tcp", route.voter, relayDialTimeout)
+	if err != nil {
+		return
+	}
+	defer s.remove(far)
+	if !s.admit(far) {
+		return
+	}
+	route.meter.accepted.Add(1)
+	route.meter.connections.Add(1)
+	defer route.meter.connections.Add(-1)
+	var both sync.WaitGroup
+	both.Go(func() { s.copy(far, near, &route.meter.toVoters) })
+	s.copy(near, far, &route.meter.toGateways)
+	both.Wait()
+}
+
+// copy carries data one way, and ends both ways with it.
+func (s *siteLink) copy(to, from net.Conn, count *flowMeter) {
+	defer to.Close()
+	defer from.Close()
+	var records recordCounter
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			count.bytes.Add(int64(n))
+			count.records.Add(records.count(buffer[:n]))
+			s.passage()
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// trafficMeter counts what a relay carried.
+type trafficMeter struct {
+	toGateways, toVoters  flowMeter
+	connections, accepted atomic.Int64
+}
+
+type flowMeter struct{ bytes, records atomic.Int64 }
+
+// read gives the counts as the voters' side sees them.
+func (m *trafficMeter) read() Traffic {
+	return Traffic{
+		BytesIn: m.toVoters.bytes.Load(), RecordsIn: m.toVoters.records.Load(),
+		BytesOut: m.toGateways.bytes.Load(), RecordsOut: m.toGateways.records.Load(),
+		Connections: m.connections.Load(), Accepted: m.accepted.Load(),
+	}
+}
--- /dev/null
+++ b/scale/run.go
@@ -0,0 +1,263 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/distribution"
+)
+
+// ModeWatch and ModeVoters are the modes of a run: gateways that subscribe, and members that all vote.
+const (
+	ModeWatch  = "watch"
+	ModeVoters = "voters"
+)
+
+// Options are what a run of gateways that subscribe is made of.
+type Options struct {
+	Gateways       int
+	Sites          int
+	Voters         int
+	Stores         int
+	Duration       time.Duration
+	Seed           uint64
+	Load           Load
+	RestartsPerDay float64 // of a deployment of FullGateways; scaled to the gateways that run
+	Scenario       string  // one of Scenarios
+	Progress       io.Writer
+}
+
+const (
+	settleDuration  = 3 * time.Second // between the last gateway's first lease and the load
+	convergeTimeout = 40 * time.Second
+	resultsTimeout  = 2 * time.Minute
+)
+
+// ErrUnknownScenario tells that a scenario has no such name.
+var ErrUnknownScenario = errors.New("scale: unknown scenario")
+
+// check fills in what is left out.
+func (o *Options) check() error {
+	if _, known := scenarios[o.Scenario]; !known {
+		return fmt.Errorf("%w: %q is none of %v", ErrUnknownScenario, o.Scenario, Scenarios())
+	}
+	if o.Gateways < 1 || o.Sites < 1 || o.Voters < 1 || o.Stores < 1 || o.Duration <= 0 {
+		return errors.New("scale: gateways, sites, voters, stores and the duration have to be above 0")
+	}
+	o.Sites = min(o.Sites, o.Gateways)
+	return nil
+}
+
+// Run starts a cluster, drives a load through a scenario, and reports. All processes have ended when it returns.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	dir, err := temporaryDir()
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	progress := newProgress(options.Progress)
+	report := newReport(options)
+	cluster, err := startCluster(ctx, clusterOptions{
+		topology: Topology{Gateways: options.Gateways, Sites: options.Sites}, voters: options.Voters, stores: options.Stores,
+		seed: options.Seed, dir: dir, log: options.Progress,
+	}, progress)
+	if err != nil {
+		return nil, err
+	}
+	defer cluster.stop()
+	if !pause(ctx, settleDuration) {
+		return nil, ctx.Err()
+	}
+	driver := newDriver(cluster, options.Seed)
+	if err := drive(ctx, cluster, driver, options, report, progress); err != nil {
+		return report, err
+	}
+	if err := converge(ctx, cluster, report, progress); err != nil {
+		return report, err
+	}
+	if err := collect(ctx, cluster, driver.acknowledgedChanges(), report); err != nil {
+		return report, err
+	}
+	report.check()
+	return report, nil
+}
+
+func newReport(options Options) *Report {
+	return &Report{
+		Mode: ModeWatch, Scenario: options.Scenario, Gateways: options.Gateways, Sites: options.Sites, Voters: options.Voters,
+		Stores: options.Stores, Seed: options.Seed, Load: options.Load, Classes: map[string]ClassReport{},
+		Usage: map[Role]Usage{}, Machine: thisMachine(),
+	}
+}
+
+func thisMachine() Machine {
+	load, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		load = []byte("unknown")
+	}
+	return Machine{Cores: runtime.NumCPU(), Go: runtime.Version(), Loaded: strings.TrimSpace(string(load))}
+}
+
+// drive proposes the load while the scenario runs, and measures what the processes use.
+func drive(ctx context.Context, c *cluster, driver *driver, options Options, report *Report, progress *progress) error {
+	operations := options.Load.Operations(options.Duration, options.Seed)
+	report.Proposed = len(operations)
+	progress.print("the load begins: %d operations in %v, scenario %s", len(operations), options.Duration, options.Scenario)
+	begin := time.Now()
+	loadCtx, loadEnds := context.WithCancel(ctx)
+	defer loadEnds()
+	monitor := newMonitor(c)
+	faults := newFaults(c, options.Seed)
+	var beside sync.WaitGroup
+	beside.Go(func() { monitor.run(loadCtx) })
+	beside.Go(func() { reportProgress(loadCtx, driver, len(operations), progress) })
+	var group errgroup.Group
+	group.Go(func() error { return faults.run(ctx, options.Scenario, options.Duration, progress) })
+	group.Go(func() error {
+		restarts, err := faults.restartSteadily(ctx, options.RestartsPerDay, options.Duration)
+		report.Restarts = restarts
+		return err
+	})
+	group.Go(func() error {
+		driver.run(ctx, operations)
+		return nil
+	})
+	err := group.Wait()
+	pause(ctx, time.Until(begin.Add(options.Duration)))
+	monitor.sample(ctx)
+	loadEnds()
+	beside.Wait()
+	report.Seconds = time.Since(begin).Seconds()
+	report.Acked, report.Failed, report.Retried = driver.counts()
+	report.enterUsage(monitor)
+	return err
+}
+
+// reportProgress prints how far the load is, now and then.
+func reportProgress(ctx context.Context, driver *driver, operations int, progress *progress) {
+	const interval = 10 * time.Second
+	for pause(ctx, interval) {
+		acked, failed, retried := driver.counts()
+		progress.print("%d of %d operations acknowledged, %d given up, %d attempts repeated", acked, operations, failed, retried)
+	}
+}
+
+func (r *Report) enterUsage(m *monitor) {
+	for _, role := range []Role{RoleVoters, RoleGateways, RoleRelay} {
+		r.Usage[role] = m.usage(role)
+	}
+	each := float64(r.Gateways)
+	r.Gateway = GatewayUsage{
+		CPUMean: r.Usage[RoleGateways].CPUMean / each, CPUPeak: m.gatewayPeak(),
+		RSSBytes: float64(r.Usage[RoleGateways].RSSMax) / each,
+	}
+	r.Traffic = m.traffic(r.Gateways)
+}
+
+// converge waits until all gateways hold the same and are fresh, and enters what they hold then.
+func converge(ctx context.Context, c *cluster, report *Report, progress *progress) error {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, convergeTimeout)
+	defer cancel()
+	for {
+		states, err := c.states(ctx)
+		if err != nil {
+			return err
+		}
+		fresh := 0
+		positions, digests := map[distribution.Position]bool{}, map[uint64]bool{}
+		for _, state := range states {
+			positions[state.Position], digests[state.Digest] = true, true
+			if state.Fresh {
+				fresh++
+			}
+		}
+		report.Convergence = Convergence{
+			Gateways: fresh, Positions: len(positions), Digests: len(digests), Seconds: time.Since(begin).Seconds(),
+		}
+		progress.print("%d gateways are fresh, at %d positions with %d digests", fresh, len(positions), len(digests))
+		if fresh == report.Gateways && len(positions) == 1 {
+			return nil
+		}
+		if !pause(ctx, time.Second) {
+			return nil // the checks tell
+		}
+	}
+}
+
+// collect has all gateways compare what was acknowledged with what came into force.
+func collect(ctx context.Context, c *cluster, acked []AckedChange, report *Report) error {
+	ctx, cancel := context.WithTimeout(ctx, resultsTimeout)
+	defer cancel()
+	results := make([]Results, len(c.gateways))
+	var group errgroup.Group
+	for i, part := range c.gateways {
+		group.Go(func() error { return part.process.Call(ctx, methodResults, resultsRequest{Acked: acked}, &results[i]) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	report.merge(acked, results)
+	return nil
+}
+
+// merge sums up the results of all processes.
+func (r *Report) merge(acked []AckedChange, results []Results) {
+	staleness, catchUp := newHistogram(), newHistogram()
+	for _, result := range results {
+		mergeSnapshot(staleness, result.Staleness)
+		mergeSnapshot(catchUp, result.CatchUp)
+		r.Claims += result.Claims
+		r.Violated += result.Violated
+		r.Violations = append(r.Violations, result.Violation...)
+	}
+	r.Violations = r.Violations[:min(len(r.Violations), maxViolations)]
+	r.Staleness, r.CatchUp = summarize(staleness), summarize(catchUp)
+	for _, class := range []string{ClassPurge, ClassChange, ClassBurst} {
+		r.Classes[class] = mergeClass(class, acked, results)
+	}
+}
+
+func mergeClass(class string, acked []AckedChange, results []Results) (out ClassReport) {
+	fresh, stale, everywhere := newHistogram(), newHistogram(), newHistogram()
+	for _, result := range results {
+		latencies := result.Latencies[class]
+		if latencies == nil {
+			continue
+		}
+		mergeSnapshot(fresh, latencies.Fresh)
+		mergeSnapshot(stale, latencies.Stale)
+		out.MissingFresh += latencies.MissingFresh
+		out.MissingStale += latencies.MissingStale
+	}
+	for _, change := range acked {
+		if change.class() != class {
+			continue
+		}
+		out.Changes++
+		enterEverywhere(everywhere, change, results)
+	}
+	out.Fresh, out.Stale, out.Everywhere = summarize(fresh), summarize(stale), summarize(everywhere)
+	return out
+}
+
+// enterEverywhere enters when a change was in force at the last gateway that was fresh throughout.
+func enterEverywhere(into *hdrhistogram.Histogram, change AckedChange, results []Results) {
+	slowest := time.Duration(0)
+	for _, result := range results {
+		slowest = max(slowest, result.Everyone[change.Key].Slowest)
+	}
+	recordDuration(into, slowest)
+}
--- /dev/null
+++ b/scale/scenario.go
@@ -0,0 +1,142 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// step is something that a scenario does at a share of the run.
+type step struct {
+	at   float64
+	what string
+	do   func(ctx context.Context, f *faults) error
+}
+
+// faults carries out the steps of a scenario.
+type faults struct {
+	cluster *cluster
+	random  *rand.Rand
+	killed  int // the voter that is down; -1: none
+}
+
+// Sizes of the faults.
+const (
+	reconnectShare  = 10 // one gateway in this many starts anew at once
+	linkDelay       = 300 * time.Millisecond
+	slowReaderDelay = 1500 * time.Millisecond
+)
+
+// scenarios are the faults by name.
+var scenarios = map[string][]step{
+	"quiet": nil,
+	"voter-death": {
+		{0.30, "the leader is killed", (*faults).killLeader},
+		{0.50, "a tenth of the gateways starts anew", (*faults).restartTenth},
+		{0.70, "the killed voter starts again", (*faults).reviveVoter},
+	},
+	"reconnect":   {{0.50, "a tenth of the gateways starts anew", (*faults).restartTenth}},
+	"site-cut":    cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
+	"zone-cut":    cutAndHeal("a zone is cut off", func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"region-cut":  cutAndHeal("a region is cut off", func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"zone-stall":  linkFault("a zone's links carry nothing", linkCondition{Stall: true}, func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"delay":       linkFault("a region's links are slow", linkCondition{Delay: linkDelay}, func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"slow-reader": linkFault("a site reads slowly", linkCondition{Delay: slowReaderDelay}, func(f *faults) []int { return []int{0} }),
+	"pause": {
+		{0.30, "a process of gateways stands still", (*faults).pauseGateways},
+		{0.60, "it goes on", (*faults).resumeGateways},
+	},
+}
+
+// Scenarios names them.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+func cutAndHeal(what string, sites func(*faults) []int) []step {
+	return linkFault(what, linkCondition{Cut: true}, sites)
+}
+
+// linkFault puts the links of some sites into a condition for a time in the middle of the run.
+func linkFault(what string, condition linkCondition, sites func(*faults) []int) []step {
+	set := func(condition linkCondition) func(context.Context, *faults) error {
+		return func(ctx context.Context, f *faults) error {
+			condition.Sites = sites(f)
+			return f.cluster.setLink(ctx, condition)
+		}
+	}
+	return []step{{0.30, what, set(condition)}, {0.60, "that is over", set(linkCondition{})}}
+}
+
+func newFaults(c *cluster, seed uint64) *faults {
+	return &faults{cluster: c, random: rand.New(rand.NewPCG(seed, 2)), killed: -1}
+}
+
+func (f *faults) topology() Topology { return f.cluster.options.topology }
+
+// run carries out a scenario within a duration.
+func (f *faults) run(ctx context.Context, name string, duration time.Duration, progress *progress) error {
+	begin := time.Now()
+	for _, step := range scenarios[name] {
+		if !pause(ctx, time.Until(begin.Add(time.Duration(step.at*float64(duration))))) {
+			return ctx.Err()
+		}
+		progress.print("fault: %s", step.what)
+		if err := step.do(ctx, f); err != nil {
+			return fmt.Errorf("scale: fault %q: %w", step.what, err)
+		}
+	}
+	return nil
+}
+
+func (f *faults) killLeader(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	f.killed = leader
+	f.cluster.killVoter(leader)
+	return nil
+}
+
+func (f *faults) reviveVoter(ctx context.Context) error {
+	if f.killed < 0 {
+		return nil
+	}
+	err := f.cluster.startVoter(ctx, f.killed)
+	f.killed = -1
+	return err
+}
+
+func (f *faults) restartTenth(ctx context.Context) error {
+	all := f.random.Perm(f.topology().Gateways)
+	return f.cluster.restartGateways(ctx, all[:max(1, len(all)/reconnectShare)])
+}
+
+func (f *faults) pauseGateways(context.Context) error  { return f.cluster.gateways[0].process.Pause() }
+func (f *faults) resumeGateways(context.Context) error { return f.cluster.gateways[0].process.Resume() }
+
+// restartSteadily starts single gateways anew at the rate of so many a day in the full deployment, and counts them.
+func (f *faults) restartSteadily(ctx context.Context, perDay float64, duration time.Duration) (restarts int, err error) {
+	begin := time.Now()
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 3))
+	rate := perDay / day.Seconds() * float64(f.topology().Gateways) / FullGateways
+	if rate <= 0 {
+		return 0, nil
+	}
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= duration {
+			return restarts, nil
+		}
+		if !pause(ctx, time.Until(begin.Add(at))) {
+			return restarts, ctx.Err()
+		}
+		if err := f.cluster.restartGateways(ctx, []int{random.IntN(f.topology().Gateways)}); err != nil {
+			return restarts, err
+		}
+		restarts++
+	}
+}
--- /dev/null
+++ b/scale/topology.go
@@ -0,0 +1,66 @@
+package scale
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Sizes of the deployment that is planned for.
+const (
+	FullGateways = 3400
+	FullSites    = 140
+	FullVoters   = 5
+	siteZones    = 28
+	zoneRegions  = 8
+)
+
+// Topology says where gateways stand: each at a site, a site in a zone, a zone in a region.
+type Topology struct {
+	Gateways int
+	Sites    int
+}
+
+// Site is the site of a gateway.
+func (t Topology) Site(gateway int) int { return gateway % t.Sites }
+
+// zones and regions are as many as in the full deployment, or fewer where there are fewer sites.
+func (t Topology) zones() int   { return min(siteZones, t.Sites) }
+func (t Topology) regions() int { return min(zoneRegions, t.zones()) }
+
+// Zone is the zone of a site.
+func (t Topology) Zone(site int) int { return site * t.zones() / t.Sites }
+
+// Region is the region of a site.
+func (t Topology) Region(site int) int { return t.Zone(site) * t.regions() / t.zones() }
+
+// ZoneSites gives the sites of a zone.
+func (t Topology) ZoneSites(zone int) []int {
+	return t.sitesWhere(func(site int) bool { return t.Zone(site) == zone })
+}
+
+// RegionSites gives the sites of a region.
+func (t Topology) RegionSites(region int) []int {
+	return t.sitesWhere(func(site int) bool { return t.Region(site) == region })
+}
+
+func (t Topology) sitesWhere(is func(site int) bool) (sites []int) {
+	for site := range t.Sites {
+		if is(site) {
+			sites = append(sites, site)
+		}
+	}
+	return sites
+}
+
+// split cuts the gateways into parts for processes, of about the same size.
+func (t Topology) split(processes int) [][]int {
+	parts := make([][]int, processes)
+	for gateway := range t.Gateways {
+		part := gateway * processes / t.Gateways
+		parts[part] = append(parts[part], gateway)
+	}
+	return slices.DeleteFunc(parts, func(part []int) bool { return len(part) == 0 })
+}
+
+func gatewayName(gateway int) string { return fmt.Sprintf("gateway-%04d", gateway) }
+func voterID(voter int) string       { return fmt.Sprintf("voter-%02d", voter+1) }
--- /dev/null
+++ b/scale/usage.go
@@ -0,0 +1,48 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// ownStats tells what this process has used so far.
+func ownStats() (ProcessStats, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return ProcessStats{}, fmt.Errorf("scale: processor time: %w", err)
+	}
+	resident, err := residentBytes()
+	if err != nil {
+		return ProcessStats{}, err
+	}
+	descriptors, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return ProcessStats{}, fmt.Errorf("scale: descriptors: %w", err)
+	}
+	return ProcessStats{
+		PID: os.Getpid(), At: time.Now(), CPU: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), RSS: resident,
+		Descriptors: len(descriptors), Goroutines: runtime.NumGoroutine(),
+	}, nil
+}
+
+// residentBytes is this process's memory that is held in the machine's.
+func residentBytes() (int64, error) {
+	content, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0, fmt.Errorf("scale: memory: %w", err)
+	}
+	fields := strings.Fields(string(content))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("scale: memory: %q", content)
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("scale: memory: %w", err)
+	}
+	return pages * int64(os.Getpagesize()), nil
+}
--- /dev/null
+++ b/scale/voter_worker.go
@@ -0,0 +1,161 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/replica"
+)
+
+// revocationTTL is how long the revocations of the load count.
+const revocationTTL = time.Hour
+
+// voterWorker runs the members of one process.
+type voterWorker struct {
+	setup    voterSetup
+	stores   map[string]*replica.Store
+	recorder *recorder
+}
+
+var _ worker = (*voterWorker)(nil)
+
+func (w *voterWorker) handle(ctx context.Context, method string, body json.RawMessage) (any, error) {
+	switch method {
+	case methodStart:
+		setup, err := decodeBody[voterSetup](body)
+		if err != nil {
+			return nil, err
+		}
+		return empty{}, w.start(setup)
+	case methodPropose:
+		asked, err := decodeBody[proposal](body)
+		if err != nil {
+			return nil, err
+		}
+		return w.propose(ctx, asked)
+	case methodLeads:
+		return w.leads(), nil
+	case methodStats:
+		return ownStats()
+	case methodResults:
+		asked, err := decodeBody[resultsRequest](body)
+		if err != nil {
+			return nil, err
+		}
+		return w.results(asked.Acked), nil
+	}
+	return nil, fmt.Errorf("%w: %s", errUnknownMethod, method)
+}
+
+func (w *voterWorker) start(setup voterSetup) error {
+	w.setup, w.stores = setup, map[string]*replica.Store{}
+	w.recorder = newRecorder(len(setup.Own))
+	for place, id := range setup.Own {
+		store, err := w.open(place, id)
+		if err != nil {
+			return fmt.Errorf("scale: member %s: %w", id, err)
+		}
+		w.stores[id] = store
+	}
+	return nil
+}
+
+func (w *voterWorker) open(place int, id string) (*replica.Store, error) {
+	at := slices.IndexFunc(w.setup.Members, func(m replica.Member) bool { return m.ID == id })
+	if at < 0 {
+		return nil, errors.New("not among the members")
+	}
+	identity, err := w.setup.Identity.TLS()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", w.setup.Members[at].Addr)
+	if err != nil {
+		return nil, err
+	}
+	options := replica.Options{
+		ID: id, Members: w.setup.Members, Listener: listener, TLS: identity, Dir: filepath.Join(w.setup.Dir, id),
+		Clock: clock.System(), Log: zerolog.Nop(),
+	}
+	if w.setup.Observe {
+		options.Changed = func(name string, value json.RawMessage) {
+			w.recorder.record(ConfigKey(name, value), place, time.Now())
+		}
+	}
+	store, err := replica.Open(options)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	return store, nil
+}
+
+// propose has a member propose an operation, and tells when it learned that it was agreed on.
+func (w *voterWorker) propose(ctx context.Context, asked proposal) (acknowledgement, error) {
+	store := w.stores[asked.Member]
+	if store == nil {
+		return acknowledgement{}, fmt.Errorf("scale: no member %q here", asked.Member)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	operation := asked.Operation
+	var err error
+	switch operation.Kind {
+	case distribution.KindPut:
+		err = store.Put(ctx, operation.Name, operation.Value)
+	case distribution.KindRevoke:
+		err = store.Revoke(ctx, operation.Name, float64(time.Now().Add(revocationTTL).UnixMilli()))
+	case distribution.KindPurge:
+		err = purge(ctx, store, operation)
+	default:
+		err = fmt.Errorf("scale: operation of kind %q", operation.Kind)
+	}
+	return acknowledgement{At: time.Now()}, err
+}
+
+func (w *voterWorker) leads() leadership {
+	for id, store := range w.stores {
+		if store.Leads() {
+			return leadership{Leader: id}
+		}
+	}
+	return leadership{}
+}
+
+// results gives the times from acknowledged to in force at the members of this process.
+func (w *voterWorker) results(acked []AckedChange) Results {
+	out := Results{Latencies: map[string]*Latencies{}, Everyone: map[uint64]ChangeReach{}}
+	tally := newLatencyTally()
+	for _, change := range acked {
+		var reach ChangeReach
+		for _, inForceAt := range w.recorder.times(change.Key) {
+			if inForceAt.IsZero() {
+				tally.missingFresh++
+				reach.Missing++
+				continue
+			}
+			latency := inForceAt.Sub(change.At)
+			recordDuration(tally.fresh, latency)
+			reach.Slowest = max(reach.Slowest, latency)
+		}
+		out.Everyone[change.Key] = reach
+	}
+	out.Latencies[ClassChange] = tally.latencies()
+	return out
+}
+
+func (w *voterWorker) close() error {
+	var failed []error
+	for _, store := range w.stores {
+		failed = append(failed, store.Close())
+	}
+	return errors.Join(failed...)
+}
