--- /dev/null
+++ b/cmd/hollow/plot.go
@@ -0,0 +1,8 @@
+package main
+
+import (
+	"errors"
+	"io"
+)
+
+func plot(args []string, out, errOut io.Writer) error { return errors.New("not built yet") }
--- a/scale/child.go
+++ b/scale/child.go
@@ -21,7 +21,7 @@
 
 // worker carries out the requests of one role.
 type worker interface {
-	// handle carries out one request; several run at once.
+	// handle carries out one request; but for the start, several run at once.
 	handle(ctx context.Context, method string, body json.RawMessage) (any, error)
 	// close ends all that was started.
 	close() error
@@ -72,12 +72,17 @@
 		if decoder.Decode(&asked) != nil { // the parent is done, or gone
 			break
 		}
-		running.Go(func() {
+		respond := func() {
 			answer := answerRequest(ctx, worker, asked)
 			writing.Lock()
 			defer writing.Unlock()
 			encoder.Encode(answer) // fails only where the parent is gone
-		})
+		}
+		if asked.Method == methodStart { // what it sets up is there for all that follow
+			respond()
+			continue
+		}
+		running.Go(respond)
 	}
 	// Guards against a child that outlives its parent.
 	time.AfterFunc(childExitTimeout, func() { os.Exit(1) })
--- a/scale/cluster.go
+++ b/scale/cluster.go
@@ -22,12 +22,15 @@
 	maxGatewayProcesses = 12
 )
 
+var errNoRelay = errors.New("scale: the cluster has no relay")
+
 // clusterOptions are what a cluster is made of.
 type clusterOptions struct {
 	topology Topology
 	voters   int
 	stores   int
 	seed     uint64
+	relay    bool      // between gateways and voters, for faults of the network
 	dir      string    // for the voters' files
 	log      io.Writer // what the children say
 }
@@ -183,7 +186,14 @@
 	}
 }
 
+// startRelay starts the relay where there is one, and gives the addresses at which each site reaches the voters.
 func (c *cluster) startRelay(ctx context.Context) (routes relayRoutes, err error) {
+	if !c.options.relay {
+		for range c.options.topology.Sites {
+			routes.Sites = append(routes.Sites, c.members)
+		}
+		return routes, nil
+	}
 	if c.relay, err = StartProcess(RoleRelay, c.options.log); err != nil {
 		return routes, err
 	}
@@ -282,6 +292,9 @@
 
 // setLink sets the network between sites and voters.
 func (c *cluster) setLink(ctx context.Context, condition linkCondition) error {
+	if c.relay == nil {
+		return errNoRelay
+	}
 	return c.relay.Call(ctx, methodLink, condition, nil)
 }
 
--- a/scale/gateway_worker.go
+++ b/scale/gateway_worker.go
@@ -12,12 +12,9 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/internal/hollow"
-)
-
-const (
-	leaseSampleInterval = 100 * time.Millisecond
-	standstill          = 2 * time.Second // without a sample: the process stood still, and so did its gateways
+	"turnfork.dev/turnfork/replica"
 )
 
 // gatewayWorker runs the hollow gateways of one process.
@@ -43,10 +40,11 @@
 	spec    gatewaySpec
 	history leaseHistory
 
-	mu           sync.Mutex
-	gateway      *hollow.Gateway
-	subscription subscription
-	claimedAt    time.Time // the last completeness that was entered as a claim
+	mu         sync.Mutex
+	gateway    *hollow.Gateway
+	subscriber *replica.Subscriber
+	status     replica.SubscriberStatus // when it was last asked for
+	past       Traffic                  // of earlier incarnations
 }
 
 func (w *gatewayWorker) handle(ctx context.Context, method string, body json.RawMessage) (any, error) {
@@ -64,7 +62,9 @@
 		}
 		return empty{}, w.restart(asked.Gateways)
 	case methodStats:
-		return ownStats()
+		stats, err := ownStats()
+		stats.Traffic = w.traffic()
+		return stats, err
 	case methodStates:
 		return w.states(), nil
 	case methodResults:
@@ -96,7 +96,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
-	w.sampler.Go(func() { w.sampleLeases(ctx, w.gateways) })
+	w.sampler.Go(func() { w.sampleLeases(ctx) })
 	return nil
 }
 
@@ -110,17 +110,28 @@
 	if err != nil {
 		return err
 	}
-	subscription, err := subscribe(running.spec, w.setup.Identity, w.clock, gateway)
+	subscriber, err := w.subscribe(running.spec, gateway)
 	if err != nil {
 		gateway.Close()
 		return fmt.Errorf("scale: gateway %s: %w", running.spec.Name, err)
 	}
 	running.mu.Lock()
 	defer running.mu.Unlock()
-	running.gateway, running.subscription, running.claimedAt = gateway, subscription, time.Time{}
+	running.gateway, running.subscriber, running.status = gateway, subscriber, replica.SubscriberStatus{}
 	return nil
 }
 
+// subscribe opens a gateway's subscription to the log.
+func (w *gatewayWorker) subscribe(spec gatewaySpec, effects distribution.Effects) (*replica.Subscriber, error) {
+	identity, err := w.setup.Identity.TLS()
+	if err != nil {
+		return nil, err
+	}
+	return replica.OpenSubscriber(replica.SubscriberOptions{
+		Name: spec.Name, Voters: spec.Voters, TLS: identity, Clock: w.clock, Log: zerolog.Nop(), Effects: effects,
+	})
+}
+
 // restart closes gateways and starts them anew, as after the end of their processes.
 func (w *gatewayWorker) restart(places []int) error {
 	var failed []error
@@ -138,13 +149,16 @@
 func (r *runningGateway) stop() error {
 	r.history.stopped(time.Now())
 	r.mu.Lock()
-	gateway, subscription := r.gateway, r.subscription
-	r.gateway, r.subscription = nil, nil
+	gateway, subscriber := r.gateway, r.subscriber
+	if subscriber != nil {
+		r.past.add(trafficOf(subscriber.Status()))
+	}
+	r.gateway, r.subscriber, r.status = nil, nil, replica.SubscriberStatus{}
 	r.mu.Unlock()
 	if gateway == nil {
 		return nil
 	}
-	err := subscription.Close()
+	err := subscriber.Close()
 	gateway.Close()
 	return err
 }
@@ -161,48 +175,21 @@
 	return errors.Join(failed...)
 }
 
-// sampleLeases follows the leases of all gateways until ctx ends.
-func (w *gatewayWorker) sampleLeases(ctx context.Context, gateways []*runningGateway) {
-	ticker := time.NewTicker(leaseSampleInterval)
-	defer ticker.Stop()
-	for previous := time.Now(); ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		now := time.Now()
-		for _, running := range gateways {
-			if now.Sub(previous) > standstill {
-				running.history.observe(false, previous)
-			}
-			w.sampleLease(running, now)
-		}
-		previous = now
+// traffic sums up what all gateways have counted.
+func (w *gatewayWorker) traffic() (sum Traffic) {
+	for _, running := range w.gateways {
+		running.mu.Lock()
+		sum.add(running.past)
+		sum.add(trafficOf(running.status))
+		running.mu.Unlock()
 	}
+	return sum
 }
 
-// sampleLease enters a gateway's lease, and its claim of freshness where that is a new one. The claim counts from when
-// the core has handled all that came before it.
-func (w *gatewayWorker) sampleLease(running *runningGateway, now time.Time) {
-	running.mu.Lock()
-	defer running.mu.Unlock()
-	if running.subscription == nil {
-		return
-	}
-	fresh, completeAt := running.subscription.Fresh(), running.subscription.CompleteAt()
-	catchUp, first := running.history.observe(fresh, now)
-	w.mu.Lock()
-	if first {
-		recordDuration(w.catchUp, catchUp)
-	}
-	if !completeAt.IsZero() {
-		recordDuration(w.staleness, now.Sub(completeAt))
-	}
-	w.mu.Unlock()
-	if fresh && completeAt.After(running.claimedAt) {
-		running.claimedAt = completeAt
-		running.gateway.Checkpoint(func(at time.Time) { running.history.claim(at, completeAt) })
+func trafficOf(status replica.SubscriberStatus) Traffic {
+	return Traffic{
+		BytesIn: int64(status.BytesIn), BytesOut: int64(status.BytesOut), MessagesIn: int64(status.MessagesIn),
+		MessagesOut: int64(status.MessagesOut), Reconnects: int64(status.Reconnects), Snapshots: int64(status.Snapshots),
 	}
 }
 
@@ -210,10 +197,10 @@
 	var out []State
 	for _, running := range w.gateways {
 		running.mu.Lock()
-		if subscription := running.subscription; subscription != nil {
+		if running.subscriber != nil {
+			status := running.subscriber.Status()
 			out = append(out, State{
-				Name: running.spec.Name, Position: subscription.Position(), Digest: subscription.Digest(),
-				Fresh: subscription.Fresh(),
+				Name: running.spec.Name, Position: status.Position, Digest: status.Digest, Fresh: status.Fresh,
 			})
 		}
 		running.mu.Unlock()
--- a/scale/monitor.go
+++ b/scale/monitor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 )
@@ -62,7 +61,9 @@
 			ask(process, 0)
 		}
 	}
-	ask(m.cluster.relay, 0)
+	if m.cluster.relay != nil {
+		ask(m.cluster.relay, 0)
+	}
 	asking.Wait()
 }
 
@@ -144,69 +145,79 @@
 	return 100 * float64(to.CPU-from.CPU) / float64(to.At.Sub(from.At))
 }
 
-// TrafficReport is what the connections between gateways and voters carried, each second.
+// TrafficReport is what the connections between gateways and voters carried.
 type TrafficReport struct {
-	GatewayBytesIn    float64   `json:"gateway_bytes_in_per_s"` // of one gateway on average
-	GatewayBytesOut   float64   `json:"gateway_bytes_out_per_s"`
-	GatewayRecordsIn  float64   `json:"gateway_records_in_per_s"`
-	GatewayRecordsOut float64   `json:"gateway_records_out_per_s"`
-	GatewayBytesPeak  float64   `json:"gateway_bytes_peak_per_s"` // both ways, in the second with most
-	VoterBytesOut     []float64 `json:"voter_bytes_out_per_s"`
-	VoterBytesIn      []float64 `json:"voter_bytes_in_per_s"`
-	VoterRecordsOut   []float64 `json:"voter_records_out_per_s"`
-	VoterConnections  []int64   `json:"voter_connections_max"`
-	ConnectionsOpened int64     `json:"connections_opened"`
-}
-
-// traffic sums up what the relay carried, for a number of gateways.
+	GatewayBytesIn     float64   `json:"gateway_bytes_in_per_s"` // of one gateway on average
+	GatewayBytesOut    float64   `json:"gateway_bytes_out_per_s"`
+	GatewayMessagesIn  float64   `json:"gateway_messages_in_per_s"`
+	GatewayMessagesOut float64   `json:"gateway_messages_out_per_s"`
+	GatewayBytesPeak   float64   `json:"gateway_bytes_peak_per_s"` // both ways, on average in a process, in the second with most
+	Reconnects         int64     `json:"reconnects"`
+	Snapshots          int64     `json:"snapshots"`
+	VoterBytesIn       []float64 `json:"voter_bytes_in_per_s"` // by process, other voters' connections included
+	VoterBytesOut      []float64 `json:"voter_bytes_out_per_s"`
+	VoterSubscribers   []int64   `json:"voter_subscribers_max"`
+}
+
+// traffic sums up what gateways and voters counted, for a number of gateways.
 func (m *monitor) traffic(gateways int) (out TrafficReport) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.series[RoleRelay]) == 0 || len(m.series[RoleRelay][0].samples) < 2 {
-		return out
-	}
-	samples := m.series[RoleRelay][0].samples
-	first, last := samples[0], samples[len(samples)-1]
-	each := float64(gateways)
-	for voter := range first.Traffic {
-		rate := trafficRate(first, last, voter)
-		out.GatewayBytesIn += rate.bytesOut / each
-		out.GatewayBytesOut += rate.bytesIn / each
-		out.GatewayRecordsIn += rate.recordsOut / each
-		out.GatewayRecordsOut += rate.recordsIn / each
-		out.VoterBytesOut = append(out.VoterBytesOut, rate.bytesOut)
-		out.VoterBytesIn = append(out.VoterBytesIn, rate.bytesIn)
-		out.VoterRecordsOut = append(out.VoterRecordsOut, rate.recordsOut)
-		out.ConnectionsOpened += last.Traffic[voter].Accepted - first.Traffic[voter].Accepted
-		out.VoterConnections = append(out.VoterConnections, maxConnections(samples, voter))
-	}
-	for i := 1; i < len(samples); i++ {
-		total := 0.0
-		for voter := range first.Traffic {
-			rate := trafficRate(samples[i-1], samples[i], voter)
-			total += rate.bytesIn + rate.bytesOut
+	for _, series := range m.series[RoleGateways] {
+		if len(series.samples) < 2 {
+			continue
 		}
-		out.GatewayBytesPeak = max(out.GatewayBytesPeak, total/each)
+		rate := trafficRate(series.samples[0], series.samples[len(series.samples)-1])
+		out.GatewayBytesIn += rate.bytesIn / float64(gateways)
+		out.GatewayBytesOut += rate.bytesOut / float64(gateways)
+		out.GatewayMessagesIn += rate.messagesIn / float64(gateways)
+		out.GatewayMessagesOut += rate.messagesOut / float64(gateways)
+		out.Reconnects += rate.reconnects
+		out.Snapshots += rate.snapshots
+		out.GatewayBytesPeak = max(out.GatewayBytesPeak, series.bytesPeak()/float64(series.gateways))
+	}
+	for _, series := range m.series[RoleVoters] {
+		if len(series.samples) < 2 {
+			continue
+		}
+		rate := trafficRate(series.samples[0], series.samples[len(series.samples)-1])
+		out.VoterBytesIn = append(out.VoterBytesIn, rate.bytesIn)
+		out.VoterBytesOut = append(out.VoterBytesOut, rate.bytesOut)
+		out.VoterSubscribers = append(out.VoterSubscribers, series.maxSubscribers())
 	}
 	return out
 }
 
-// voterRate is the traffic of a voter in a second, as the voter sees it.
-type voterRate struct{ bytesIn, bytesOut, recordsIn, recordsOut float64 }
+// rate is the traffic of a process between two samples: each second, but for the counts of reconnects and snapshots.
+type rate struct {
+	bytesIn, bytesOut, messagesIn, messagesOut float64
+
+	reconnects, snapshots int64
+}
 
-func trafficRate(from, to ProcessStats, voter int) voterRate {
+func trafficRate(from, to ProcessStats) rate {
 	seconds := to.At.Sub(from.At).Seconds()
-	before, after := from.Traffic[voter], to.Traffic[voter]
-	return voterRate{
+	before, after := from.Traffic, to.Traffic
+	return rate{
 		bytesIn: float64(after.BytesIn-before.BytesIn) / seconds, bytesOut: float64(after.BytesOut-before.BytesOut) / seconds,
-		recordsIn:  float64(after.RecordsIn-before.RecordsIn) / seconds,
-		recordsOut: float64(after.RecordsOut-before.RecordsOut) / seconds,
+		messagesIn:  float64(after.MessagesIn-before.MessagesIn) / seconds,
+		messagesOut: float64(after.MessagesOut-before.MessagesOut) / seconds,
+		reconnects:  after.Reconnects - before.Reconnects, snapshots: after.Snapshots - before.Snapshots,
 	}
 }
 
-func maxConnections(samples []ProcessStats, voter int) int64 {
-	most := slices.MaxFunc(samples, func(a, b ProcessStats) int {
-		return int(a.Traffic[voter].Connections - b.Traffic[voter].Connections)
-	})
-	return most.Traffic[voter].Connections
+// bytesPeak is the most that a process carried both ways within a second.
+func (s *usageSeries) bytesPeak() (peak float64) {
+	for i := 1; i < len(s.samples); i++ {
+		rate := trafficRate(s.samples[i-1], s.samples[i])
+		peak = max(peak, rate.bytesIn+rate.bytesOut)
+	}
+	return peak
+}
+
+func (s *usageSeries) maxSubscribers() (most int64) {
+	for _, sample := range s.samples {
+		most = max(most, sample.Traffic.Subscribers)
+	}
+	return most
 }
--- a/scale/protocol.go
+++ b/scale/protocol.go
@@ -188,16 +188,28 @@
 	RSS         int64         `json:"rss"`
 	Descriptors int           `json:"descriptors"`
 	Goroutines  int           `json:"goroutines"`
-	Traffic     []Traffic     `json:"traffic,omitempty"` // of a relay, by voter
+	Traffic     Traffic       `json:"traffic,omitzero"`
 }
 
-// Traffic counts what the gateways' connections with a voter carried, as the voter sees it: bytes within TCP and TLS
-// records.
+// Traffic counts what was carried between gateways and voters: bytes within TCP, and the protocol's messages. A gateway
+// process counts for all its gateways. A voter counts the bytes of the connections that it accepted, those of other voters
+// included, and no messages.
 type Traffic struct {
 	BytesIn     int64 `json:"bytes_in"`
 	BytesOut    int64 `json:"bytes_out"`
-	RecordsIn   int64 `json:"records_in"`
-	RecordsOut  int64 `json:"records_out"`
-	Connections int64 `json:"connections"` // open now
-	Accepted    int64 `json:"accepted"`    // since the start
+	MessagesIn  int64 `json:"messages_in"`
+	MessagesOut int64 `json:"messages_out"`
+	Reconnects  int64 `json:"reconnects"`  // of gateways
+	Snapshots   int64 `json:"snapshots"`   // received by gateways
+	Subscribers int64 `json:"subscribers"` // of a voter, now
+}
+
+// add adds the counts of another.
+func (t *Traffic) add(other Traffic) {
+	t.BytesIn += other.BytesIn
+	t.BytesOut += other.BytesOut
+	t.MessagesIn += other.MessagesIn
+	t.MessagesOut += other.MessagesOut
+	t.Reconnects += other.Reconnects
+	t.Snapshots += other.Snapshots
 }
--- a/scale/relay.go
+++ b/scale/relay.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"turnfork.dev/turnfork/replica"
@@ -22,11 +21,10 @@
 
 // relayWorker carries connections between sites and voters, and holds them up or ends them as it is told.
 type relayWorker struct {
-	mu     sync.Mutex
-	sites  []*siteLink
-	ports  []net.Listener
-	tasks  sync.WaitGroup
-	meters []trafficMeter // by voter
+	mu    sync.Mutex
+	sites []*siteLink
+	ports []net.Listener
+	tasks sync.WaitGroup
 }
 
 var _ worker = (*relayWorker)(nil)
@@ -46,9 +44,7 @@
 		}
 		return empty{}, r.setCondition(condition)
 	case methodStats:
-		stats, err := ownStats()
-		stats.Traffic = r.traffic()
-		return stats, err
+		return ownStats()
 	}
 	return nil, fmt.Errorf("%w: %s", errUnknownMethod, method)
 }
@@ -58,7 +54,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var routes relayRoutes
-	r.meters = make([]trafficMeter, len(setup.Voters))
 	for range setup.Sites {
 		link := newSiteLink()
 		r.sites = append(r.sites, link)
@@ -69,7 +64,7 @@
 				return routes, fmt.Errorf("scale: relay: %w", err)
 			}
 			r.ports = append(r.ports, listener)
-			r.tasks.Go(func() { link.accept(listener, route{voter.Addr, &r.meters[i]}, &r.tasks) })
+			r.tasks.Go(func() { link.accept(listener, voter.Addr, &r.tasks) })
 			port := listener.Addr().(*net.TCPAddr).Port
 			addresses = append(addresses, replica.Member{
 				ID: voter.ID, Addr: net.JoinHostPort(setup.IPs[i], strconv.Itoa(port)),
@@ -80,16 +75,6 @@
 	return routes, nil
 }
 
-// traffic gives the counts by voter.
-func (r *relayWorker) traffic() (out []Traffic) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range r.meters {
-		out = append(out, r.meters[i].read())
-	}
-	return out
-}
-
 func (r *relayWorker) setCondition(condition linkCondition) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,12 +101,6 @@
 	return errors.Join(failed...)
 }
 
-// route leads to a voter, and counts what goes there and back.
-type route struct {
-	voter string // its address
-	meter *trafficMeter
-}
-
 // siteLink is the network between one site and the voters.
 type siteLink struct {
 	mu    sync.Mutex
@@ -198,7 +177,7 @@
 }
 
 // accept takes connections for a voter until the listener is closed.
-func (s *siteLink) accept(listener net.Listener, route route, tasks *sync.WaitGroup) {
+func (s *siteLink) accept(listener net.Listener, voter string, tasks *sync.WaitGroup) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -208,17 +187,17 @@
 			time.Sleep(acceptRetryPause)
 			continue
 		}
-		tasks.Go(func() { s.carry(conn, route) })
+		tasks.Go(func() { s.carry(conn, voter) })
 	}
 }
 
 // carry joins a connection to a voter until either side ends.
-func (s *siteLink) carry(near net.Conn, route route) {
+func (s *siteLink) carry(near net.Conn, voter string) {
 	defer s.remove(near)
 	if !s.admit(near) {
 		return
 	}
-	far, err := net.DialTimeout("tcp", route.voter, relayDialTimeout)
+	far, err := net.DialTimeout("tcp", voter, relayDialTimeout)
 	if err != nil {
 		return
 	}
@@ -226,26 +205,20 @@
 	if !s.admit(far) {
 		return
 	}
-	route.meter.accepted.Add(1)
-	route.meter.connections.Add(1)
-	defer route.meter.connections.Add(-1)
 	var both sync.WaitGroup
-	both.Go(func() { s.copy(far, near, &route.meter.toVoters) })
-	s.copy(near, far, &route.meter.toGateways)
+	both.Go(func() { s.copy(far, near) })
+	s.copy(near, far)
 	both.Wait()
 }
 
 // copy carries data one way, and ends both ways with it.
-func (s *siteLink) copy(to, from net.Conn, count *flowMeter) {
+func (s *siteLink) copy(to, from net.Conn) {
 	defer to.Close()
 	defer from.Close()
-	var records recordCounter
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			count.bytes.Add(int64(n))
-			count.records.Add(records.count(buffer[:n]))
 			s.passage()
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -256,20 +229,3 @@
 		}
 	}
 }
-
-// trafficMeter counts what a relay carried.
-type trafficMeter struct {
-	toGateways, toVoters  flowMeter
-	connections, accepted atomic.Int64
-}
-
-type flowMeter struct{ bytes, records atomic.Int64 }
-
-// read gives the counts as the voters' side sees them.
-func (m *trafficMeter) read() Traffic {
-	return Traffic{
-		BytesIn: m.toVoters.bytes.Load(), RecordsIn: m.toVoters.records.Load(),
-		BytesOut: m.toGateways.bytes.Load(), RecordsOut: m.toGateways.records.Load(),
-		Connections: m.connections.Load(), Accepted: m.accepted.Load(),
-	}
-}
--- a/scale/run.go
+++ b/scale/run.go
@@ -71,7 +71,7 @@
 	report := newReport(options)
 	cluster, err := startCluster(ctx, clusterOptions{
 		topology: Topology{Gateways: options.Gateways, Sites: options.Sites}, voters: options.Voters, stores: options.Stores,
-		seed: options.Seed, dir: dir, log: options.Progress,
+		seed: options.Seed, relay: needsRelay(options.Scenario), dir: dir, log: options.Progress,
 	}, progress)
 	if err != nil {
 		return nil, err
--- a/scale/scenario.go
+++ b/scale/scenario.go
@@ -11,9 +11,10 @@
 
 // step is something that a scenario does at a share of the run.
 type step struct {
-	at   float64
-	what string
-	do   func(ctx context.Context, f *faults) error
+	at      float64
+	what    string
+	do      func(f *faults, ctx context.Context) error
+	relayed bool // it needs the relay
 }
 
 // faults carries out the steps of a scenario.
@@ -30,15 +31,18 @@
 	slowReaderDelay = 1500 * time.Millisecond
 )
 
+// ScenarioQuiet is the one without faults.
+const ScenarioQuiet = "quiet"
+
 // scenarios are the faults by name.
 var scenarios = map[string][]step{
-	"quiet": nil,
+	ScenarioQuiet: nil,
 	"voter-death": {
-		{0.30, "the leader is killed", (*faults).killLeader},
-		{0.50, "a tenth of the gateways starts anew", (*faults).restartTenth},
-		{0.70, "the killed voter starts again", (*faults).reviveVoter},
+		{at: 0.30, what: "the leader is killed", do: (*faults).killLeader},
+		{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth},
+		{at: 0.70, what: "the killed voter starts again", do: (*faults).reviveVoter},
 	},
-	"reconnect":   {{0.50, "a tenth of the gateways starts anew", (*faults).restartTenth}},
+	"reconnect":   {{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth}},
 	"site-cut":    cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
 	"zone-cut":    cutAndHeal("a zone is cut off", func(f *faults) []int { return f.topology().ZoneSites(0) }),
 	"region-cut":  cutAndHeal("a region is cut off", func(f *faults) []int { return f.topology().RegionSites(0) }),
@@ -46,8 +50,8 @@
 	"delay":       linkFault("a region's links are slow", linkCondition{Delay: linkDelay}, func(f *faults) []int { return f.topology().RegionSites(0) }),
 	"slow-reader": linkFault("a site reads slowly", linkCondition{Delay: slowReaderDelay}, func(f *faults) []int { return []int{0} }),
 	"pause": {
-		{0.30, "a process of gateways stands still", (*faults).pauseGateways},
-		{0.60, "it goes on", (*faults).resumeGateways},
+		{at: 0.30, what: "a process of gateways stands still", do: (*faults).pauseGateways},
+		{at: 0.60, what: "it goes on", do: (*faults).resumeGateways},
 	},
 }
 
@@ -60,13 +64,21 @@
 
 // linkFault puts the links of some sites into a condition for a time in the middle of the run.
 func linkFault(what string, condition linkCondition, sites func(*faults) []int) []step {
-	set := func(condition linkCondition) func(context.Context, *faults) error {
-		return func(ctx context.Context, f *faults) error {
+	set := func(condition linkCondition) func(*faults, context.Context) error {
+		return func(f *faults, ctx context.Context) error {
 			condition.Sites = sites(f)
 			return f.cluster.setLink(ctx, condition)
 		}
 	}
-	return []step{{0.30, what, set(condition)}, {0.60, "that is over", set(linkCondition{})}}
+	return []step{
+		{at: 0.30, what: what, do: set(condition), relayed: true},
+		{at: 0.60, what: "that is over", do: set(linkCondition{}), relayed: true},
+	}
+}
+
+// needsRelay tells whether a scenario changes the network.
+func needsRelay(scenario string) bool {
+	return slices.ContainsFunc(scenarios[scenario], func(s step) bool { return s.relayed })
 }
 
 func newFaults(c *cluster, seed uint64) *faults {
@@ -83,7 +95,7 @@
 			return ctx.Err()
 		}
 		progress.print("fault: %s", step.what)
-		if err := step.do(ctx, f); err != nil {
+		if err := step.do(f, ctx); err != nil {
 			return fmt.Errorf("scale: fault %q: %w", step.what, err)
 		}
 	}
--- a/scale/voter_worker.go
+++ b/scale/voter_worker.go
@@ -24,6 +24,7 @@
 	setup    voterSetup
 	stores   map[string]*replica.Store
 	recorder *recorder
+	bytes    byteCounter
 }
 
 var _ worker = (*voterWorker)(nil)
@@ -45,7 +46,9 @@
 	case methodLeads:
 		return w.leads(), nil
 	case methodStats:
-		return ownStats()
+		stats, err := ownStats()
+		stats.Traffic = w.traffic()
+		return stats, err
 	case methodResults:
 		asked, err := decodeBody[resultsRequest](body)
 		if err != nil {
@@ -83,7 +86,7 @@
 		return nil, err
 	}
 	options := replica.Options{
-		ID: id, Members: w.setup.Members, Listener: listener, TLS: identity, Dir: filepath.Join(w.setup.Dir, id),
+		ID: id, Members: w.setup.Members, Listener: &countingListener{Listener: listener, bytes: &w.bytes}, TLS: identity, Dir: filepath.Join(w.setup.Dir, id),
 		Clock: clock.System(), Log: zerolog.Nop(),
 	}
 	if w.setup.Observe {
@@ -114,13 +117,23 @@
 	case distribution.KindRevoke:
 		err = store.Revoke(ctx, operation.Name, float64(time.Now().Add(revocationTTL).UnixMilli()))
 	case distribution.KindPurge:
-		err = purge(ctx, store, operation)
+		err = store.Purge(ctx, operation.Object, operation.Group)
 	default:
 		err = fmt.Errorf("scale: operation of kind %q", operation.Kind)
 	}
 	return acknowledgement{At: time.Now()}, err
 }
 
+// traffic tells what the connections carried that the members accepted.
+func (w *voterWorker) traffic() Traffic {
+	out := Traffic{BytesIn: w.bytes.in.Load(), BytesOut: w.bytes.out.Load()}
+	for _, store := range w.stores {
+		subscribers, _ := store.Subscribers()
+		out.Subscribers += int64(subscribers)
+	}
+	return out
+}
+
 func (w *voterWorker) leads() leadership {
 	for id, store := range w.stores {
 		if store.Leads() {
