--- /dev/null
+++ b/scale/voters.go
@@ -0,0 +1,290 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/replica"
+)
+
+// VotersOptions are what a run of the former state is made of: every gateway votes, and none subscribes.
+type VotersOptions struct {
+	Counts   []int         // members, for each of which there is a run
+	Duration time.Duration // of the load of each run
+	Seed     uint64
+	Progress io.Writer
+}
+
+const (
+	votersWriters    = 8 // that propose one change after the other
+	votersProcesses  = 15
+	votersStartLimit = 45 * time.Second
+	votersDrain      = 3 * time.Second // for the last changes to come into force
+	leaderInterval   = 250 * time.Millisecond
+	failedShareLimit = 0.5
+)
+
+// VotersReport is the outcome of runs of members that all vote.
+type VotersReport struct {
+	Mode    string      `json:"mode"`
+	Seed    uint64      `json:"seed"`
+	Machine Machine     `json:"machine"`
+	Runs    []VotersRun `json:"runs"`
+}
+
+// VotersRun is the outcome for one number of members.
+type VotersRun struct {
+	Members       int          `json:"members"`
+	Processes     int          `json:"processes"`
+	Seconds       float64      `json:"seconds"`
+	ElectedMS     float64      `json:"elected_ms"` // from the start to the first leader
+	Leaders       int          `json:"leaders"`    // how often leadership was seen to change, the first leader included
+	Acked         int          `json:"acknowledged"`
+	Failed        int          `json:"failed"`
+	PutsPerSecond float64      `json:"puts_per_s"`
+	Acknowledge   Distribution `json:"acknowledge"` // from proposed to acknowledged
+	InForce       Distribution `json:"in_force"`    // from acknowledged to in force at each member
+	Everywhere    Distribution `json:"everywhere"`
+	Missing       int          `json:"missing"`
+	MemberCPU     float64      `json:"member_cpu_percent"` // of a core, on average
+	MemberRSS     float64      `json:"member_rss_bytes"`
+	Stopped       string       `json:"stopped,omitempty"` // why it went no further
+}
+
+// RunVoters measures clusters whose members all vote, of ascending size, until one does not hold.
+func RunVoters(ctx context.Context, options VotersOptions) (*VotersReport, error) {
+	report := &VotersReport{Mode: ModeVoters, Seed: options.Seed, Machine: thisMachine()}
+	progress := newProgress(options.Progress)
+	for _, members := range options.Counts {
+		progress.print("%d members that all vote", members)
+		run, err := runVoters(ctx, members, options)
+		if err != nil {
+			return report, err
+		}
+		report.Runs = append(report.Runs, run)
+		progress.print("%.0f puts/s, everywhere p99 %.0f ms, %.2f %% of a core for each, %d failed, %d leaders %s",
+			run.PutsPerSecond, run.Everywhere.P99, run.MemberCPU, run.Failed, run.Leaders, run.Stopped)
+		if run.Stopped != "" {
+			break
+		}
+	}
+	return report, nil
+}
+
+// runVoters measures one cluster. That it did not hold is no error, but stands in the run.
+func runVoters(ctx context.Context, members int, options VotersOptions) (run VotersRun, err error) {
+	dir, err := temporaryDir()
+	if err != nil {
+		return run, err
+	}
+	defer os.RemoveAll(dir)
+	cluster := &votersCluster{members: members, log: options.Progress, dir: dir}
+	defer cluster.stop()
+	run = VotersRun{Members: members, Processes: min(members, votersProcesses)}
+	startCtx, cancel := context.WithTimeout(ctx, votersStartLimit)
+	defer cancel()
+	begin := time.Now()
+	if err := cluster.start(startCtx, run.Processes); err != nil {
+		return run, err
+	}
+	if !cluster.awaitLeader(startCtx) {
+		run.Stopped = fmt.Sprintf("no leader within %v", votersStartLimit)
+		return run, ctx.Err()
+	}
+	run.ElectedMS = float64(time.Since(begin).Milliseconds())
+	err = cluster.measure(ctx, options, &run)
+	if total := run.Acked + run.Failed; total > 0 && float64(run.Failed) > failedShareLimit*float64(total) {
+		run.Stopped = fmt.Sprintf("%d of %d proposals failed", run.Failed, total)
+	}
+	return run, err
+}
+
+// votersCluster is a set of members that all vote, some to a process.
+type votersCluster struct {
+	members   int
+	dir       string
+	log       io.Writer
+	processes []*Process
+	host      []*Process // of each member
+}
+
+func (c *votersCluster) start(ctx context.Context, processes int) error {
+	const ip = "127.0.1.1"
+	authority, err := NewAuthority([]net.IP{net.ParseIP(ip)})
+	if err != nil {
+		return err
+	}
+	var all []replica.Member
+	for member := range c.members {
+		address, err := freeAddress(ip)
+		if err != nil {
+			return err
+		}
+		all = append(all, replica.Member{ID: voterID(member), Addr: address})
+	}
+	var group errgroup.Group
+	for _, own := range (Topology{Gateways: c.members, Sites: 1}).split(processes) {
+		identity, err := authority.Issue(voterID(own[0]))
+		if err != nil {
+			return errors.Join(err, group.Wait())
+		}
+		process, err := StartProcess(RoleVoters, c.log)
+		if err != nil {
+			return errors.Join(err, group.Wait())
+		}
+		c.processes = append(c.processes, process)
+		setup := voterSetup{Members: all, Dir: filepath.Clean(c.dir), Identity: identity, Observe: true}
+		for _, member := range own {
+			c.host = append(c.host, process)
+			setup.Own = append(setup.Own, voterID(member))
+		}
+		group.Go(func() error { return process.Call(ctx, methodStart, setup, nil) })
+	}
+	return group.Wait()
+}
+
+func (c *votersCluster) stop() {
+	var stopping sync.WaitGroup
+	for _, process := range c.processes {
+		stopping.Go(process.Stop)
+	}
+	stopping.Wait()
+}
+
+// leader gives the ID of the member that leads; "": none is known to.
+func (c *votersCluster) leader(ctx context.Context) string {
+	for _, process := range c.processes {
+		var leads leadership
+		if process.Call(ctx, methodLeads, empty{}, &leads) == nil && leads.Leader != "" {
+			return leads.Leader
+		}
+	}
+	return ""
+}
+
+func (c *votersCluster) awaitLeader(ctx context.Context) bool {
+	for c.leader(ctx) == "" {
+		if !pause(ctx, pollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// measure has writers propose for a duration, and compares what was acknowledged with what came into force.
+func (c *votersCluster) measure(ctx context.Context, options VotersOptions, run *VotersRun) error {
+	before, err := c.stats(ctx)
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	writers := &voterWriters{cluster: c, acknowledge: newHistogram()}
+	loadCtx, cancel := context.WithDeadline(ctx, begin.Add(options.Duration))
+	defer cancel()
+	var working sync.WaitGroup
+	for writer := range votersWriters {
+		working.Go(func() { writers.write(loadCtx, writer) })
+	}
+	working.Go(func() { run.Leaders = c.countLeaders(loadCtx) })
+	working.Wait()
+	seconds := time.Since(begin).Seconds()
+	after, err := c.stats(ctx)
+	if err != nil {
+		return err
+	}
+	run.enterUsage(before, after)
+	run.Seconds, run.Acked, run.Failed = seconds, len(writers.acked), writers.failed
+	run.PutsPerSecond, run.Acknowledge = float64(run.Acked)/seconds, summarize(writers.acknowledge)
+	pause(ctx, votersDrain)
+	return c.collect(ctx, writers.acked, run)
+}
+
+func (c *votersCluster) stats(ctx context.Context) ([]ProcessStats, error) {
+	all := make([]ProcessStats, len(c.processes))
+	for i, process := range c.processes {
+		if err := process.Call(ctx, methodStats, empty{}, &all[i]); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+func (r *VotersRun) enterUsage(before, after []ProcessStats) {
+	for i := range before {
+		r.MemberCPU += corePercent(before[i], after[i]) / float64(r.Members)
+		r.MemberRSS += float64(after[i].RSS) / float64(r.Members)
+	}
+}
+
+// countLeaders counts how often another member was seen to lead.
+func (c *votersCluster) countLeaders(ctx context.Context) (changes int) {
+	for last := ""; ; {
+		if leader := c.leader(ctx); leader != "" && leader != last {
+			last = leader
+			changes++
+		}
+		if !pause(ctx, leaderInterval) {
+			return changes
+		}
+	}
+}
+
+func (c *votersCluster) collect(ctx context.Context, acked []AckedChange, run *VotersRun) error {
+	results := make([]Results, len(c.processes))
+	for i, process := range c.processes {
+		if err := process.Call(ctx, methodResults, resultsRequest{Acked: acked}, &results[i]); err != nil {
+			return err
+		}
+	}
+	class := mergeClass(ClassChange, acked, results)
+	run.InForce, run.Everywhere, run.Missing = class.Fresh, class.Everywhere, class.MissingFresh
+	return nil
+}
+
+// voterWriters propose changes of configuration, each writer one after the other.
+type voterWriters struct {
+	cluster *votersCluster
+
+	mu          sync.Mutex
+	acked       []AckedChange
+	failed      int
+	acknowledge *hdrhistogram.Histogram
+}
+
+func (w *voterWriters) write(ctx context.Context, writer int) {
+	for number := 0; ctx.Err() == nil; number++ {
+		name := fmt.Sprintf("notes/%d", writer)
+		value := json.RawMessage(fmt.Sprintf(`{"writer":%d,"number":%d}`, writer, number))
+		member := (writer + number) % w.cluster.members
+		operation := Operation{Kind: distribution.KindPut, Name: name, Value: value, Key: ConfigKey(name, value)}
+		var ack acknowledgement
+		begin := time.Now()
+		// Not bound to ctx: what is under way at the end still counts.
+		attempt, cancel := context.WithTimeout(context.WithoutCancel(ctx), proposalTimeout)
+		err := w.cluster.host[member].Call(attempt, methodPropose, proposal{voterID(member), operation}, &ack)
+		cancel()
+		w.enter(operation, ack.At, ack.At.Sub(begin), err)
+	}
+}
+
+func (w *voterWriters) enter(operation Operation, at time.Time, took time.Duration, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.failed++
+		return
+	}
+	recordDuration(w.acknowledge, took)
+	w.acked = append(w.acked, AckedChange{Key: operation.Key, Kind: operation.Kind, Name: operation.Name, At: at})
+}
