--- a/cmd/hollow/run.go
+++ b/cmd/hollow/run.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -56,7 +57,9 @@
 
 // settings are the flags of a run.
 type settings struct {
+	mode    string
 	options scale.Options
+	members string // numbers of members, of the mode of voters alone
 	report  string
 }
 
@@ -65,6 +68,8 @@
 	options := &s.options
 	flags := flag.NewFlagSet("hollow", flag.ContinueOnError)
 	flags.SetOutput(errOut)
+	flags.StringVar(&s.mode, "mode", scale.ModeWatch, "watch: gateways subscribe; voters: all members vote, as the program was")
+	flags.StringVar(&s.members, "members", "3,5,9,15,25,51,101", "mode voters: the numbers of members, for each of which there is a run")
 	flags.IntVar(&options.Gateways, "count", 100, "hollow gateways")
 	flags.IntVar(&options.Sites, "sites", scale.FullSites, "sites that they stand at")
 	flags.IntVar(&options.Voters, "voters", scale.FullVoters, "voters")
@@ -95,6 +100,39 @@
 	if err != nil {
 		return err
 	}
+	switch s.mode {
+	case scale.ModeWatch:
+		return measureWatch(ctx, s, out, errOut)
+	case scale.ModeVoters:
+		return measureVoters(ctx, s, out)
+	}
+	return errUsage
+}
+
+// measureVoters runs clusters whose members all vote.
+func measureVoters(ctx context.Context, s settings, out io.Writer) error {
+	options := scale.VotersOptions{Duration: s.options.Duration, Seed: s.options.Seed, Progress: s.options.Progress}
+	for number := range strings.SplitSeq(s.members, ",") {
+		members, err := strconv.Atoi(number)
+		if err != nil || members < 1 {
+			return fmt.Errorf("-members: %q is no number of members", number)
+		}
+		options.Counts = append(options.Counts, members)
+	}
+	report, err := scale.RunVoters(ctx, options)
+	if err != nil {
+		return err
+	}
+	if s.report != "" {
+		if err := report.WriteFile(s.report); err != nil {
+			return err
+		}
+	}
+	return report.WriteBenchmark(out)
+}
+
+// measureWatch runs gateways that subscribe.
+func measureWatch(ctx context.Context, s settings, out, errOut io.Writer) error {
 	report, err := scale.Run(ctx, s.options)
 	if err != nil {
 		return err
--- /dev/null
+++ b/scale/plot.go
@@ -0,0 +1,82 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The plot's size, in panels and on the page.
+const (
+	plotColumns = 2
+	panelWidth  = 10 * vg.Centimeter
+	panelHeight = 6 * vg.Centimeter
+	panelGap    = 6 * vg.Millimeter
+)
+
+// PlotFile plots the figures of reports over the number of gateways, each with its fitted line, as an SVG file.
+func PlotFile(path string, reports []*Report) error {
+	rows := (len(Figures) + plotColumns - 1) / plotColumns
+	panels := make([][]*plot.Plot, rows)
+	for row := range panels {
+		panels[row] = make([]*plot.Plot, plotColumns)
+	}
+	for i, figure := range Figures {
+		panel, err := newPanel(figure, reports)
+		if err != nil {
+			return fmt.Errorf("scale: plot of %s: %w", figure.Name, err)
+		}
+		panels[i/plotColumns][i%plotColumns] = panel
+	}
+	canvas := vgsvg.New(plotColumns*panelWidth, vg.Length(rows)*panelHeight)
+	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: panelGap, PadY: panelGap, PadTop: panelGap, PadRight: panelGap}
+	for row, areas := range plot.Align(panels, tiles, draw.New(canvas)) {
+		for column, area := range areas {
+			if panel := panels[row][column]; panel != nil {
+				panel.Draw(area)
+			}
+		}
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("scale: plot: %w", err)
+	}
+	if _, err := canvas.WriteTo(file); err != nil {
+		file.Close()
+		return fmt.Errorf("scale: plot: %w", err)
+	}
+	if err := file.Close(); err != nil {
+		return fmt.Errorf("scale: plot: %w", err)
+	}
+	return nil
+}
+
+// newPanel plots one figure.
+func newPanel(figure Figure, reports []*Report) (*plot.Plot, error) {
+	panel := plot.New()
+	panel.Title.Text = figure.Name
+	panel.X.Label.Text = "gateways"
+	panel.Y.Label.Text = figure.Unit
+	panel.X.Min, panel.Y.Min = 0, 0
+	x, y := points(figure, reports)
+	measured := make(plotter.XYs, len(x))
+	for i := range x {
+		measured[i] = plotter.XY{X: x[i], Y: y[i]}
+	}
+	scatter, err := plotter.NewScatter(measured)
+	if err != nil {
+		return nil, err
+	}
+	scatter.Shape = draw.CircleGlyph{}
+	fit := FitFigure(figure, reports)
+	line := plotter.NewFunction(func(gateways float64) float64 { return fit.Intercept + fit.Slope*gateways })
+	line.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
+	panel.Add(plotter.NewGrid(), scatter, line)
+	panel.X.Min, panel.Y.Min = 0, 0 // beside the data, the origin
+	return panel, nil
+}
--- a/scale/report.go
+++ b/scale/report.go
@@ -127,8 +127,10 @@
 }
 
 // WriteFile writes the report as JSON.
-func (r *Report) WriteFile(path string) error {
-	content, err := json.MarshalIndent(r, "", "  ")
+func (r *Report) WriteFile(path string) error { return writeJSON(path, r) }
+
+func writeJSON(path string, report any) error {
+	content, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return fmt.Errorf("scale: report: %w", err)
 	}
@@ -172,6 +174,8 @@
 		prefix, r.Gateway.CPUMean, r.Gateway.RSSBytes, r.Traffic.GatewayBytesIn, r.Traffic.GatewayBytesOut)
 	voter := r.Usage[RoleVoters]
 	fmt.Fprintf(&text, "%s/voter 1 %.3f cpu-%% %.3f cpu-peak-%% %d rss-B\n", prefix, voter.CPUHighestMean, voter.CPUPeak, voter.RSSHighest)
-	_, err := io.WriteString(out, text.String())
-	return err
+	if _, err := io.WriteString(out, text.String()); err != nil {
+		return fmt.Errorf("scale: benchmark lines: %w", err)
+	}
+	return nil
 }
--- a/scale/voters.go
+++ b/scale/voters.go
@@ -275,6 +275,9 @@
 		err := w.cluster.host[member].Call(attempt, methodPropose, proposal{voterID(member), operation}, &ack)
 		cancel()
 		w.enter(operation, ack.At, ack.At.Sub(begin), err)
+		if err != nil {
+			pause(ctx, proposalRetryPause)
+		}
 	}
 }
 
@@ -288,3 +291,22 @@
 	recordDuration(w.acknowledge, took)
 	w.acked = append(w.acked, AckedChange{Key: operation.Key, Kind: operation.Kind, Name: operation.Name, At: at})
 }
+
+// WriteFile writes the report as JSON.
+func (r *VotersReport) WriteFile(path string) error { return writeJSON(path, r) }
+
+// WriteBenchmark writes the report's figures as lines of Go's benchmark format, which benchstat compares.
+func (r *VotersReport) WriteBenchmark(out io.Writer) error {
+	for _, run := range r.Runs {
+		if run.Acked == 0 {
+			continue
+		}
+		_, err := fmt.Fprintf(out,
+			"BenchmarkVoters/members=%d 1 %.2f puts/s %.3f ack-p50-ms %.3f ack-p99-ms %.3f everywhere-p99-ms %.4f cpu-%%/member %.0f rss-B/member\n",
+			run.Members, run.PutsPerSecond, run.Acknowledge.P50, run.Acknowledge.P99, run.Everywhere.P99, run.MemberCPU, run.MemberRSS)
+		if err != nil {
+			return fmt.Errorf("scale: benchmark lines: %w", err)
+		}
+	}
+	return nil
+}
