--- /dev/null
+++ b/scale/load_test.go
@@ -0,0 +1,116 @@
+package scale
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/hollow"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
+)
+
+var fullLoad = Load{Purges: 46, ChangesPerDay: 8100, Burst: 100, Revocations: 0.5, StoreInterval: 20 * time.Second}
+
+// The same seed draws the same operations, another seed others; each can be told from all others where it comes into force.
+func TestOperationsAreDrawnFromTheSeed(t *testing.T) {
+	const duration = 10 * time.Minute
+	operations := fullLoad.Operations(duration, 7)
+	if !reflect.DeepEqual(operations, fullLoad.Operations(duration, 7)) {
+		t.Error("the same seed drew other operations")
+	}
+	if reflect.DeepEqual(operations, fullLoad.Operations(duration, 8)) {
+		t.Error("another seed drew the same operations")
+	}
+	counts := map[distribution.Kind]int{}
+	keys := map[uint64]bool{}
+	for i, operation := range operations {
+		counts[operation.Kind]++
+		if operation.Key != 0 && keys[operation.Key] {
+			t.Errorf("two operations have the key %d", operation.Key)
+		}
+		keys[operation.Key] = true
+		if i > 0 && operation.At < operations[i-1].At {
+			t.Errorf("operation %d is out of order", i)
+		}
+	}
+	within := func(kind distribution.Kind, least, most int) {
+		if n := counts[kind]; n < least || n > most {
+			t.Errorf("%d operations of kind %s, want %d to %d", n, kind, least, most)
+		}
+	}
+	within(distribution.KindPurge, 26000, 29000)        // 27,600
+	within(distribution.KindPut, 100+30+20, 100+30+100) // a burst, 30 store lists and about 56 more
+	within(distribution.KindRevoke, 200, 400)           // 300
+}
+
+// What is drawn is what gateways accept.
+func TestDrawnValuesAreAccepted(t *testing.T) {
+	seen := map[string]bool{}
+	for _, operation := range fullLoad.Operations(5*time.Minute, 1) {
+		if operation.Kind != distribution.KindPut {
+			continue
+		}
+		seen[operation.Name] = true
+		if operation.Key != ConfigKey(operation.Name, operation.Value) {
+			t.Errorf("the key of %s is not that of its content", operation.Name)
+		}
+		switch operation.Name {
+		case signed.ConfigKeys:
+			var keys []token.Key
+			if err := json.Unmarshal(operation.Value, &keys); err != nil {
+				t.Error(err)
+			}
+			if _, err := ring.New(keys); err != nil {
+				t.Error(err)
+			}
+		case signed.ConfigPolicy:
+			var policy signed.Policy
+			if err := json.Unmarshal(operation.Value, &policy); err != nil || policy.TokenSeconds <= 0 || policy.LeewayMs > 300000 {
+				t.Errorf("%+v, %v", policy, err)
+			}
+		case hollow.ConfigStores:
+			var change hollow.StoreChange
+			if err := json.Unmarshal(operation.Value, &change); err != nil || len(change.Stores) == 0 {
+				t.Errorf("%+v, %v", change, err)
+			}
+		}
+	}
+	for _, name := range []string{signed.ConfigKeys, signed.ConfigPolicy, hollow.ConfigStores} {
+		if !seen[name] {
+			t.Errorf("no change of %s was drawn", name)
+		}
+	}
+}
+
+// Sites, zones and regions nest, and every gateway is in one process.
+func TestTopology(t *testing.T) {
+	topology := Topology{Gateways: FullGateways, Sites: FullSites}
+	sites := 0
+	for zone := range siteZones {
+		sites += len(topology.ZoneSites(zone))
+		region := topology.Region(topology.ZoneSites(zone)[0])
+		for _, site := range topology.ZoneSites(zone) {
+			if topology.Region(site) != region {
+				t.Errorf("zone %d spans two regions", zone)
+			}
+		}
+	}
+	inRegions := 0
+	for region := range zoneRegions {
+		inRegions += len(topology.RegionSites(region))
+	}
+	if sites != FullSites || inRegions != FullSites {
+		t.Errorf("%d sites in zones, %d in regions, want %d", sites, inRegions, FullSites)
+	}
+	gateways := 0
+	for _, part := range topology.split(7) {
+		gateways += len(part)
+	}
+	if gateways != FullGateways {
+		t.Errorf("%d gateways in processes", gateways)
+	}
+}
--- a/scale/plot.go
+++ b/scale/plot.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+	_ "gonum.org/v1/plot/vg/vgimg" // draws png
+	_ "gonum.org/v1/plot/vg/vgsvg" // draws svg
 )
 
 // The plot's size, in panels and on the page.
@@ -19,7 +22,8 @@
 	panelGap    = 6 * vg.Millimeter
 )
 
-// PlotFile plots the figures of reports over the number of gateways, each with its fitted line, as an SVG file.
+// PlotFile plots the figures of reports over the number of gateways, each with its fitted line, in the format that the
+// name of the file ends in: svg or png.
 func PlotFile(path string, reports []*Report) error {
 	rows := (len(Figures) + plotColumns - 1) / plotColumns
 	panels := make([][]*plot.Plot, rows)
@@ -33,8 +37,12 @@
 		}
 		panels[i/plotColumns][i%plotColumns] = panel
 	}
-	canvas := vgsvg.New(plotColumns*panelWidth, vg.Length(rows)*panelHeight)
-	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: panelGap, PadY: panelGap, PadTop: panelGap, PadRight: panelGap}
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(plotColumns*panelWidth, vg.Length(rows)*panelHeight, format)
+	if err != nil {
+		return fmt.Errorf("scale: plot: %w", err)
+	}
+	tiles := draw.Tiles{Rows: rows, Cols: plotColumns, PadX: panelGap, PadY: panelGap, PadTop: panelGap, PadRight: panelGap, PadLeft: panelGap}
 	for row, areas := range plot.Align(panels, tiles, draw.New(canvas)) {
 		for column, area := range areas {
 			if panel := panels[row][column]; panel != nil {
--- a/scale/run.go
+++ b/scale/run.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	settleDuration  = 3 * time.Second // between the last gateway's first lease and the load
+	settleDuration  = 2 * time.Second // between the last gateway's first lease and the load
 	convergeTimeout = 40 * time.Second
 	resultsTimeout  = 2 * time.Minute
 )
--- a/scale/voters.go
+++ b/scale/voters.go
@@ -30,7 +30,7 @@
 	votersWriters    = 8 // that propose one change after the other
 	votersProcesses  = 15
 	votersStartLimit = 45 * time.Second
-	votersDrain      = 3 * time.Second // for the last changes to come into force
+	votersDrain      = time.Second // for the last changes to come into force
 	leaderInterval   = 250 * time.Millisecond
 	failedShareLimit = 0.5
 )
