--- a/scale/cluster.go
+++ b/scale/cluster.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/replica"
 )
 
@@ -19,6 +20,7 @@
 	startTimeout        = 90 * time.Second
 	pollInterval        = 200 * time.Millisecond
 	gatewaysPerProcess  = 500
+	minGatewayProcesses = 2 // so that a fault of one leaves others
 	maxGatewayProcesses = 12
 )
 
@@ -207,7 +209,8 @@
 
 func (c *cluster) startGateways(ctx context.Context, routes relayRoutes) error {
 	topology := c.options.topology
-	processes := min(maxGatewayProcesses, (topology.Gateways+gatewaysPerProcess-1)/gatewaysPerProcess)
+	processes := (topology.Gateways + gatewaysPerProcess - 1) / gatewaysPerProcess
+	processes = min(max(processes, minGatewayProcesses), maxGatewayProcesses)
 	var group errgroup.Group
 	for part, numbers := range topology.split(processes) {
 		process, err := StartProcess(RoleGateways, c.options.log)
@@ -246,6 +249,26 @@
 	return all, nil
 }
 
+// lastPosition gives the position of the last change that a voter holds.
+func (c *cluster) lastPosition(ctx context.Context) (last distribution.Position, err error) {
+	for voter := range c.voters {
+		process := c.voterProcess(voter)
+		if process == nil {
+			continue
+		}
+		var states []State
+		if err := process.Call(ctx, methodStates, empty{}, &states); err != nil {
+			return last, err
+		}
+		for _, state := range states {
+			if state.Position.Revision > last.Revision {
+				last = state.Position
+			}
+		}
+	}
+	return last, nil
+}
+
 // awaitFresh waits until every gateway holds a lease.
 func (c *cluster) awaitFresh(ctx context.Context, progress *progress) error {
 	for {
--- a/scale/report.go
+++ b/scale/report.go
@@ -78,8 +78,8 @@
 
 // Convergence tells whether all gateways came to hold the same.
 type Convergence struct {
-	Gateways  int     `json:"gateways"`
-	Positions int     `json:"positions"` // how many different ones
+	Gateways  int     `json:"gateways"`  // fresh ones
+	Positions int     `json:"positions"` // how many different ones, with that of the voters' last change
 	Digests   int     `json:"digests"`
 	Seconds   float64 `json:"seconds"` // after the load
 }
@@ -123,7 +123,7 @@
 	atMost("positions at the end", float64(r.Convergence.Positions), 1)
 	atMost("digests at the end", float64(r.Convergence.Digests), 1)
 	atMost("false claims of freshness", float64(r.Violated), 0)
-	atMost("gateways without a state at the end", float64(r.Gateways-r.Convergence.Gateways), 0)
+	atMost("gateways that are not fresh at the end", float64(r.Gateways-r.Convergence.Gateways), 0)
 }
 
 // WriteFile writes the report as JSON.
--- a/scale/run.go
+++ b/scale/run.go
@@ -166,18 +166,22 @@
 	r.Traffic = m.traffic(r.Gateways)
 }
 
-// converge waits until all gateways hold the same and are fresh, and enters what they hold then.
+// converge waits until all gateways are fresh and hold the voters' last change, and enters what they hold then.
 func converge(ctx context.Context, c *cluster, report *Report, progress *progress) error {
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, convergeTimeout)
 	defer cancel()
 	for {
+		last, err := c.lastPosition(ctx)
+		if err != nil {
+			return err
+		}
 		states, err := c.states(ctx)
 		if err != nil {
 			return err
 		}
 		fresh := 0
-		positions, digests := map[distribution.Position]bool{}, map[uint64]bool{}
+		positions, digests := map[distribution.Position]bool{last: true}, map[uint64]bool{}
 		for _, state := range states {
 			positions[state.Position], digests[state.Digest] = true, true
 			if state.Fresh {
--- a/scale/scenario.go
+++ b/scale/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -21,7 +22,7 @@
 type faults struct {
 	cluster *cluster
 	random  *rand.Rand
-	killed  int // the voter that is down; -1: none
+	down    []int // the voters that were killed, or paused
 }
 
 // Sizes of the faults.
@@ -40,7 +41,20 @@
 	"voter-death": {
 		{at: 0.30, what: "the leader is killed", do: (*faults).killLeader},
 		{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth},
-		{at: 0.70, what: "the killed voter starts again", do: (*faults).reviveVoter},
+		{at: 0.70, what: "the killed voter starts again", do: (*faults).reviveVoters},
+	},
+	"two-voters-death": {
+		{at: 0.30, what: "the leader is killed", do: (*faults).killLeader},
+		{at: 0.40, what: "the next leader is killed", do: (*faults).killLeader},
+		{at: 0.70, what: "the killed voters start again", do: (*faults).reviveVoters},
+	},
+	"quorum-loss": {
+		{at: 0.30, what: "a majority of the voters is killed", do: (*faults).killMajority},
+		{at: 0.45, what: "the killed voters start again", do: (*faults).reviveVoters},
+	},
+	"leader-pause": {
+		{at: 0.30, what: "the leader stands still", do: (*faults).pauseLeader},
+		{at: 0.60, what: "it goes on", do: (*faults).resumeVoters},
 	},
 	"reconnect":   {{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth}},
 	"site-cut":    cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
@@ -82,7 +96,7 @@
 }
 
 func newFaults(c *cluster, seed uint64) *faults {
-	return &faults{cluster: c, random: rand.New(rand.NewPCG(seed, 2)), killed: -1}
+	return &faults{cluster: c, random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 func (f *faults) topology() Topology { return f.cluster.options.topology }
@@ -107,18 +121,53 @@
 	if err != nil {
 		return err
 	}
-	f.killed = leader
-	f.cluster.killVoter(leader)
+	f.kill(leader)
+	return nil
+}
+
+// killMajority kills the leader and as many others as make a majority with it.
+func (f *faults) killMajority(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	voters := len(f.cluster.voters)
+	for i := range voters/2 + 1 {
+		f.kill((leader + i) % voters)
+	}
 	return nil
 }
 
-func (f *faults) reviveVoter(ctx context.Context) error {
-	if f.killed < 0 {
-		return nil
+func (f *faults) kill(voter int) {
+	f.down = append(f.down, voter)
+	f.cluster.killVoter(voter)
+}
+
+func (f *faults) reviveVoters(ctx context.Context) error {
+	var failed []error
+	for _, voter := range f.down {
+		failed = append(failed, f.cluster.startVoter(ctx, voter))
+	}
+	f.down = nil
+	return errors.Join(failed...)
+}
+
+func (f *faults) pauseLeader(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	f.down = append(f.down, leader)
+	return f.cluster.voterProcess(leader).Pause()
+}
+
+func (f *faults) resumeVoters(context.Context) error {
+	var failed []error
+	for _, voter := range f.down {
+		failed = append(failed, f.cluster.voterProcess(voter).Resume())
 	}
-	err := f.cluster.startVoter(ctx, f.killed)
-	f.killed = -1
-	return err
+	f.down = nil
+	return errors.Join(failed...)
 }
 
 func (f *faults) restartTenth(ctx context.Context) error {
--- a/scale/voter_worker.go
+++ b/scale/voter_worker.go
@@ -45,6 +45,8 @@
 		return w.propose(ctx, asked)
 	case methodLeads:
 		return w.leads(), nil
+	case methodStates:
+		return w.states(), nil
 	case methodStats:
 		stats, err := ownStats()
 		stats.Traffic = w.traffic()
@@ -143,6 +145,14 @@
 	return leadership{}
 }
 
+// states tells the positions of the members.
+func (w *voterWorker) states() (out []State) {
+	for id, store := range w.stores {
+		out = append(out, State{Name: id, Position: store.Position(), Fresh: true})
+	}
+	return out
+}
+
 // results gives the times from acknowledged to in force at the members of this process.
 func (w *voterWorker) results(acked []AckedChange) Results {
 	out := Results{Latencies: map[string]*Latencies{}, Everyone: map[uint64]ChangeReach{}}
