--- a/console/console.go
+++ b/console/console.go
@@ -28,6 +28,18 @@
 	Open     int      `json:"open"`     // requests taken and not yet answered
 	// Processes counts those that live: two while one replaces the other.
 	Processes int `json:"processes"`
+	// Subscription tells how far the replicated state is known; nil: this gateway does not subscribe to it.
+	Subscription *Subscription `json:"subscription,omitempty"`
+}
+
+// Subscription is how a gateway that does not vote stands with the replicated state.
+type Subscription struct {
+	Fresh        bool    `json:"fresh"`
+	AgeMS        float64 `json:"age_ms"` // since the state was last known to be complete; -1: never yet
+	MaxCopyAgeMS float64 `json:"max_copy_age_ms"`
+	Revision     uint64  `json:"revision"`
+	Voter        string  `json:"voter,omitempty"`
+	Reconnects   uint64  `json:"reconnects"`
 }
 
 // ErrUnknown says that no list ever named a store.
@@ -73,15 +85,15 @@
 	if opt.MaxConns <= 0 {
 		opt.MaxConns = MaxConns
 	}
-	return &Server{opt: opt, server: front.Server{Max: opt.MaxConns, FirstMost: callMost, Clock: opt.Clock, Log: opt.Log}}
+	return &Server{opt: opt, server: front.Server{Max: opt.MaxConns, FirstByteTimeout: callMost, Clock: opt.Clock, Log: opt.Log}}
 }
 
 // Serve accepts until the listener closes or ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return s.server.Serve(ctx, l, func(nc net.Conn, seat *front.Seat) { s.handle(ctx, nc, seat) })
+	return s.server.Serve(ctx, l, func(nc net.Conn, conn *front.Conn) { s.handle(ctx, nc, conn) })
 }
 
-func (s *Server) handle(ctx context.Context, nc net.Conn, seat *front.Seat) {
+func (s *Server) handle(ctx context.Context, nc net.Conn, conn *front.Conn) {
 	nc.SetReadDeadline(time.Now().Add(readMost))
 	r := bufio.NewReaderSize(nc, 1<<10)
 	m, err := http1.Read(r, bodyMost, func() { nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) })
@@ -92,14 +104,14 @@
 	} else if err != nil {
 		return // it left, or gave its place up
 	} else {
-		seat.Update(1, true, 0) // a whole call keeps its place
+		conn.Update(1, true, 0) // a whole call keeps its place
 		out = s.answer(ctx, &m)
 	}
 	nc.SetWriteDeadline(time.Now().Add(writeMost))
 	if _, err := nc.Write(out); err != nil {
 		return
 	}
-	seat.Update(0, true, 0)
+	conn.Update(0, true, 0)
 	// Guards against a reset that overtakes the answer where the caller has sent more than its call.
 	if t, ok := nc.(interface{ CloseWrite() error }); ok && t.CloseWrite() == nil {
 		nc.SetReadDeadline(time.Now().Add(lingers))
