--- a/internal/hollow/gateway.go
+++ b/internal/hollow/gateway.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -16,6 +18,8 @@
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/controlplane"
+	"turnfork.dev/turnfork/replica"
 )
 
 // Observer is told what has come into force at a gateway. Its methods must not block for long.
@@ -24,49 +28,48 @@
 	PurgeInForce(object uint64, group uint16, at time.Time)
 	// ConfigInForce tells that a piece of configuration was taken in.
 	ConfigInForce(name string, value []byte, at time.Time)
-	// PurgesMissed tells that purges before a Unix time in ms may never be known.
-	PurgesMissed(before int64)
 }
 
 // Options are what a hollow gateway is made of.
 type Options struct {
-	Operator *config.Operator // as for a whole gateway; several may share one
+	Operator *config.Operator // as for a whole gateway
 	Seed     uint64
 	Clock    *clock.Clock
 	Log      zerolog.Logger
-	Claims   signed.Claims // of single-use tokens; nil, as no client asks here
-	Observer Observer
+	Observer Observer // nil: nobody is told
 }
 
-// Gateway is a hollow gateway. It implements distribution.Effects.
+// Gateway is a hollow gateway.
 type Gateway struct {
-	opt    Options
-	core   *core.Core
-	front  *signed.Front
-	cancel context.CancelFunc
-	done   chan struct{}
-
-	posting  sync.Mutex // keeps checkpoints in the order of their questions to the core
-	awaited  chan checkpoint
+	observer Observer
+	log      zerolog.Logger
+	plane    *controlplane.Plane
+	core     *core.Core
+	front    *signed.Front
+	cancel   context.CancelFunc
+	done     chan struct{}
+
+	mu          sync.Mutex
+	checkpoints []func(at time.Time) // on their way through the plane's queue of events
+
+	asked    chan func(at time.Time) // on their way through the core's, in order
 	answered chan core.Stats
 }
 
-var _ distribution.Effects = (*Gateway)(nil)
+// maxAsked bounds the questions to the core that are under way.
+const maxAsked = 256
 
-// checkpoint is a place in the core's queue of events: reached is called once the core has handled all before it.
-type checkpoint struct {
-	reached func(at time.Time)
-}
-
-// maxCheckpoints bounds the checkpoints under way.
-const maxCheckpoints = 256
+// checkpointObject is the object of the purges that carry checkpoints through the plane's queue. No other purge has it.
+const checkpointObject = math.MaxUint64
 
-// New starts a gateway's core with the stores of its operator's file.
+// New starts a gateway, with the stores of its operator's file.
 func New(opt Options) (*Gateway, error) {
 	node := opt.Operator.Node(opt.Seed)
+	plane := controlplane.New(opt.Operator, opt.Clock, opt.Log)
 	upstream := &nullUpstream{}
 	gatewayCore, err := core.New(core.Options{
 		Settings: node.Settings, Classes: node.Classes, Seed: node.Seed, MaxOpen: node.MaxOpen, Clock: opt.Clock, Log: opt.Log,
+		MaxCopyAge: plane.CopyAgeBound(),
 	}, upstream)
 	if err != nil {
 		return nil, fmt.Errorf("hollow: core: %w", err)
@@ -76,19 +79,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("hollow: keys: %w", err)
 	}
+	for _, event := range node.Known {
+		gatewayCore.Handle(event) // nothing else runs yet
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Gateway{
-		opt: opt, core: gatewayCore, cancel: cancel, done: make(chan struct{}),
-		awaited: make(chan checkpoint, maxCheckpoints), answered: make(chan core.Stats, maxCheckpoints),
+		observer: opt.Observer, log: opt.Log, plane: plane, core: gatewayCore, cancel: cancel, done: make(chan struct{}),
+		asked: make(chan func(time.Time), maxAsked), answered: make(chan core.Stats, maxAsked),
 	}
 	g.front = signed.New(signed.Options{
-		Post: gatewayCore.Post, Clock: opt.Clock, Log: opt.Log, Ring: ring, Claims: opt.Claims, Scheme: opt.Operator.Scheme,
+		Post: gatewayCore.Post, Clock: opt.Clock, Log: opt.Log, Ring: ring, Claims: plane, Scheme: opt.Operator.Scheme,
 		Leeway: opt.Operator.LeewayS * 1000, TokenMost: opt.Operator.TokenS, Limits: opt.Operator.Limit.Options(),
 	})
-	for _, event := range node.Known {
-		gatewayCore.Handle(event) // nothing else runs yet
-	}
 	go g.run(ctx)
+	if err := plane.Open(g.post); err != nil {
+		return nil, errors.Join(fmt.Errorf("hollow: control side: %w", err), g.Close())
+	}
+	plane.Configure(g.configure, signed.ConfigKeys, signed.ConfigPolicy)
 	return g, nil
 }
 
@@ -103,73 +110,92 @@
 	<-reported
 }
 
-// report follows the core's answers and calls the checkpoint of each.
-func (g *Gateway) report(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.answered:
-			reached := <-g.awaited // queued ahead of its question
-			reached.reached(time.Now())
-		}
-	}
+// Close ends the gateway.
+func (g *Gateway) Close() error {
+	err := g.plane.Close()
+	g.cancel()
+	<-g.done
+	return err
 }
 
-// Checkpoint has reached called once the core has handled all that was posted so far.
-func (g *Gateway) Checkpoint(reached func(at time.Time)) {
-	g.posting.Lock()
-	defer g.posting.Unlock()
-	select {
-	case g.awaited <- checkpoint{reached}:
-		g.core.Post(core.Query{Reply: g.answered})
-	case <-g.done:
-	}
+// Subscriber gives the gateway's subscription; nil: its operator's file names no voters to subscribe to.
+func (g *Gateway) Subscriber() *replica.Subscriber {
+	subscriber, _ := g.plane.Control.(*replica.Subscriber)
+	return subscriber
 }
 
-// Close ends the gateway.
-func (g *Gateway) Close() {
-	g.cancel()
-	<-g.done
+// configure takes a piece of configuration in, as a whole gateway's signed front does.
+func (g *Gateway) configure(name string, value json.RawMessage) {
+	if name == ConfigStores {
+		g.takeStores(value)
+	} else {
+		g.front.Changed(name, value)
+	}
+	if g.observer != nil {
+		g.observer.ConfigInForce(name, value, time.Now())
+	}
 }
 
-// Configured takes a piece of configuration in, as the signed front does.
-func (g *Gateway) Configured(name string, value []byte) {
-	if value == nil {
+// post hands an event of the plane to the core. Behind a purge goes a question, whose answer shows that the core has
+// handled it. It is called for one event after the other.
+func (g *Gateway) post(event core.Event) {
+	purge, isPurge := event.(core.Purge)
+	if isPurge && purge.Object == checkpointObject {
+		g.ask(g.nextCheckpoint())
 		return
 	}
-	switch name {
-	case ConfigStores:
-		g.takeStores(value)
-	default:
-		g.front.Changed(name, json.RawMessage(value))
-	}
-	if g.opt.Observer != nil {
-		g.opt.Observer.ConfigInForce(name, value, time.Now())
+	g.core.Post(event)
+	if isPurge && g.observer != nil {
+		g.ask(func(at time.Time) { g.observer.PurgeInForce(purge.Object, purge.Group, at) })
 	}
 }
 
-// Purged hands a purge to the core, and tells the observer once the core has handled it.
-func (g *Gateway) Purged(c distribution.Change) {
-	g.core.Post(core.Purge{Object: c.Object, Group: c.Group, At: float64(c.At)})
-	if g.opt.Observer != nil {
-		g.Checkpoint(func(at time.Time) { g.opt.Observer.PurgeInForce(c.Object, c.Group, at) })
+// Checkpoint has reached called once the core has handled every change that the gateway had received before.
+func (g *Gateway) Checkpoint(reached func(at time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock() // keeps the checkpoints in the order of their purges
+	g.checkpoints = append(g.checkpoints, reached)
+	g.plane.Purged(distribution.Change{Kind: distribution.KindPurge, Object: checkpointObject})
+}
+
+// nextCheckpoint takes out the oldest checkpoint.
+func (g *Gateway) nextCheckpoint() (reached func(at time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reached = g.checkpoints[0]
+	g.checkpoints = g.checkpoints[1:]
+	return reached
+}
+
+// ask has reached called once the core has handled all that was posted to it so far.
+func (g *Gateway) ask(reached func(at time.Time)) {
+	select {
+	case g.asked <- reached:
+		g.core.Post(core.Query{Reply: g.answered})
+	case <-g.done:
 	}
 }
 
-// PurgesMissed tells the observer alone: a gateway without a data plane keeps no copies.
-func (g *Gateway) PurgesMissed(before int64) {
-	if g.opt.Observer != nil {
-		g.opt.Observer.PurgesMissed(before)
+// report follows the core's answers.
+func (g *Gateway) report(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.answered:
+			reached := <-g.asked // queued ahead of its question
+			reached(time.Now())
+		}
 	}
 }
 
-// Flush waits until the core has handled all that was posted before, and tells whether it did before ctx ended.
+// Flush waits until the core has handled all that the gateway had received before, and tells whether it did before ctx
+// ended.
 func (g *Gateway) Flush(ctx context.Context) bool {
-	reached := make(chan struct{})
-	g.Checkpoint(func(time.Time) { close(reached) })
+	flushed := make(chan struct{})
+	g.Checkpoint(func(time.Time) { close(flushed) })
 	select {
-	case <-reached:
+	case <-flushed:
 		return true
 	case <-ctx.Done():
 	case <-g.done:
--- a/internal/hollow/operator.go
+++ b/internal/hollow/operator.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"strings"
+
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/replica"
 )
 
 // DefaultStores is the number of stores that a gateway of the full deployment knows.
@@ -55,3 +58,29 @@
 	}
 	return "cache"
 }
+
+// Names of the files beside an operator's file with SubscriptionText.
+const (
+	AuthorityFile   = "ca.pem"
+	CertificateFile = "cert.pem"
+	KeyFile         = "key.pem"
+)
+
+// SubscriptionText writes the part of an operator's file by which a gateway subscribes to voters.
+func SubscriptionText(name string, voters []replica.Member) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "\n[replica]\nid = %q\nsubscribe = true\nca_file = %q\ncert_file = %q\nkey_file = %q\n",
+		name, AuthorityFile, CertificateFile, KeyFile)
+	for _, voter := range voters {
+		fmt.Fprintf(&text, "\n[[replica.member]]\nid = %q\naddr = %q\n", voter.ID, voter.Addr)
+	}
+	return text.String()
+}
+
+// OperatorOf gives an operator's file for a gateway of another name and with voters at other addresses. What was read of
+// the rest is shared.
+func OperatorOf(operator *config.Operator, name string, voters []replica.Member) *config.Operator {
+	own := *operator
+	own.Replica.ID, own.Replica.Members = name, voters
+	return &own
+}
--- a/internal/hollow/stores.go
+++ b/internal/hollow/stores.go
@@ -28,7 +28,7 @@
 func (g *Gateway) takeStores(value []byte) {
 	var change StoreChange
 	if err := json.Unmarshal(value, &change); err != nil {
-		g.opt.Log.Error().Err(err).Msg("the change of the store list can't be read")
+		g.log.Error().Err(err).Msg("the change of the store list can't be read")
 		return
 	}
 	event := core.Stores{}
--- a/scale/cluster.go
+++ b/scale/cluster.go
@@ -222,7 +222,10 @@
 		if err != nil {
 			return errors.Join(err, group.Wait())
 		}
-		setup := gatewaysSetup{Stores: c.options.stores, Seed: c.options.seed + uint64(numbers[0]), Identity: identity}
+		setup := gatewaysSetup{
+			Stores: c.options.stores, Seed: c.options.seed + uint64(numbers[0]), Identity: identity,
+			Dir: filepath.Join(c.options.dir, fmt.Sprintf("gateways-%d", part)),
+		}
 		for _, number := range numbers {
 			site := topology.Site(number)
 			setup.Gateways = append(setup.Gateways, gatewaySpec{Name: gatewayName(number), Voters: routes.Sites[site]})
--- a/scale/gateway_worker.go
+++ b/scale/gateway_worker.go
@@ -12,7 +12,6 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
-	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/internal/hollow"
 	"turnfork.dev/turnfork/replica"
 )
@@ -78,7 +77,15 @@
 }
 
 func (w *gatewayWorker) start(setup gatewaysSetup) error {
-	operator, err := config.ParseOperator(hollow.OperatorText(setup.Stores), "")
+	if len(setup.Gateways) == 0 {
+		return errors.New("scale: no gateways")
+	}
+	if err := setup.Identity.writeFiles(setup.Dir); err != nil {
+		return err
+	}
+	first := setup.Gateways[0]
+	text := hollow.OperatorText(setup.Stores) + hollow.SubscriptionText(first.Name, first.Voters)
+	operator, err := config.ParseOperator(text, setup.Dir)
 	if err != nil {
 		return fmt.Errorf("scale: operator's file: %w", err)
 	}
@@ -104,34 +111,18 @@
 func (w *gatewayWorker) open(place int, running *runningGateway) error {
 	running.history.started(time.Now())
 	gateway, err := hollow.New(hollow.Options{
-		Operator: w.operator, Seed: w.setup.Seed + uint64(place), Clock: w.clock, Log: zerolog.Nop(),
-		Observer: gatewayObserver{w.recorder, place},
+		Operator: hollow.OperatorOf(w.operator, running.spec.Name, running.spec.Voters), Seed: w.setup.Seed + uint64(place),
+		Clock: w.clock, Log: zerolog.Nop(), Observer: gatewayObserver{w.recorder, place},
 	})
 	if err != nil {
-		return err
-	}
-	subscriber, err := w.subscribe(running.spec, gateway)
-	if err != nil {
-		gateway.Close()
 		return fmt.Errorf("scale: gateway %s: %w", running.spec.Name, err)
 	}
 	running.mu.Lock()
 	defer running.mu.Unlock()
-	running.gateway, running.subscriber, running.status = gateway, subscriber, replica.SubscriberStatus{}
+	running.gateway, running.subscriber, running.status = gateway, gateway.Subscriber(), replica.SubscriberStatus{}
 	return nil
 }
 
-// subscribe opens a gateway's subscription to the log.
-func (w *gatewayWorker) subscribe(spec gatewaySpec, effects distribution.Effects) (*replica.Subscriber, error) {
-	identity, err := w.setup.Identity.TLS()
-	if err != nil {
-		return nil, err
-	}
-	return replica.OpenSubscriber(replica.SubscriberOptions{
-		Name: spec.Name, Voters: spec.Voters, TLS: identity, Clock: w.clock, Log: zerolog.Nop(), Effects: effects,
-	})
-}
-
 // restart closes gateways and starts them anew, as after the end of their processes.
 func (w *gatewayWorker) restart(places []int) error {
 	var failed []error
@@ -158,9 +149,7 @@
 	if gateway == nil {
 		return nil
 	}
-	err := subscriber.Close()
-	gateway.Close()
-	return err
+	return gateway.Close()
 }
 
 func (w *gatewayWorker) close() error {
--- a/scale/identity.go
+++ b/scale/identity.go
@@ -7,10 +7,15 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"fmt"
 	"math/big"
 	"net"
+	"os"
+	"path/filepath"
 	"time"
+
+	"turnfork.dev/turnfork/internal/hollow"
 )
 
 // certificateTTL is how long the certificates of a run last.
@@ -41,6 +46,23 @@
 	}, nil
 }
 
+// writeFiles writes the identity to a folder, under the names that hollow gateways' operator's files have.
+func (i Identity) writeFiles(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("scale: identity: %w", err)
+	}
+	for name, block := range map[string]*pem.Block{
+		hollow.AuthorityFile:   {Type: "CERTIFICATE", Bytes: i.Authority},
+		hollow.CertificateFile: {Type: "CERTIFICATE", Bytes: i.Certificate},
+		hollow.KeyFile:         {Type: "PRIVATE KEY", Bytes: i.Key},
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), pem.EncodeToMemory(block), 0o600); err != nil {
+			return fmt.Errorf("scale: identity: %w", err)
+		}
+	}
+	return nil
+}
+
 // Authority issues the certificates of a run.
 type Authority struct {
 	key         *ecdsa.PrivateKey
--- a/scale/protocol.go
+++ b/scale/protocol.go
@@ -104,6 +104,7 @@
 	Gateways []gatewaySpec `json:"gateways"`
 	Stores   int           `json:"stores"`
 	Seed     uint64        `json:"seed"`
+	Dir      string        `json:"dir"` // for the files that the operator's file names
 	Identity Identity      `json:"identity"`
 }
 
--- a/scale/recorder.go
+++ b/scale/recorder.go
@@ -61,5 +61,3 @@
 func (o gatewayObserver) ConfigInForce(name string, value []byte, at time.Time) {
 	o.recorder.record(ConfigKey(name, value), o.gateway, at)
 }
-
-func (gatewayObserver) PurgesMissed(int64) {}
