--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -15,6 +15,13 @@
 
 func TestMain(m *testing.M) {
 	ChildMain()
+	if file := os.Getenv(wholeVariable); file != "" {
+		if err := serveWholeGateway(file); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/scale/whole_test.go
@@ -0,0 +1,124 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/console"
+	"turnfork.dev/turnfork/internal/hollow"
+	"turnfork.dev/turnfork/replica"
+)
+
+// wholeVariable makes the test's program a whole gateway with the operator's file that it names.
+const wholeVariable = "TURNFORK_SCALE_TEST_GATEWAY"
+
+const wholeOperatorSecret = "a secret for this test alone"
+
+// serveWholeGateway runs a gateway as it ships until its standard input ends, and prints the addresses that it listens at.
+func serveWholeGateway(file string) error {
+	operator, err := config.LoadOperator(file)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		io.Copy(io.Discard, os.Stdin)
+		cancel()
+	}()
+	return turnfork.Run(ctx, turnfork.Config{
+		Node: operator.Node(1), Operator: operator, Log: zerolog.Nop(), Clock: clock.System(),
+		Ready: func(a turnfork.Addrs) { fmt.Println(a.Signed, a.Console) },
+	})
+}
+
+// wholeGateway is a whole gateway in a process of its own.
+type wholeGateway struct {
+	t               *testing.T
+	command         *exec.Cmd
+	signed, console string
+}
+
+func startWholeGateway(t *testing.T, name string, voters []replica.Member, identity Identity) *wholeGateway {
+	t.Helper()
+	dir := t.TempDir()
+	if err := identity.writeFiles(dir); err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf("console = \"127.0.0.1:0\"\noperator_secret = %q\n", wholeOperatorSecret) +
+		hollow.OperatorText(hollow.DefaultStores) + hollow.SubscriptionText(name, voters)
+	file := filepath.Join(dir, "operator.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(os.Args[0])
+	command.Env = append(os.Environ(), wholeVariable+"="+file)
+	command.Stderr = testLog{t}
+	stdin, err := command.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stdout, err := command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stdin.Close()
+		command.Wait()
+	})
+	g := &wholeGateway{t: t, command: command}
+	if _, err := fmt.Fscan(stdout, &g.signed, &g.console); err != nil {
+		t.Fatal("the whole gateway does not listen:", err)
+	}
+	return g
+}
+
+// subscription tells how the gateway's subscription stands.
+func (g *wholeGateway) subscription() console.Subscription {
+	g.t.Helper()
+	answer, err := http.Get("http://" + g.console + "/ready")
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var state console.State
+	if err := json.NewDecoder(answer.Body).Decode(&state); err != nil || state.Subscription == nil {
+		g.t.Fatalf("the console tells of no subscription: %+v, %v", state, err)
+	}
+	return *state.Subscription
+}
+
+// newestKey is the key by which the gateway signs.
+func (g *wholeGateway) newestKey() string {
+	g.t.Helper()
+	body := strings.NewReader(`{"kind":"hmac","uri":"/v1/firmware/0000000000000001/0","seconds":60}`)
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.signed+"/-/tokens", body)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+wholeOperatorSecret)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	var issued struct{ Key string }
+	if err := json.NewDecoder(answer.Body).Decode(&issued); err != nil {
+		g.t.Fatal(err)
+	}
+	return issued.Key
+}
