--- a/cmd/turnfork/crowd_test.go
+++ b/cmd/turnfork/crowd_test.go
@@ -164,7 +164,7 @@
 			os.WriteFile(conf, []byte(text), 0o600)
 			p := launch(t, "/bin/sh", []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1", "NODE_CONSOLE=127.0.0.1:0"},
 				"-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, bin))
-			within(t, p, "the change log is asked", func() bool { return d.asked.Load() > 0 })
+			until(t, 200, p.console(t), "GET", "/ready", "") // it has caught up with the change log
 			d.down()
 			for range crowd {
 				switch way {
