Measure the slopes of capacity: stores, purges, connections, voters, starts

Change: benchmarks of core and module by stores, purges and objects, of the change log on the wire by the kernel's own count of segments, of groups of 3 to 25 voters in one process, of links, connections, traces and starts of the built program.

--- /dev/null
+++ b/capacity/changelog_test.go
@@ -0,0 +1,213 @@
+package capacity_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/capacity"
+	"turnfork.dev/turnfork/changelog"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/distribution"
+)
+
+// Kinds of the change log's frames.
+const (
+	kindWholeList   = 1
+	kindObjectPurge = 3
+)
+
+// frame is a frame of the change log.
+func frame(number uint64, kind byte, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	b = binary.BigEndian.AppendUint64(b, number)
+	return append(append(b, kind), payload...)
+}
+
+// purgeFrame purges an object.
+func purgeFrame(number uint64) []byte {
+	payload := binary.BigEndian.AppendUint64(nil, 0x7f3a9c21e0b4d655+number)
+	return frame(number, kindObjectPurge, binary.BigEndian.AppendUint64(payload, uint64(startMs)+number))
+}
+
+// listFrame is a whole list of so many caches.
+func listFrame(stores int) []byte {
+	var payload []byte
+	for i := range stores {
+		record := make([]byte, 27)
+		binary.BigEndian.PutUint32(record, uint32(i+1))
+		copy(record[4:], []byte{127, 0, 0, 1})
+		binary.BigEndian.PutUint16(record[8:], uint16(10000+i))
+		record[11] = byte(i % capacity.Planned.Zones)
+		binary.BigEndian.PutUint32(record[15:], storeWeight*1000)
+		payload = append(payload, record...)
+	}
+	return frame(1, kindWholeList, payload)
+}
+
+// BenchmarkReadFrame measures reading a frame of the change log, and tells its size.
+func BenchmarkReadFrame(b *testing.B) {
+	frames := map[string][]byte{"purge": purgeFrame(1)}
+	for _, stores := range storeCounts {
+		frames[fmt.Sprintf("stores=%d", stores)] = listFrame(stores)
+	}
+	for name, f := range frames {
+		b.Run(name, func(b *testing.B) {
+			b.ReportMetric(float64(len(f)), "B/frame")
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := changelog.ReadFrame(bytes.NewReader(f)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// Headers that a TCP segment with time stamps has below its payload.
+const (
+	segmentHeaders  = 20 + 32         // IPv4, TCP
+	ethernetHeaders = 14 + 4 + 8 + 12 // header, checksum, preamble, gap
+)
+
+// BenchmarkPurgesOnTheWire sends purges at the planned rate over loopback to a gateway's own feed and counts the segments
+// that the kernel sent both ways.
+func BenchmarkPurgesOnTheWire(b *testing.B) {
+	const seconds = 5
+	for _, delay := range []time.Duration{0, 250 * time.Millisecond} {
+		b.Run(fmt.Sprintf("batch=%v", delay), func(b *testing.B) {
+			var out, in, payload int
+			for b.Loop() {
+				out, in, payload = sendPurges(b, int(seconds*capacity.Planned.PurgesPerSecond), delay)
+			}
+			headers := func(segments int) float64 { return float64(segments * segmentHeaders) }
+			reportOnly(b, float64(payload)/seconds, "payload-B/s")
+			b.ReportMetric(float64(out)/seconds, "segments-out/s")
+			b.ReportMetric(float64(in)/seconds, "segments-back/s")
+			b.ReportMetric((float64(payload)+headers(out+in))/seconds, "IP-B/s")
+			b.ReportMetric((float64(payload)+headers(out+in)+float64((out+in)*ethernetHeaders))/seconds, "ethernet-B/s")
+		})
+	}
+}
+
+// sendPurges sends purges evenly in time, each by itself or in batches, and counts segments and bytes.
+func sendPurges(b *testing.B, purges int, delay time.Duration) (out, in, payload int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	feed := &changelog.Feed{Addr: l.Addr().String(), Post: func(core.Event) {}, Log: zerolog.Nop()}
+	go feed.Run(ctx)
+	conn, err := l.Accept()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Read(make([]byte, 8)); err != nil {
+		b.Fatal(err)
+	}
+	outBefore, inBefore := segments(b, conn)
+	gap := time.Duration(float64(time.Second) / capacity.Planned.PurgesPerSecond)
+	var batch []byte
+	begun := time.Now()
+	for i := range purges {
+		time.Sleep(time.Until(begun.Add(time.Duration(i+1) * gap)))
+		if batch = append(batch, purgeFrame(uint64(i+1))...); time.Duration(len(batch)/29)*gap < delay {
+			continue
+		}
+		n, err := conn.Write(batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		payload, batch = payload+n, batch[:0]
+	}
+	time.Sleep(50 * time.Millisecond) // for the last acknowledgement
+	outAfter, inAfter := segments(b, conn)
+	return outAfter - outBefore, inAfter - inBefore, payload
+}
+
+// segments gives the segments that a connection has sent and received so far, of the kernel's tcp_info.
+func segments(b *testing.B, conn net.Conn) (out, in int) {
+	b.Helper()
+	const outAt, inAt = 136, 140
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var info [256]byte
+	size := uint32(len(info))
+	var failed syscall.Errno
+	err = raw.Control(func(fd uintptr) {
+		_, _, failed = syscall.Syscall6(syscall.SYS_GETSOCKOPT, fd, syscall.IPPROTO_TCP, syscall.TCP_INFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	})
+	if err != nil || failed != 0 || size < inAt+4 {
+		b.Fatal("tcp_info:", err, failed, size)
+	}
+	return int(binary.NativeEndian.Uint32(info[outAt:])), int(binary.NativeEndian.Uint32(info[inAt:]))
+}
+
+// BenchmarkBatchSize tells the bytes of a batch of purges as package distribution words it, and measures wording it. A voter
+// does that once for all its subscribers.
+func BenchmarkBatchSize(b *testing.B) {
+	for _, purges := range []int{1, 12, 46, 460} {
+		b.Run(fmt.Sprintf("purges=%d", purges), func(b *testing.B) {
+			batch := purgeBatch(purges)
+			size := 0
+			for b.Loop() {
+				text, err := json.Marshal(batch)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(text)
+			}
+			b.ReportMetric(float64(size), "B/batch")
+			b.ReportMetric(float64(size)/float64(purges), "B/purge")
+		})
+	}
+}
+
+// purgeBatch is a batch of purges at revisions and times as long as real ones.
+func purgeBatch(purges int) distribution.Batch {
+	const revision, term = 123456789, 41
+	batch := distribution.Batch{After: distribution.Position{Revision: revision, Term: term}}
+	for i := range purges {
+		batch.Changes = append(batch.Changes, distribution.Change{
+			Position: distribution.Position{Revision: revision + distribution.Revision(i) + 1, Term: term}, Kind: distribution.KindPurge,
+			Object: 0x7f3a9c21e0b4d655 + uint64(i), At: 1790000000000 + int64(i),
+		})
+	}
+	return batch
+}
+
+// BenchmarkNodeConfig tells the size of what a gateway reads at its start, by the size of its list of stores.
+func BenchmarkNodeConfig(b *testing.B) {
+	for _, stores := range storeCounts {
+		b.Run(fmt.Sprintf("stores=%d", stores), func(b *testing.B) {
+			path := writeNodeConfig(b, stores)
+			info, err := os.Stat(path)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if _, err := os.ReadFile(filepath.Clean(path)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			reportOnly(b, float64(info.Size())/float64(stores), "B/store")
+		})
+	}
+}
--- /dev/null
+++ b/capacity/gateway_test.go
@@ -0,0 +1,390 @@
+package capacity_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/capacity"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+)
+
+// What the measured gateway is told.
+const (
+	cacheKind, parentKind, originKind = 0, 1, 2
+
+	storesPerParent = 10 // one store in so many is a parent
+	storeWeight     = 1200
+	clientKBps      = 3400
+	partKB          = 776
+	purgeDone       = 7 * time.Second
+	coldFor         = 10 * time.Second
+	startMs         = 1e12
+)
+
+// storeCounts are sizes of the list of stores: today's, two between, and the planned one.
+var storeCounts = []int{35, 100, 300, capacity.Planned.Stores}
+
+// ports stand in for the front and the stores: every attempt succeeds when the test says so.
+type ports struct {
+	sent   []core.Send
+	probed int
+}
+
+func (p *ports) Answer(uint64, core.Answer)       {}
+func (p *ports) Send(s core.Send)                 { p.sent = append(p.sent, s) }
+func (p *ports) Drop(core.Key, control.Result)    {}
+func (p *ports) Renew(core.Key, float64)          {}
+func (p *ports) Confirm(core.Key, uint32) bool    { return false }
+func (p *ports) Probe(uint32)                     { p.probed++ }
+func (p *ports) Update(core.Stores)               {}
+func (p *ports) Bar(member uint32, excluded bool) {}
+
+// settings are those of a gateway in zone 0, with the gateways of its zone and of all zones that share the stores.
+func settings(zoneGateways, gateways int) control.Settings {
+	byZone, hubs := make([]int, capacity.Planned.Zones), make([]int, capacity.Planned.Zones)
+	for i := range byZone {
+		byZone[i] = zoneGateways
+	}
+	return control.Settings{
+		Fronts: gateways, FrontsByZone: byZone, ZoneHub: hubs, Kinds: 3, ParentKind: parentKind, OriginKind: originKind,
+		Quantum: 2 * time.Millisecond, ClientKBps: clientKBps, WeightsTold: true, MaxAttempts: 8, CanCancel: true, CanProbe: true,
+		CanRetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, Direct: true, NotesTold: true, PurgeDone: purgeDone,
+		ColdShare: 0.25, ColdFor: coldFor, FallMultiple: 2, FallFor: time.Second,
+		ParentColdFrom: 0.25, ParentColdFor: coldFor, ParentFall: 2,
+		Classes: []control.Class{{Aim: 600 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1}},
+	}
+}
+
+// storeList is a list of stores spread over the planned zones, with one origin.
+func storeList(stores int) (list []core.Store) {
+	for i := range stores {
+		m := control.Member{ID: control.MemberID(i + 1), Zone: i % capacity.Planned.Zones, Weight: storeWeight, State: control.Ready}
+		switch {
+		case i == 0:
+			m.Kind = originKind
+		case i%storesPerParent == 1:
+			m.Kind = parentKind
+		}
+		list = append(list, core.Store{Addr: fmt.Sprintf("127.0.0.1:%d", 10000+i), Member: m})
+	}
+	return list
+}
+
+// gateway is a core with its decision module, led by a manual clock.
+type gateway struct {
+	core   *core.Core
+	ports  *ports
+	clock  *clock.Clock
+	lastID uint64
+}
+
+func newGateway(tb testing.TB, s control.Settings, log zerolog.Logger) *gateway {
+	tb.Helper()
+	g := &gateway{ports: &ports{}, clock: clock.Manual(startMs)}
+	var err error
+	g.core, err = core.New(core.Options{Settings: s, Classes: []string{"part"}, Seed: 1, Clock: g.clock, Log: log}, g.ports)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return g
+}
+
+// serve carries out one request from its arrival to its answer, ms after the one before.
+func (g *gateway) serve(object uint64, ms float64) (attempts int) {
+	g.clock.Advance(ms)
+	g.core.Tick()
+	g.lastID++
+	g.ports.sent = g.ports.sent[:0]
+	g.core.Handle(core.Ask{
+		From: g.ports, Tag: g.lastID, Txn: fmt.Sprintf("%016x", g.lastID), Class: "part", Object: object, Name: "7f3a9c21e0b4d655",
+		SizeKB: partKB, At: g.clock.Now(), Left: 5000,
+	})
+	for _, s := range g.ports.sent {
+		g.core.Handle(core.Ended{Key: s.Key, Result: control.OK, Note: control.Hit})
+	}
+	return len(g.ports.sent)
+}
+
+// requestGap is the mean time between the requests of a gateway at the planned peak, in ms.
+func requestGap() float64 {
+	return 1000 / capacity.Planned.Mean(capacity.Planned.Gateways).RequestsPerSecond
+}
+
+// BenchmarkRequest measures the decisions on one request, without sockets, by the size of the list of stores. Objects are
+// drawn from more than a gateway remembers.
+func BenchmarkRequest(b *testing.B) {
+	for _, stores := range storeCounts {
+		b.Run(fmt.Sprintf("stores=%d", stores), func(b *testing.B) {
+			g := newGateway(b, settings(121, 3400), zerolog.Nop())
+			g.core.Handle(core.Stores{Whole: true, List: storeList(stores)})
+			random := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			sent := 0
+			for b.Loop() {
+				sent += g.serve(1+random.Uint64N(1<<20), requestGap())
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "attempts/op")
+		})
+	}
+}
+
+// BenchmarkStoreList measures taking a whole list of stores, and a change of one entry, with 200 requests in hand: each
+// list has them ranked anew.
+func BenchmarkStoreList(b *testing.B) {
+	for _, stores := range storeCounts {
+		for _, whole := range []bool{true, false} {
+			b.Run(fmt.Sprintf("stores=%d/whole=%v", stores, whole), func(b *testing.B) {
+				g := newGateway(b, settings(121, 3400), zerolog.Nop())
+				list := storeList(stores)
+				g.core.Handle(core.Stores{Whole: true, List: list})
+				changed := list
+				if !whole {
+					changed = list[stores/2 : stores/2+1]
+				}
+				for b.Loop() {
+					g.core.Handle(core.Stores{Whole: whole, List: changed})
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkStoreMemory measures what one entry of the list costs core and module.
+func BenchmarkStoreMemory(b *testing.B) {
+	const copies = 20 // of the whole, so that a list's memory stands out
+	for _, stores := range storeCounts {
+		b.Run(fmt.Sprintf("stores=%d", stores), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				var gateways []*gateway
+				for range copies {
+					gateways = append(gateways, newGateway(b, settings(121, 3400), zerolog.Nop()))
+				}
+				before := memoryInUse()
+				for _, g := range gateways {
+					g.core.Handle(core.Stores{Whole: true, List: storeList(stores)})
+				}
+				bytes = memoryInUse() - before
+				runtime.KeepAlive(gateways)
+			}
+			reportOnly(b, float64(bytes)/copies/float64(stores), "B/store")
+		})
+	}
+}
+
+// BenchmarkPurge measures one purge, at the planned rate and 200 requests a purge apart, as the module forgets them on time.
+func BenchmarkPurge(b *testing.B) {
+	for _, group := range []bool{false, true} {
+		b.Run(fmt.Sprintf("group=%v", group), func(b *testing.B) {
+			g := newGateway(b, settings(121, 3400), zerolog.Nop())
+			g.core.Handle(core.Stores{Whole: true, List: storeList(capacity.Planned.Stores)})
+			object := uint64(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				g.clock.Advance(1000 / capacity.Planned.PurgesPerSecond)
+				g.core.Tick()
+				p := core.Purge{At: g.clock.Unix()}
+				if object++; group {
+					p.Group = uint16(object)
+				} else {
+					p.Object = object
+				}
+				g.core.Handle(p)
+			}
+		})
+	}
+}
+
+// BenchmarkPurgeMemory measures what a remembered purge costs.
+func BenchmarkPurgeMemory(b *testing.B) {
+	for _, purges := range []int{368, 3680, 36800, 368000} { // eight seconds at the planned rate, and multiples
+		b.Run(fmt.Sprintf("purges=%d", purges), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				g := newGateway(b, settings(121, 3400), zerolog.Nop())
+				before := memoryInUse()
+				for i := range purges {
+					g.core.Handle(core.Purge{Object: uint64(i + 1), At: g.clock.Unix()})
+				}
+				bytes = memoryInUse() - before
+				runtime.KeepAlive(g)
+			}
+			reportOnly(b, float64(bytes)/float64(purges), "B/purge")
+		})
+	}
+}
+
+// BenchmarkObjectMemory measures what a gateway remembers of the objects that it was asked for, by how many there were.
+func BenchmarkObjectMemory(b *testing.B) {
+	for _, objects := range []int{4096, 8192, 16384, 32768, 65536, 131072} {
+		b.Run(fmt.Sprintf("objects=%d", objects), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				g := newGateway(b, settings(121, 3400), zerolog.Nop())
+				g.core.Handle(core.Stores{Whole: true, List: storeList(35)})
+				before := memoryInUse()
+				for i := range objects {
+					g.serve(uint64(i+1), requestGap())
+				}
+				g.clock.Advance(10000)
+				g.core.Tick()
+				bytes = memoryInUse() - before
+				runtime.KeepAlive(g)
+			}
+			reportOnly(b, float64(bytes)/1e6, "MB")
+			b.ReportMetric(float64(bytes)/float64(objects), "B/object")
+		})
+	}
+}
+
+// BenchmarkProbes measures the probes that one store gets from all gateways of a zone, by the module's own decisions: each
+// gateway has its own module, and all see the planned load.
+func BenchmarkProbes(b *testing.B) {
+	const seconds, storesOfZone = 5, 20
+	for _, gateways := range []int{3, 24, 121} {
+		b.Run(fmt.Sprintf("gateways=%d", gateways), func(b *testing.B) {
+			probes := 0
+			for b.Loop() {
+				probes = 0
+				for range gateways {
+					g := newGateway(b, settings(gateways, 28*gateways), zerolog.Nop())
+					g.core.Handle(core.Stores{Whole: true, List: zoneStores(storesOfZone)})
+					for i := range int(seconds * 1000 / requestGap()) {
+						g.serve(uint64(i%5000+1), requestGap())
+						g.answerProbes(storesOfZone)
+					}
+					probes += g.ports.probed
+				}
+			}
+			reportOnly(b, float64(probes)/seconds/storesOfZone, "probes/s/store")
+			b.ReportMetric(float64(probes)/seconds/float64(gateways), "probes/s/gateway")
+		})
+	}
+}
+
+// zoneStores are stores that all stand in the gateway's zone.
+func zoneStores(stores int) []core.Store {
+	list := storeList(stores)
+	for i := range list {
+		list[i].Member.Zone, list[i].Member.Kind = 0, cacheKind
+	}
+	return list
+}
+
+// answerProbes has every store answer the probe that it may have.
+func (g *gateway) answerProbes(stores int) {
+	for i := range stores {
+		g.core.Handle(core.Probed{Member: uint32(i + 1), Result: control.OK, Load: &control.Load{Held: 10, Busy: -1, Hits: -1, Link: -1}})
+	}
+}
+
+// BenchmarkColdStore measures how many requests one gateway may send to a store in the ten seconds after that store's start,
+// by the number of gateways that share it: each gateway has 20 requests a second and no other store for them. Gateways that
+// have served before know how long a request takes; those that start together with the store take it for as long as its aim.
+func BenchmarkColdStore(b *testing.B) {
+	const seeds = 100
+	for _, fresh := range []bool{false, true} {
+		for _, weight := range []float64{12, storeWeight} {
+			for _, gateways := range []int{3, 24, 121, 425, 3400} {
+				b.Run(fmt.Sprintf("fresh=%v/weight=%v/gateways=%d", fresh, weight, gateways), func(b *testing.B) {
+					sent, none := 0, 0
+					for b.Loop() {
+						sent, none = 0, 0
+						for seed := range uint64(seeds) {
+							n := sendsToColdStore(b, gateways, weight, seed, fresh)
+							if sent += n; n == 0 {
+								none++
+							}
+						}
+					}
+					reportOnly(b, float64(sent)/seeds, "requests/gateway")
+					b.ReportMetric(float64(sent)/seeds*float64(gateways), "requests/store")
+					b.ReportMetric(float64(none)/seeds, "share-without")
+				})
+			}
+		}
+	}
+}
+
+// oneStore is a list that names one store alone.
+func oneStore(id control.MemberID, weight float64, started time.Duration) control.Members {
+	return control.Members{Whole: true, List: []control.Member{{ID: id, Weight: weight, State: control.Ready, Started: started}}}
+}
+
+// sendsToColdStore counts the requests that leave for a store within the time in which it is cold.
+func sendsToColdStore(b *testing.B, gateways int, weight float64, seed uint64, fresh bool) (sent int) {
+	s := settings(gateways, gateways)
+	s.ColdFor = coldFor
+	c, err := control.New(s, seed)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Hour
+	if !fresh {
+		c.Handle(now, oneStore(2, weight, 0), nil)
+		offer(c, &now, 1, coldFor)
+	}
+	c.Handle(now, oneStore(1, weight, now), nil)
+	return offer(c, &now, 1<<20, coldFor-time.Second/10) // it ends while the store is cold
+}
+
+// offer has requests arrive for a while, 20 a second, and counts those that leave; each is answered at a client's pace.
+func offer(c *control.Controller, now *time.Duration, firstID control.RequestID, duration time.Duration) (sent int) {
+	const (
+		gap      = 50 * time.Millisecond
+		timeTick = 0xfd
+	)
+	var acts []control.Action
+	for i := range control.RequestID(duration / gap) {
+		*now += gap
+		id := firstID + i
+		for _, ev := range []control.Event{
+			control.Woken{Token: timeTick},
+			control.Request{ID: id, Object: control.ObjectID(id), SizeKB: partKB, Left: 5 * time.Second},
+		} {
+			acts = c.Handle(*now, ev, acts[:0])
+			for _, act := range acts {
+				if a, ok := act.(control.Attempt); ok {
+					sent++
+					c.Handle(*now, control.Outcome{ID: a.ID, Member: a.To, Result: control.OK, Note: control.Hit,
+						Latency: partKB * time.Second / clientKBps}, nil)
+				}
+			}
+		}
+	}
+	return sent
+}
+
+// countingWriter counts what is written to it.
+type countingWriter struct{ bytes, lines int }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.bytes += len(p)
+	w.lines++
+	return len(p), nil
+}
+
+var _ io.Writer = (*countingWriter)(nil)
+
+// BenchmarkTrace measures what the log gets for one request that one attempt serves, and what that costs.
+func BenchmarkTrace(b *testing.B) {
+	for _, level := range []zerolog.Level{zerolog.InfoLevel, zerolog.DebugLevel} {
+		b.Run(level.String(), func(b *testing.B) {
+			w := &countingWriter{}
+			g := newGateway(b, settings(121, 3400), zerolog.New(w).Level(level).With().Timestamp().Logger())
+			g.core.Handle(core.Stores{Whole: true, List: storeList(35)})
+			for i := uint64(0); b.Loop(); i++ {
+				g.serve(i%5000+1, requestGap())
+			}
+			b.ReportMetric(float64(w.bytes)/float64(b.N), "B/request")
+			b.ReportMetric(float64(w.lines)/float64(b.N), "lines/request")
+		})
+	}
+}
--- /dev/null
+++ b/capacity/voters_test.go
@@ -0,0 +1,447 @@
+package capacity_test
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/replica"
+)
+
+// voterCounts are sizes of the group of voters: today's, the planned one, and more.
+var voterCounts = []int{3, 5, 9, 15, 25}
+
+const stepTimeout = 20 * time.Second
+
+// traffic counts the bytes of links, both ways, without the headers of TCP and IP.
+type traffic struct{ bytes, connections atomic.Int64 }
+
+// countingListener counts what its connections carry.
+type countingListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.traffic.connections.Add(1)
+	return countingConn{c, l.traffic}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.bytes.Add(int64(n))
+	return n, err
+}
+
+// group is a group of voters in this process, on loopback, with their logs on disk.
+type group struct {
+	tb          testing.TB
+	members     []replica.Member
+	folders     []string
+	certificate func() (*tls.Config, error)
+	stores      []*replica.Store
+	traffic     traffic
+}
+
+func newGroup(tb testing.TB, voters int) *group {
+	tb.Helper()
+	g := &group{tb: tb, stores: make([]*replica.Store, voters)}
+	var err error
+	if g.certificate, err = standin.Authority(); err != nil {
+		tb.Fatal(err)
+	}
+	var listeners []net.Listener
+	for i := range voters {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		listeners = append(listeners, l)
+		g.members = append(g.members, replica.Member{ID: fmt.Sprintf("voter-%d", i), Addr: l.Addr().String()})
+		g.folders = append(g.folders, tb.TempDir())
+	}
+	for i := range voters {
+		g.open(i, listeners[i])
+	}
+	tb.Cleanup(func() {
+		var closing sync.WaitGroup
+		for _, s := range g.stores {
+			closing.Go(func() { s.Close() })
+		}
+		closing.Wait()
+	})
+	return g
+}
+
+// open starts a voter; with no listener, at the address that it had.
+func (g *group) open(i int, l net.Listener) {
+	g.tb.Helper()
+	conf, err := g.certificate()
+	if err == nil && l == nil {
+		l, err = net.Listen("tcp", g.members[i].Addr)
+	}
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+	g.stores[i], err = replica.Open(replica.Options{
+		ID: g.members[i].ID, Members: g.members, Listener: countingListener{l, &g.traffic}, TLS: conf, Dir: g.folders[i],
+		Clock: clock.System(), Log: zerolog.Nop(),
+	})
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+}
+
+// leader waits for a leader other than the voter left out (-1: none is).
+func (g *group) leader(leftOut int) int {
+	for {
+		for i, s := range g.stores {
+			if i != leftOut && s.Leads() {
+				return i
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// use makes a whole use of a single-use token: held, sent and settled, three entries of the log.
+func use(s *replica.Store) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stepTimeout)
+	defer cancel()
+	name, owner := "url-1/"+rand.Text(), rand.Text()
+	until := float64(time.Now().UnixMilli()) + 70000
+	for _, step := range []claims.Step{
+		{Op: claims.Hold, Owner: owner, Until: until}, {Op: claims.Send, Owner: owner},
+		{Op: claims.Settle, Owner: owner, To: claims.Ran, Outcome: "served 64 bytes"},
+	} {
+		if _, ok, err := s.Step(ctx, name, step); err != nil || !ok {
+			return fmt.Errorf("%s: %v, %w", step.Op, ok, err)
+		}
+	}
+	return nil
+}
+
+// BenchmarkVoters measures groups of voters: uses at the leader and by way of it, and what the group does with nothing to do.
+// Processor times are of the whole group.
+func BenchmarkVoters(b *testing.B) {
+	for _, voters := range voterCounts {
+		b.Run(fmt.Sprintf("voters=%d", voters), func(b *testing.B) {
+			g := newGroup(b, voters)
+			leader := g.leader(-1)
+			b.Run("idle", func(b *testing.B) { g.measureIdle(b) })
+			b.Run("leader", func(b *testing.B) { g.measureUses(b, leader, 8) })
+			b.Run("forwarded", func(b *testing.B) { g.measureUses(b, (leader+1)%voters, 2) })
+		})
+	}
+}
+
+func (g *group) measureIdle(b *testing.B) {
+	const seconds = 3
+	for b.Loop() {
+		time.Sleep(time.Second) // what came before settles
+		used, bytes := processorTime(b), g.traffic.bytes.Load()
+		time.Sleep(seconds * time.Second)
+		voters := float64(len(g.stores))
+		reportOnly(b, 100*(processorTime(b)-used).Seconds()/seconds/voters, "%core/voter")
+		b.ReportMetric(float64(g.traffic.bytes.Load()-bytes)/seconds/(voters-1), "B/s/follower")
+	}
+}
+
+// measureUses has eight goroutines for each of the parallelism make uses at one voter.
+func (g *group) measureUses(b *testing.B, voter, parallelism int) {
+	used, bytes, connections := processorTime(b), g.traffic.bytes.Load(), g.traffic.connections.Load()
+	b.SetParallelism(parallelism)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := use(g.stores[voter]); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	n := float64(b.N)
+	b.ReportMetric(n/b.Elapsed().Seconds(), "uses/s")
+	b.ReportMetric((processorTime(b)-used).Seconds()*1000/n, "processor-ms/use")
+	b.ReportMetric(float64(g.traffic.bytes.Load()-bytes)/n, "link-B/use")
+	b.ReportMetric(float64(g.traffic.connections.Load()-connections)/n, "connections/use")
+}
+
+// BenchmarkLeaderLoss measures the time without a leader after the leader of five voters is stopped.
+func BenchmarkLeaderLoss(b *testing.B) {
+	g := newGroup(b, 5)
+	var total, longest time.Duration
+	runs := 0
+	for b.Loop() {
+		leader := g.leader(-1)
+		begun := time.Now()
+		if err := g.stores[leader].Close(); err != nil {
+			b.Fatal(err)
+		}
+		g.leader(leader)
+		without := time.Since(begun)
+		total, longest = total+without, max(longest, without)
+		runs++
+		g.open(leader, nil)
+		time.Sleep(time.Second)
+	}
+	reportOnly(b, total.Seconds()/float64(runs), "s-mean")
+	b.ReportMetric(longest.Seconds(), "s-longest")
+}
+
+// BenchmarkStoredUses measures what remembered uses cost a voter: memory, a snapshot's size and time, and a start from it.
+func BenchmarkStoredUses(b *testing.B) {
+	for _, uses := range []int{5000, 20000, 50000} {
+		b.Run(fmt.Sprintf("uses=%d", uses), func(b *testing.B) {
+			for b.Loop() {
+				measureStoredUses(b, uses)
+			}
+		})
+	}
+}
+
+func measureStoredUses(b *testing.B, uses int) {
+	g := newGroup(b, 1)
+	g.leader(-1)
+	g.makeUses(b, 1)
+	before := memoryInUse()
+	g.makeUses(b, uses)
+	log := sizeOf(b, filepath.Join(g.folders[0], "raft.db"))
+	taken, longest := g.snapshotUnderUse(b)
+	memory := memoryInUse() - before
+	begun := time.Now()
+	if err := g.stores[0].Close(); err != nil {
+		b.Fatal(err)
+	}
+	g.open(0, nil)
+	started := time.Since(begun)
+	runtime.KeepAlive(g)
+	reportOnly(b, float64(memory)/float64(uses), "B-memory/use")
+	b.ReportMetric(float64(snapshotSize(b, g.folders[0]))/float64(uses), "B-snapshot/use")
+	b.ReportMetric(taken.Seconds()*1000, "ms-snapshot")
+	b.ReportMetric(longest.Seconds()*1000, "ms-longest-use")
+	b.ReportMetric(started.Seconds()*1000, "ms-restart")
+	b.ReportMetric(float64(log)/1e6, "MB-log")
+}
+
+// snapshotUnderUse takes a snapshot while uses are made one after the other, and tells how long the longest of them took.
+func (g *group) snapshotUnderUse(b *testing.B) (taken, longest time.Duration) {
+	var done atomic.Bool
+	var using sync.WaitGroup
+	using.Go(func() {
+		for !done.Load() {
+			begun := time.Now()
+			if err := use(g.stores[0]); err != nil {
+				b.Error(err)
+				return
+			}
+			longest = max(longest, time.Since(begun))
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	begun := time.Now()
+	if err := g.stores[0].Snapshot(); err != nil {
+		b.Error(err)
+	}
+	taken = time.Since(begun)
+	done.Store(true)
+	using.Wait()
+	return taken, longest
+}
+
+// makeUses has many goroutines make uses.
+func (g *group) makeUses(b *testing.B, uses int) {
+	const goroutines = 256
+	var left atomic.Int64
+	left.Store(int64(uses))
+	var making sync.WaitGroup
+	for range goroutines {
+		making.Go(func() {
+			for left.Add(-1) >= 0 {
+				if err := use(g.stores[0]); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	making.Wait()
+}
+
+func sizeOf(b *testing.B, path string) int64 {
+	b.Helper()
+	info, err := os.Stat(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return info.Size()
+}
+
+// snapshotSize is that of the largest state which a voter's snapshots hold.
+func snapshotSize(b *testing.B, folder string) (size int64) {
+	b.Helper()
+	states, err := filepath.Glob(filepath.Join(folder, "snapshots", "*", "state.bin"))
+	if err != nil || len(states) == 0 {
+		b.Fatal("no snapshot:", err)
+	}
+	for _, path := range states {
+		size = max(size, sizeOf(b, path))
+	}
+	return size
+}
+
+// BenchmarkLogEntry measures the log on disk, by entry, while it has not been cut.
+func BenchmarkLogEntry(b *testing.B) {
+	const uses, entriesPerUse = 1000, 3
+	for b.Loop() {
+		g := newGroup(b, 1)
+		g.leader(-1)
+		path := filepath.Join(g.folders[0], "raft.db")
+		before := sizeOf(b, path)
+		g.makeUses(b, uses)
+		reportOnly(b, float64(sizeOf(b, path)-before)/uses/entriesPerUse, "B-disk/entry")
+	}
+}
+
+// tlsPair gives both ends of a mutual TLS connection over loopback, as links between voters are.
+func tlsPair(b *testing.B, l net.Listener, server, client *tls.Config) (accepted, dialled *tls.Conn) {
+	b.Helper()
+	done := make(chan *tls.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			done <- nil
+			return
+		}
+		s := tls.Server(c, server)
+		if s.Handshake() != nil {
+			s = nil
+		}
+		done <- s
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if accepted = <-done; accepted == nil {
+		b.Fatal("no handshake")
+	}
+	return accepted, c
+}
+
+// tlsSides gives a listener and the configurations of both sides, as package replica sets them.
+func tlsSides(b *testing.B) (l net.Listener, server, client *tls.Config) {
+	b.Helper()
+	certificate, err := standin.Authority()
+	if err == nil {
+		server, err = certificate()
+	}
+	if err == nil {
+		client, err = certificate()
+	}
+	if err == nil {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	server.ClientAuth, server.MinVersion = tls.RequireAndVerifyClientCert, tls.VersionTLS13
+	return l, server, client
+}
+
+// BenchmarkHandshake measures the processor time of a mutual TLS handshake, of both sides.
+func BenchmarkHandshake(b *testing.B) {
+	l, server, client := tlsSides(b)
+	used := processorTime(b)
+	b.ResetTimer()
+	for range b.N {
+		accepted, dialled := tlsPair(b, l, server, client)
+		accepted.Close()
+		dialled.Close()
+	}
+	b.ReportMetric((processorTime(b)-used).Seconds()*1e6/float64(b.N), "processor-us")
+}
+
+// BenchmarkLinkMemory measures the memory of a mutual TLS link at one side, without a goroutine or buffer of its user.
+func BenchmarkLinkMemory(b *testing.B) {
+	const links = 200
+	l, server, client := tlsSides(b)
+	for b.Loop() {
+		before := memoryInUse()
+		var open []*tls.Conn
+		for range links {
+			accepted, dialled := tlsPair(b, l, server, client)
+			open = append(open, accepted, dialled)
+		}
+		reportOnly(b, float64(memoryInUse()-before)/links/2, "B/side")
+		for _, c := range open {
+			c.Close()
+		}
+	}
+}
+
+// BenchmarkLinkWrite measures the processor time of sending a block over a link and reading it there, and the same for many
+// links one after the other, as a voter that serves many subscribers does.
+func BenchmarkLinkWrite(b *testing.B) {
+	for _, size := range []int{100, 1200, 16000} {
+		for _, links := range []int{1, 100} {
+			b.Run(fmt.Sprintf("bytes=%d/links=%d", size, links), func(b *testing.B) {
+				l, server, client := tlsSides(b)
+				var from, to []*tls.Conn
+				for range links {
+					accepted, dialled := tlsPair(b, l, server, client)
+					from, to = append(from, accepted), append(to, dialled)
+				}
+				block, room := make([]byte, size), make([]byte, size)
+				used := processorTime(b)
+				b.ResetTimer()
+				for i := range b.N {
+					if _, err := from[i%links].Write(block); err != nil {
+						b.Fatal(err)
+					}
+					for read := 0; read < size; {
+						n, err := to[i%links].Read(room)
+						if err != nil {
+							b.Fatal(err)
+						}
+						read += n
+					}
+				}
+				b.ReportMetric((processorTime(b)-used).Seconds()*1e6/float64(b.N), "processor-us")
+				for i := range links {
+					from[i].Close()
+					to[i].Close()
+				}
+			})
+		}
+	}
+}
