--- a/capacity/changelog_test.go
+++ b/capacity/changelog_test.go
@@ -181,9 +181,9 @@
 }
 
 // purgeBatch is a batch of purges at revisions and times as long as real ones.
-func purgeBatch(purges int) distribution.Batch {
+func purgeBatch(purges int) *distribution.Batch {
 	const revision, term = 123456789, 41
-	batch := distribution.Batch{After: distribution.Position{Revision: revision, Term: term}}
+	batch := &distribution.Batch{After: distribution.Position{Revision: revision, Term: term}}
 	for i := range purges {
 		batch.Changes = append(batch.Changes, distribution.Change{
 			Position: distribution.Position{Revision: revision + distribution.Revision(i) + 1, Term: term}, Kind: distribution.KindPurge,
