--- a/scale/voters.go
+++ b/scale/voters.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	votersWriters    = 8 // that propose one change after the other
 	votersProcesses  = 15
 	votersStartLimit = 45 * time.Second
-	votersDrain      = time.Second // for the last changes to come into force
+	votersRunLimit   = 90 * time.Second // beside the load
+	votersDrain      = time.Second      // for the last changes to come into force
 	leaderInterval   = 250 * time.Millisecond
 	failedShareLimit = 0.5
 )
@@ -69,8 +71,11 @@
 	for _, members := range options.Counts {
 		progress.print("%d members that all vote", members)
 		run, err := runVoters(ctx, members, options)
+		if ctx.Err() != nil {
+			return report, ctx.Err()
+		}
 		if err != nil {
-			return report, err
+			run.Stopped = err.Error()
 		}
 		report.Runs = append(report.Runs, run)
 		progress.print("%.0f puts/s, everywhere p99 %.0f ms, %.2f %% of a core for each, %d failed, %d leaders %s",
@@ -82,7 +87,7 @@
 	return report, nil
 }
 
-// runVoters measures one cluster. That it did not hold is no error, but stands in the run.
+// runVoters measures one cluster, as far as it holds.
 func runVoters(ctx context.Context, members int, options VotersOptions) (run VotersRun, err error) {
 	dir, err := temporaryDir()
 	if err != nil {
@@ -92,6 +97,8 @@
 	cluster := &votersCluster{members: members, log: options.Progress, dir: dir}
 	defer cluster.stop()
 	run = VotersRun{Members: members, Processes: min(members, votersProcesses)}
+	ctx, stopInTime := context.WithTimeout(ctx, options.Duration+votersRunLimit)
+	defer stopInTime()
 	startCtx, cancel := context.WithTimeout(ctx, votersStartLimit)
 	defer cancel()
 	begin := time.Now()
@@ -100,7 +107,7 @@
 	}
 	if !cluster.awaitLeader(startCtx) {
 		run.Stopped = fmt.Sprintf("no leader within %v", votersStartLimit)
-		return run, ctx.Err()
+		return run, nil
 	}
 	run.ElectedMS = float64(time.Since(begin).Milliseconds())
 	err = cluster.measure(ctx, options, &run)
@@ -125,12 +132,12 @@
 	if err != nil {
 		return err
 	}
+	addresses, err := freeAddresses(slices.Repeat([]string{ip}, c.members))
+	if err != nil {
+		return err
+	}
 	var all []replica.Member
-	for member := range c.members {
-		address, err := freeAddress(ip)
-		if err != nil {
-			return err
-		}
+	for member, address := range addresses {
 		all = append(all, replica.Member{ID: voterID(member), Addr: address})
 	}
 	var group errgroup.Group
