Test gateways and a leader that are stopped and go on, as processes

Need: a hard case of the watch that only the simulation had: SIGSTOP and SIGCONT of a process of gateways, and of the leader.

Change: TestStoppedProcesses runs both scenarios of the rig with 20 gateways: no false claim of freshness, all checks hold, no process left.

--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -114,6 +114,34 @@
 	}
 }
 
+// Gateways that are stopped and go on, and a leader that is, claim nothing that they don't know: what was sent to them meanwhile
+// counts from when they asked for it. In the end all hold the same.
+func TestStoppedProcesses(t *testing.T) {
+	const gateways, duration = 20, 5 * time.Second
+	for _, scenario := range []string{"pause", "leader-pause"} {
+		t.Run(scenario, func(t *testing.T) {
+			checkNothingLeft(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+			defer cancel()
+			report, err := Run(ctx, Options{
+				Gateways: gateways, Sites: 4, Voters: FullVoters, Stores: 35, Duration: duration, Seed: 2, Scenario: scenario,
+				Load: Load{Purges: 46, ChangesPerDay: 86400, Burst: 10, Revocations: 1}, Progress: testLog{t},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, check := range report.Checks {
+				if !check.OK {
+					t.Errorf("%s: %v, limit %v", check.Name, check.Value, check.Limit)
+				}
+			}
+			if len(report.Violations) > 0 || report.Claims == 0 {
+				t.Errorf("%d claims, false: %+v", report.Claims, report.Violations)
+			}
+		})
+	}
+}
+
 // Members that all vote are measured, and leave nothing behind.
 func TestVotersAlone(t *testing.T) {
 	checkNothingLeft(t)
