--- a/scale/gateway_worker.go
+++ b/scale/gateway_worker.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/internal/hollow"
@@ -123,17 +124,17 @@
 	return nil
 }
 
-// restart closes gateways and starts them anew, as after the end of their processes.
+// restart closes gateways and starts them anew, all at once, as after the end of their processes.
 func (w *gatewayWorker) restart(places []int) error {
-	var failed []error
+	var group errgroup.Group
 	for _, place := range places {
 		if place < 0 || place >= len(w.gateways) {
-			return fmt.Errorf("scale: no gateway %d", place)
+			return errors.Join(fmt.Errorf("scale: no gateway %d", place), group.Wait())
 		}
 		running := w.gateways[place]
-		failed = append(failed, running.stop(), w.open(place, running))
+		group.Go(func() error { return errors.Join(running.stop(), w.open(place, running)) })
 	}
-	return errors.Join(failed...)
+	return group.Wait()
 }
 
 // stop ends the present incarnation.
--- a/scale/scenario.go
+++ b/scale/scenario.go
@@ -56,13 +56,14 @@
 		{at: 0.30, what: "the leader stands still", do: (*faults).pauseLeader},
 		{at: 0.60, what: "it goes on", do: (*faults).resumeVoters},
 	},
-	"reconnect":   {{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth}},
-	"site-cut":    cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
-	"zone-cut":    cutAndHeal("a zone is cut off", func(f *faults) []int { return f.topology().ZoneSites(0) }),
-	"region-cut":  cutAndHeal("a region is cut off", func(f *faults) []int { return f.topology().RegionSites(0) }),
-	"zone-stall":  linkFault("a zone's links carry nothing", linkCondition{Stall: true}, func(f *faults) []int { return f.topology().ZoneSites(0) }),
-	"delay":       linkFault("a region's links are slow", linkCondition{Delay: linkDelay}, func(f *faults) []int { return f.topology().RegionSites(0) }),
-	"slow-reader": linkFault("a site reads slowly", linkCondition{Delay: slowReaderDelay}, func(f *faults) []int { return []int{0} }),
+	"reconnect":     {{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth}},
+	"reconnect-all": {{at: 0.50, what: "all gateways start anew", do: (*faults).restartAll}},
+	"site-cut":      cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
+	"zone-cut":      cutAndHeal("a zone is cut off", func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"region-cut":    cutAndHeal("a region is cut off", func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"zone-stall":    linkFault("a zone's links carry nothing", linkCondition{Stall: true}, func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"delay":         linkFault("a region's links are slow", linkCondition{Delay: linkDelay}, func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"slow-reader":   linkFault("a site reads slowly", linkCondition{Delay: slowReaderDelay}, func(f *faults) []int { return []int{0} }),
 	"pause": {
 		{at: 0.30, what: "a process of gateways stands still", do: (*faults).pauseGateways},
 		{at: 0.60, what: "it goes on", do: (*faults).resumeGateways},
@@ -175,6 +176,10 @@
 	return f.cluster.restartGateways(ctx, all[:max(1, len(all)/reconnectShare)])
 }
 
+func (f *faults) restartAll(ctx context.Context) error {
+	return f.cluster.restartGateways(ctx, f.random.Perm(f.topology().Gateways))
+}
+
 func (f *faults) pauseGateways(context.Context) error  { return f.cluster.gateways[0].process.Pause() }
 func (f *faults) resumeGateways(context.Context) error { return f.cluster.gateways[0].process.Resume() }
 
