--- /dev/null
+++ b/scale/gateway_worker.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/config"
+	"turnfork.dev/turnfork/internal/hollow"
+	"turnfork.dev/turnfork/replica"
+)
+
+// gatewayWorker runs the hollow gateways of one process.
+type gatewayWorker struct {
+	setup    gatewaysSetup
+	operator *config.Operator
+	recorder *recorder
+	clock    *clock.Clock
+
+	cancel  context.CancelFunc
+	sampler sync.WaitGroup
+
+	mu        sync.Mutex
+	gateways  []*runningGateway
+	staleness *hdrhistogram.Histogram
+	catchUp   *hdrhistogram.Histogram
+}
+
+var _ worker = (*gatewayWorker)(nil)
+
+// runningGateway is one hollow gateway with its history across restarts.
+type runningGateway struct {
+	spec    gatewaySpec
+	history leaseHistory
+
+	mu         sync.Mutex
+	gateway    *hollow.Gateway
+	subscriber *replica.Subscriber
+	status     replica.SubscriberStatus // when it was last asked for
+	past       Traffic                  // of earlier incarnations
+}
+
+func (w *gatewayWorker) handle(ctx context.Context, method string, body json.RawMessage) (any, error) {
+	switch method {
+	case methodStart:
+		setup, err := decodeBody[gatewaysSetup](body)
+		if err != nil {
+			return nil, err
+		}
+		return empty{}, w.start(setup)
+	case methodRestart:
+		asked, err := decodeBody[restartRequest](body)
+		if err != nil {
+			return nil, err
+		}
+		return empty{}, w.restart(asked.Gateways)
+	case methodStats:
+		stats, err := ownStats()
+		stats.Traffic = w.traffic()
+		return stats, err
+	case methodStates:
+		return w.states(), nil
+	case methodResults:
+		asked, err := decodeBody[resultsRequest](body)
+		if err != nil {
+			return nil, err
+		}
+		return w.results(asked.Acked), nil
+	}
+	return nil, fmt.Errorf("%w: %s", errUnknownMethod, method)
+}
+
+func (w *gatewayWorker) start(setup gatewaysSetup) error {
+	if len(setup.Gateways) == 0 {
+		return errors.New("scale: no gateways")
+	}
+	if err := setup.Identity.writeFiles(setup.Dir); err != nil {
+		return err
+	}
+	first := setup.Gateways[0]
+	text := hollow.OperatorText(setup.Stores) + hollow.SubscriptionText(first.Name, first.Voters)
+	operator, err := config.ParseOperator(text, setup.Dir)
+	if err != nil {
+		return fmt.Errorf("scale: operator's file: %w", err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setup, w.operator, w.clock = setup, operator, clock.System()
+	w.recorder = newRecorder(len(setup.Gateways))
+	w.staleness, w.catchUp = newHistogram(), newHistogram()
+	for i, spec := range setup.Gateways {
+		running := &runningGateway{spec: spec}
+		if err := w.open(i, running); err != nil {
+			return err
+		}
+		w.gateways = append(w.gateways, running)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.sampler.Go(func() { w.sampleLeases(ctx) })
+	return nil
+}
+
+// open starts an incarnation of a gateway.
+func (w *gatewayWorker) open(place int, running *runningGateway) error {
+	running.history.started(time.Now())
+	gateway, err := hollow.New(hollow.Options{
+		Operator: hollow.OperatorOf(w.operator, running.spec.Name, running.spec.Voters), Seed: w.setup.Seed + uint64(place),
+		Clock: w.clock, Log: zerolog.Nop(), Observer: gatewayObserver{w.recorder, place},
+	})
+	if err != nil {
+		return fmt.Errorf("scale: gateway %s: %w", running.spec.Name, err)
+	}
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	running.gateway, running.subscriber, running.status = gateway, gateway.Subscriber(), replica.SubscriberStatus{}
+	return nil
+}
+
+// restart closes gateways and starts them anew, as after the end of their processes.
+func (w *gatewayWorker) restart(places []int) error {
+	var failed []error
+	for _, place := range places {
+		if place < 0 || place >= len(w.gateways) {
+			return fmt.Errorf("scale: no gateway %d", place)
+		}
+		running := w.gateways[place]
+		failed = append(failed, running.stop(), w.open(place, running))
+	}
+	return errors.Join(failed...)
+}
+
+// stop ends the present incarnation.
+func (r *runningGateway) stop() error {
+	r.history.stopped(time.Now())
+	r.mu.Lock()
+	gateway, subscriber := r.gateway, r.subscriber
+	if subscriber != nil {
+		r.past.add(trafficOf(subscriber.Status()))
+	}
+	r.gateway, r.subscriber, r.status = nil, nil, replica.SubscriberStatus{}
+	r.mu.Unlock()
+	if gateway == nil {
+		return nil
+	}
+	return gateway.Close()
+}
+
+func (w *gatewayWorker) close() error {
+	if w.cancel != nil {
+		w.cancel()
+	}
+	w.sampler.Wait()
+	var failed []error
+	for _, running := range w.gateways {
+		failed = append(failed, running.stop())
+	}
+	return errors.Join(failed...)
+}
+
+// traffic sums up what all gateways have counted.
+func (w *gatewayWorker) traffic() (sum Traffic) {
+	for _, running := range w.gateways {
+		running.mu.Lock()
+		sum.add(running.past)
+		sum.add(trafficOf(running.status))
+		running.mu.Unlock()
+	}
+	return sum
+}
+
+func trafficOf(status replica.SubscriberStatus) Traffic {
+	return Traffic{
+		BytesIn: int64(status.BytesIn), BytesOut: int64(status.BytesOut), MessagesIn: int64(status.MessagesIn),
+		MessagesOut: int64(status.MessagesOut), Reconnects: int64(status.Reconnects), Snapshots: int64(status.Snapshots),
+	}
+}
+
+func (w *gatewayWorker) states() []State {
+	var out []State
+	for _, running := range w.gateways {
+		running.mu.Lock()
+		if running.subscriber != nil {
+			status := running.subscriber.Status()
+			out = append(out, State{
+				Name: running.spec.Name, Position: status.Position, Digest: status.Digest, Fresh: status.Fresh,
+			})
+		}
+		running.mu.Unlock()
+	}
+	return out
+}
--- /dev/null
+++ b/scale/scenario.go
@@ -0,0 +1,203 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// step is something that a scenario does at a share of the run.
+type step struct {
+	at      float64
+	what    string
+	do      func(f *faults, ctx context.Context) error
+	relayed bool // it needs the relay
+}
+
+// faults carries out the steps of a scenario.
+type faults struct {
+	cluster *cluster
+	random  *rand.Rand
+	down    []int // the voters that were killed, or paused
+}
+
+// Sizes of the faults.
+const (
+	reconnectShare  = 10 // one gateway in this many starts anew at once
+	linkDelay       = 300 * time.Millisecond
+	slowReaderDelay = 1500 * time.Millisecond
+)
+
+// ScenarioQuiet is the one without faults.
+const ScenarioQuiet = "quiet"
+
+// scenarios are the faults by name.
+var scenarios = map[string][]step{
+	ScenarioQuiet: nil,
+	"voter-death": {
+		{at: 0.30, what: "the leader is killed", do: (*faults).killLeader},
+		{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth},
+		{at: 0.70, what: "the killed voter starts again", do: (*faults).reviveVoters},
+	},
+	"two-voters-death": {
+		{at: 0.30, what: "the leader is killed", do: (*faults).killLeader},
+		{at: 0.40, what: "the next leader is killed", do: (*faults).killLeader},
+		{at: 0.70, what: "the killed voters start again", do: (*faults).reviveVoters},
+	},
+	"quorum-loss": {
+		{at: 0.30, what: "a majority of the voters is killed", do: (*faults).killMajority},
+		{at: 0.45, what: "the killed voters start again", do: (*faults).reviveVoters},
+	},
+	"leader-pause": {
+		{at: 0.30, what: "the leader stands still", do: (*faults).pauseLeader},
+		{at: 0.60, what: "it goes on", do: (*faults).resumeVoters},
+	},
+	"reconnect":   {{at: 0.50, what: "a tenth of the gateways starts anew", do: (*faults).restartTenth}},
+	"site-cut":    cutAndHeal("a site is cut off", func(f *faults) []int { return []int{0} }),
+	"zone-cut":    cutAndHeal("a zone is cut off", func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"region-cut":  cutAndHeal("a region is cut off", func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"zone-stall":  linkFault("a zone's links carry nothing", linkCondition{Stall: true}, func(f *faults) []int { return f.topology().ZoneSites(0) }),
+	"delay":       linkFault("a region's links are slow", linkCondition{Delay: linkDelay}, func(f *faults) []int { return f.topology().RegionSites(0) }),
+	"slow-reader": linkFault("a site reads slowly", linkCondition{Delay: slowReaderDelay}, func(f *faults) []int { return []int{0} }),
+	"pause": {
+		{at: 0.30, what: "a process of gateways stands still", do: (*faults).pauseGateways},
+		{at: 0.60, what: "it goes on", do: (*faults).resumeGateways},
+	},
+}
+
+// Scenarios names them.
+func Scenarios() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+func cutAndHeal(what string, sites func(*faults) []int) []step {
+	return linkFault(what, linkCondition{Cut: true}, sites)
+}
+
+// linkFault puts the links of some sites into a condition for a time in the middle of the run.
+func linkFault(what string, condition linkCondition, sites func(*faults) []int) []step {
+	set := func(condition linkCondition) func(*faults, context.Context) error {
+		return func(f *faults, ctx context.Context) error {
+			condition.Sites = sites(f)
+			return f.cluster.setLink(ctx, condition)
+		}
+	}
+	return []step{
+		{at: 0.30, what: what, do: set(condition), relayed: true},
+		{at: 0.60, what: "that is over", do: set(linkCondition{}), relayed: true},
+	}
+}
+
+// needsRelay tells whether a scenario changes the network.
+func needsRelay(scenario string) bool {
+	return slices.ContainsFunc(scenarios[scenario], func(s step) bool { return s.relayed })
+}
+
+func newFaults(c *cluster, seed uint64) *faults {
+	return &faults{cluster: c, random: rand.New(rand.NewPCG(seed, 2))}
+}
+
+func (f *faults) topology() Topology { return f.cluster.options.topology }
+
+// run carries out a scenario within a duration.
+func (f *faults) run(ctx context.Context, name string, duration time.Duration, progress *progress) error {
+	begin := time.Now()
+	for _, step := range scenarios[name] {
+		if !pause(ctx, time.Until(begin.Add(time.Duration(step.at*float64(duration))))) {
+			return ctx.Err()
+		}
+		progress.print("fault: %s", step.what)
+		if err := step.do(f, ctx); err != nil {
+			return fmt.Errorf("scale: fault %q: %w", step.what, err)
+		}
+	}
+	return nil
+}
+
+func (f *faults) killLeader(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	f.kill(leader)
+	return nil
+}
+
+// killMajority kills the leader and as many others as make a majority with it.
+func (f *faults) killMajority(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	voters := len(f.cluster.voters)
+	for i := range voters/2 + 1 {
+		f.kill((leader + i) % voters)
+	}
+	return nil
+}
+
+func (f *faults) kill(voter int) {
+	f.down = append(f.down, voter)
+	f.cluster.killVoter(voter)
+}
+
+func (f *faults) reviveVoters(ctx context.Context) error {
+	var failed []error
+	for _, voter := range f.down {
+		failed = append(failed, f.cluster.startVoter(ctx, voter))
+	}
+	f.down = nil
+	return errors.Join(failed...)
+}
+
+func (f *faults) pauseLeader(ctx context.Context) error {
+	leader, err := f.cluster.awaitLeader(ctx)
+	if err != nil {
+		return err
+	}
+	f.down = append(f.down, leader)
+	return f.cluster.voterProcess(leader).Pause()
+}
+
+func (f *faults) resumeVoters(context.Context) error {
+	var failed []error
+	for _, voter := range f.down {
+		failed = append(failed, f.cluster.voterProcess(voter).Resume())
+	}
+	f.down = nil
+	return errors.Join(failed...)
+}
+
+func (f *faults) restartTenth(ctx context.Context) error {
+	all := f.random.Perm(f.topology().Gateways)
+	return f.cluster.restartGateways(ctx, all[:max(1, len(all)/reconnectShare)])
+}
+
+func (f *faults) pauseGateways(context.Context) error  { return f.cluster.gateways[0].process.Pause() }
+func (f *faults) resumeGateways(context.Context) error { return f.cluster.gateways[0].process.Resume() }
+
+// restartSteadily starts single gateways anew at the rate of so many a day in the full deployment, and counts them.
+func (f *faults) restartSteadily(ctx context.Context, perDay float64, duration time.Duration) (restarts int, err error) {
+	begin := time.Now()
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 3))
+	rate := perDay / day.Seconds() * float64(f.topology().Gateways) / FullGateways
+	if rate <= 0 {
+		return 0, nil
+	}
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= duration {
+			return restarts, nil
+		}
+		if !pause(ctx, time.Until(begin.Add(at))) {
+			return restarts, ctx.Err()
+		}
+		if err := f.cluster.restartGateways(ctx, []int{random.IntN(f.topology().Gateways)}); err != nil {
+			return restarts, err
+		}
+		restarts++
+	}
+}
