Measure the sum at a cold store again, now that gateways take turns

Change: samples are spread over the fleet's numbers.

Measured: go test -run xxx -bench ColdStore -benchtime 1x ./capacity, no chance in it.

--- a/capacity/gateway_test.go
+++ b/capacity/gateway_test.go
@@ -289,7 +289,7 @@
 // by the number of gateways that share it: each gateway has 20 requests a second and no other store for them. Gateways that
 // have served before know how long a request takes; those that start together with the store take it for as long as its aim.
 func BenchmarkColdStore(b *testing.B) {
-	const seeds = 100
+	const samples = 100 // gateways, spread evenly over their numbers, by which they take turns
 	for _, fresh := range []bool{false, true} {
 		for _, weight := range []float64{12, storeWeight} {
 			for _, gateways := range []int{3, 24, 121, 425, 3400} {
@@ -297,16 +297,16 @@
 					sent, none := 0, 0
 					for b.Loop() {
 						sent, none = 0, 0
-						for seed := range uint64(seeds) {
-							n := sendsToColdStore(b, gateways, weight, seed, fresh)
+						for sample := range samples {
+							n := sendsToColdStore(b, gateways, sample*gateways/samples, weight, fresh)
 							if sent += n; n == 0 {
 								none++
 							}
 						}
 					}
-					reportOnly(b, float64(sent)/seeds, "requests/gateway")
-					b.ReportMetric(float64(sent)/seeds*float64(gateways), "requests/store")
-					b.ReportMetric(float64(none)/seeds, "share-without")
+					reportOnly(b, float64(sent)/samples, "requests/gateway")
+					b.ReportMetric(float64(sent)/samples*float64(gateways), "requests/store")
+					b.ReportMetric(float64(none)/samples, "share-without")
 				})
 			}
 		}
@@ -319,10 +319,10 @@
 }
 
 // sendsToColdStore counts the requests that leave for a store within the time in which it is cold.
-func sendsToColdStore(b *testing.B, gateways int, weight float64, seed uint64, fresh bool) (sent int) {
+func sendsToColdStore(b *testing.B, gateways, number int, weight float64, fresh bool) (sent int) {
 	s := settings(gateways, gateways)
-	s.ColdFor = coldFor
-	c, err := control.New(s, seed)
+	s.ColdFor, s.Front = coldFor, number
+	c, err := control.New(s, uint64(number))
 	if err != nil {
 		b.Fatal(err)
 	}
