Count a rejected token before its answer leaves

The front answered a forged token first and counted the failure afterwards, in the goroutine that reads the connection, while another one writes the answer. A client that asks again at once, on a new connection, could be judged before its last failure counted: one token too many is checked for each such connection.

Ruled out: the clock (the test's own, which stands still), the table of failures (one lock, no spending is lost), the log (dropped in that test).

Change: reject counts and logs first, and answers last.

--- a/front/signed/guard.go
+++ b/front/signed/guard.go
@@ -38,6 +38,20 @@
 	return false
 }
 
+// reject refuses a request whose token was not accepted. The failure counts before the client has its answer, so that
+// whatever the client sends after that is judged by it.
+func (c *conn) reject(s *slot, err error) {
+	f := c.front
+	if forged(err) {
+		f.guard.Failed(c.source, f.opt.Clock.Now())
+	}
+	f.sampled(f.opt.Log.Info(), "token not accepted", func(e *zerolog.Event) {
+		e.Err(err).Str("path", s.msg.Path).Str("from", c.source)
+	})
+	status, code, text, head := rejected(err)
+	c.fail(s, status, code, text, head)
+}
+
 // slow keeps a connection whose source fails unread for a moment. All that it asked is answered by then: what waits is
 // what it has not been asked yet. It tells whether the client is still there.
 func (c *conn) slow() (stays bool) {
--- /dev/null
+++ b/front/signed/guard_test.go
@@ -0,0 +1,76 @@
+package signed
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/limits"
+)
+
+// rejectionLog holds the first line about a rejected token until the test lets it go on.
+type rejectionLog struct {
+	reached, goOn chan struct{}
+	held          bool
+}
+
+func (l *rejectionLog) Write(line []byte) (int, error) {
+	if !l.held && bytes.Contains(line, []byte("token not accepted")) {
+		l.held = true
+		close(l.reached)
+		<-l.goOn
+	}
+	return len(line), nil
+}
+
+// A rejected token counts against its source before its client has the answer, so that what the client asks for next is
+// judged by it, also on a new connection. The goroutine that judges is held up here once it has rejected the first token.
+func TestFailureCountsBeforeItsAnswer(t *testing.T) {
+	d := newDepot(t)
+	log := &rejectionLog{reached: make(chan struct{}), goOn: make(chan struct{})}
+	f := d.fronts[0]
+	f.opt.Log = zerolog.New(log)
+	f.guard = limits.NewGuard(limits.GuardOptions{
+		Failures: limits.Rate{PerSecond: 1, Burst: 1}, Checks: limits.Rate{PerSecond: 1, Burst: 1}, Sources: 8,
+	})
+	forged := strings.Replace(d.url, "signature=", "signature=A", 1)
+	ask := func() <-chan string {
+		c, err := net.Dial("tcp", d.addrs[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", forged)
+		status := make(chan string, 1)
+		go func() {
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			status <- strings.TrimPrefix(strings.TrimSpace(line), "HTTP/1.1 ")[:3]
+		}()
+		return status
+	}
+	first := ask()
+	<-log.reached
+	letGo := sync.OnceFunc(func() { close(log.goOn) })
+	t.Cleanup(letGo)
+	select {
+	case status := <-first:
+		t.Fatalf("%s was answered before the rejection was dealt with", status)
+	case <-time.After(50 * time.Millisecond): // the answer's chance to overtake
+	}
+	letGo()
+	if status := <-first; status != "403" {
+		t.Errorf("the first token: %s", status)
+	}
+	// The one failure that is forgiven is used, and so is what a barred source may have checked after this one.
+	for i, want := range []string{"403", "429"} {
+		if status := <-ask(); status != want {
+			t.Errorf("token %d after it: %s, want %s", i+1, status, want)
+		}
+	}
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -450,12 +450,7 @@
 		Cookie: m.Cookie, Header: func(name string) string { return m.Header[strings.ToLower(name)] },
 	}, now/1000, f.policy.Load().LeewayMs/1000)
 	if err != nil {
-		status, code, text, head := rejected(err)
-		c.fail(s, status, code, text, head)
-		if forged(err) {
-			f.guard.Failed(c.source, f.opt.Clock.Now())
-		}
-		f.sampled(f.opt.Log.Info(), "token not accepted", func(e *zerolog.Event) { e.Err(err).Str("path", m.Path).Str("from", c.source) })
+		c.reject(s, err)
 		return
 	}
 	if grant.ID != "" && f.opt.Claims.Revoked(grant.Use()) {
