Decide the next voter in one place, which the checker covers

Cause: distribution.Rotation, which the checker's simulated gateways used, and replica's voterChoice, which ships, decided the same thing in two ways. The checker's histories so said nothing about the choice that ships. The shipped one also came back to a voter that refused it after just the pause that the voter named, without the jitter that the simulated ones added.

Change: VoterChoice in package distribution has the shipped decision; subscribers and the checker's gateways both use it, with the back-off's jitter on top of a refusal's pause. A watch's end is a struct in place of three values.

--- a/replica/subscriber_watch.go
+++ b/replica/subscriber_watch.go
@@ -25,24 +25,31 @@
 // run watches one voter after the other until the subscriber is closed.
 func (s *Subscriber) run() {
 	defer close(s.ended)
-	choice := newVoterChoice(len(s.order))
+	choice := distribution.NewVoterChoice(s.order)
 	for s.ctx.Err() == nil {
-		at, wait := choice.next(time.Now())
+		voter, wait := choice.Next(time.Now())
 		if !s.pause(wait) {
 			return
 		}
-		marked, advice, err := s.watch(s.order[at])
-		s.opt.Log.Debug().Str("voter", s.order[at]).Err(err).Msg("watch ended")
-		if marked {
+		end := s.watch(voter)
+		s.opt.Log.Debug().Str("voter", voter).Err(end.err).Msg("watch ended")
+		if end.marked {
 			s.backoff.Reset()
 		}
-		choice.ended(at, marked, advice, time.Now())
+		choice.Ended(voter, end.marked, end.retryAfter, time.Now())
 		if !s.pause(s.backoff.Next(0)) {
 			return
 		}
 	}
 }
 
+// watchEnd is what a watch came to.
+type watchEnd struct {
+	marked     bool          // it worked: a mark counted
+	retryAfter time.Duration // for which a refusal asked the subscriber to stay away, with jitter; 0: no refusal
+	err        error
+}
+
 // pause waits; false: the subscriber was closed.
 func (s *Subscriber) pause(d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -55,21 +62,25 @@
 	}
 }
 
-// watch follows a voter until that ends. Marked tells that it worked, and advice is the pause that a refusal asked for.
-func (s *Subscriber) watch(voter string) (marked bool, advice time.Duration, err error) {
+// watch follows a voter until that ends.
+func (s *Subscriber) watch(voter string) watchEnd {
 	conn, err := s.dialer.dial(s.ctx, voter, linkWatch)
 	if err != nil {
-		return false, 0, err
+		return watchEnd{err: err}
 	}
 	stop := context.AfterFunc(s.ctx, func() { closeNow(conn) })
 	defer stop()
 	w := &subscription{Subscriber: s, conn: conn, voter: voter}
 	defer w.end()
 	if err := w.open(); err != nil {
-		return false, 0, err
+		return watchEnd{err: err}
 	}
 	err = w.receive()
-	return w.marked, w.advice, err
+	end := watchEnd{marked: w.marked, err: err}
+	if errors.Is(err, errRefused) {
+		end.retryAfter = s.backoff.Next(w.advice)
+	}
+	return end
 }
 
 // subscription is one watch, on one connection.
