Hold a voter's own gateway to the lease of freshness

Cause: Store.Fresh was always true. A gateway that is itself a member of the replicated store, and is cut off from the others, went on for good with the copy that it has: it asked stores for copies of any age while purges may be missing, against "no older copy after a purge". Subscribers have had a lease since the watch.

Ruled out: a lease from Raft's own signs (raft.VerifyLeader, LastContact) counts answers and messages that were sent before the question; a mark has to rest on a barrier that is written after its heartbeat, as for subscribers.

Change: distribution.MemberLease, without I/O and with the time handed in: a heartbeat is noted when a round of confirmation begins, and counts once the leader is confirmed after that and every change up to then has had its effect here. replica asks for a round each second where its owner wants a lease (Options.OwnLease; the rig's voters and a member alone do not). The control side bounds the age of copies by it, and the console tells of it. The notifications of freshness stand once, for both kinds.

--- a/capacity/voters_test.go
+++ b/capacity/voters_test.go
@@ -68,12 +68,16 @@
 	folders     []string
 	certificate func() (*tls.Config, error)
 	stores      []*replica.Store
+	ownLease    bool
 	traffic     traffic
 }
 
-func newGroup(tb testing.TB, voters int) *group {
+func newGroup(tb testing.TB, voters int) *group { return newGroupOf(tb, voters, false) }
+
+// newGroupOf starts a group whose members keep a lease on their own state or do not.
+func newGroupOf(tb testing.TB, voters int, ownLease bool) *group {
 	tb.Helper()
-	g := &group{tb: tb, stores: make([]*replica.Store, voters)}
+	g := &group{tb: tb, stores: make([]*replica.Store, voters), ownLease: ownLease}
 	var err error
 	if g.certificate, err = standin.Authority(); err != nil {
 		tb.Fatal(err)
@@ -113,7 +117,7 @@
 	}
 	g.stores[i], err = replica.Open(replica.Options{
 		ID: g.members[i].ID, Members: g.members, Listener: countingListener{l, &g.traffic}, TLS: conf, Dir: g.folders[i],
-		Clock: clock.System(), Log: zerolog.Nop(),
+		Clock: clock.System(), Log: zerolog.Nop(), OwnLease: g.ownLease,
 	})
 	if err != nil {
 		g.tb.Fatal(err)
@@ -163,6 +167,17 @@
 	}
 }
 
+// BenchmarkOwnLease measures what a group of five spends with nothing to do, without leases on their own state and with them.
+func BenchmarkOwnLease(b *testing.B) {
+	for _, ownLease := range []bool{false, true} {
+		b.Run(fmt.Sprintf("lease=%v", ownLease), func(b *testing.B) {
+			g := newGroupOf(b, 5, ownLease)
+			g.leader(-1)
+			g.measureIdle(b)
+		})
+	}
+}
+
 func (g *group) measureIdle(b *testing.B) {
 	const seconds = 3
 	for b.Loop() {
--- a/console/console.go
+++ b/console/console.go
@@ -28,17 +28,18 @@
 	Open     int      `json:"open"`     // requests taken and not yet answered
 	// Processes counts those that live: two while one replaces the other.
 	Processes int `json:"processes"`
-	// Subscription tells how far the replicated state is known; nil: this gateway does not subscribe to it.
+	// Subscription tells how far the replicated state is known; nil: this gateway is alone.
 	Subscription *Subscription `json:"subscription,omitempty"`
 }
 
-// Subscription is how a gateway that does not vote stands with the replicated state.
+// Subscription is how a gateway stands with the replicated state that it shares with others.
 type Subscription struct {
 	Fresh        bool    `json:"fresh"`
 	AgeMS        float64 `json:"age_ms"` // since the state was last known to be complete; -1: never yet
 	MaxCopyAgeMS float64 `json:"max_copy_age_ms"`
 	Revision     uint64  `json:"revision"`
-	Voter        string  `json:"voter,omitempty"`
+	Votes        bool    `json:"votes,omitempty"`
+	Voter        string  `json:"voter,omitempty"` // that a gateway which does not vote watches; "": none
 	Reconnects   uint64  `json:"reconnects"`
 }
 
--- a/distribution/checker_test.go
+++ b/distribution/checker_test.go
@@ -35,6 +35,7 @@
 type coverage struct {
 	Batches, Snapshots, Gaps, Resets, Lost, Missed int
 	FreshChecks, UnboundedChecks                   int
+	OwnFreshChecks, OwnStaleChecks                 int
 	DigestsCompared                                int
 	LongestRecovery                                time.Duration
 }
@@ -48,13 +49,16 @@
 	c.Missed += o.Missed
 	c.FreshChecks += o.FreshChecks
 	c.UnboundedChecks += o.UnboundedChecks
+	c.OwnFreshChecks += o.OwnFreshChecks
+	c.OwnStaleChecks += o.OwnStaleChecks
 	c.DigestsCompared += o.DigestsCompared
 	c.LongestRecovery = max(c.LongestRecovery, o.LongestRecovery)
 }
 
 func (c *coverage) check(t *testing.T) {
 	t.Helper()
-	if min(c.Batches, c.Snapshots, c.Resets, c.Lost, c.Missed, c.Snapshots-c.Missed, c.DigestsCompared) == 0 {
+	if min(c.Batches, c.Snapshots, c.Resets, c.Lost, c.Missed, c.Snapshots-c.Missed, c.DigestsCompared,
+		c.OwnFreshChecks, c.OwnStaleChecks) == 0 {
 		t.Errorf("the histories do not go through everything: %+v", *c)
 	}
 	if c.Gaps > 0 {
@@ -92,6 +96,29 @@
 	}
 	for _, v := range c.sim.voters {
 		c.checkVoter(v)
+		if v.own != nil && !v.down {
+			c.checkOwn(v)
+		}
+	}
+}
+
+// checkOwn sees that the gateway beside a voter relies on nothing that it must not rely on.
+func (c *checker) checkOwn(v *voter) {
+	cluster, now := c.sim.cluster, c.sim.clock()
+	if v.own.Fresh(now) {
+		c.seen.OwnFreshChecks++
+		needed := cluster.ackedBy(v.own.CompleteAt().Sub(simEpoch))
+		if held := cluster.held(v.own.Held()); held < needed {
+			c.violate("%s itself is fresh and at %v, but lacks %d changes", v.name, v.own.Held(), needed-held)
+		}
+	} else {
+		c.seen.OwnStaleChecks++
+	}
+	if v.own.MaxCopyAge(now) == 0 {
+		needed := cluster.ackedBy(c.sim.now - DefaultPurgeDeadline)
+		if held := cluster.held(v.own.Held()); held < needed {
+			c.violate("%s itself asks for copies of any age, but lacks %d changes", v.name, needed-held)
+		}
 	}
 }
 
@@ -132,6 +159,27 @@
 	}
 }
 
+// roundsToAdmit is within how many rounds that succeed a voter has to see that a position is in no history any more. One of
+// them may have begun before the position was named, and the voter forgets positions where more subscribers name some than it
+// has places for.
+const roundsToAdmit = 4
+
+// refused sees that a voter does not refuse a position as beyond its own state any more, once it is shown that no majority
+// holds it.
+func (c *checker) refused(v *voter, at Position, why Refusal) {
+	if why != RefuseBehind {
+		return
+	}
+	before, again := v.behind[at]
+	if !again {
+		v.behind[at] = v.rounds
+		return
+	}
+	if v.confirmed < at.Revision && v.rounds-before > roundsToAdmit {
+		c.violate("%s refuses %v as beyond its state after %d rounds, the last of which confirmed %d", v.name, at, v.rounds-before, v.confirmed)
+	}
+}
+
 // gap counts a batch that did not follow.
 func (c *checker) gap(g *gateway, err error) { c.seen.Gaps++ }
 
@@ -240,6 +288,9 @@
 	if v.publisher.Last() != c.sim.cluster.position(v.applied) {
 		c.violate("%s is at %v, not at %v", v.name, v.publisher.Last(), c.sim.cluster.position(v.applied))
 	}
+	if v.own != nil && v.own.Held() != v.publisher.Last() {
+		c.violate("%s itself is at %v, not at %v", v.name, v.own.Held(), v.publisher.Last())
+	}
 }
 
 // watchRecovery sees that all gateways become fresh after the faults, and stay so.
@@ -254,5 +305,10 @@
 			c.violate("%s is not fresh %v after the faults", g.name, since)
 		}
 	}
+	for _, v := range c.sim.voters {
+		if since := c.sim.now - simFaultsUntil; v.own != nil && since > simRecovery && !v.own.Fresh(c.sim.clock()) {
+			c.violate("%s itself is not fresh %v after the faults", v.name, since)
+		}
+	}
 	c.sim.after(simTick, c.watchRecovery)
 }
--- a/distribution/mutation_test.go
+++ b/distribution/mutation_test.go
@@ -17,7 +17,9 @@
 	batch     func(c *connection, b *Batch) *Batch // nil: not sent
 	mark      func(m Mark) Mark
 	confirm   func(r *round) // a round that succeeded
-	deposed   func(r *round) // a round of a leader without a majority
+	// The same, for the voter's own lease.
+	confirmOwn func(r *round)
+	deposed    func(r *round) // a round of a leader without a majority
 }
 
 func correct() mutation {
@@ -33,7 +35,8 @@
 		confirm: func(r *round) {
 			r.publisher.Confirm(r.confirmation, r.through, r.leader.name)
 		},
-		deposed: func(*round) {},
+		confirmOwn: func(r *round) { r.voter.own.Confirmed(r.heartbeat, r.through) },
+		deposed:    func(*round) {},
 	}
 }
 
@@ -65,6 +68,19 @@
 			r.voter.serveAll()
 		}
 	}},
+	{"a voter's own lease does not wait for its changes", func(m *mutation) {
+		m.confirmOwn = func(r *round) { r.voter.own.Confirmed(r.heartbeat, 0) }
+	}},
+	{"a voter's own lease counts from the end of a round", func(m *mutation) {
+		m.confirmOwn = func(r *round) { r.voter.own.Confirmed(r.voter.own.BeginRound(r.voter.sim.clock()), r.through) }
+	}},
+	{"a deposed leader renews its own lease", func(m *mutation) {
+		m.deposed = func(r *round) {
+			if r.voter.own != nil {
+				r.voter.own.Confirmed(r.heartbeat, r.publisher.Last().Revision)
+			}
+		}
+	}},
 	{"a follower confirms by its own last change", func(m *mutation) {
 		m.confirm = func(r *round) {
 			r.publisher.Confirm(r.confirmation, min(r.through, r.publisher.Last().Revision), r.leader.name)
--- a/distribution/sim_test.go
+++ b/distribution/sim_test.go
@@ -8,7 +8,8 @@
 )
 
 // The simulation runs voters, gateways and the links between them in virtual time, from a seed. The replicated log is a model
-// (cluster); Publisher, View, Lease, Backoff, VoterOrder and VoterChoice are the real ones. A checker watches every step.
+// (cluster); Publisher, View, Lease, MemberLease, Backoff, VoterOrder and VoterChoice are the real ones. A checker watches
+// every step.
 
 // Sizes and times of a simulation.
 const (
--- a/distribution/sim_voter_test.go
+++ b/distribution/sim_voter_test.go
@@ -19,6 +19,10 @@
 	applied     int // changes of the history
 	confirmed   Revision
 	connections []*connection
+	own         *MemberLease // of a gateway beside it; nil: there is none
+
+	rounds int              // that succeeded since it was started
+	behind map[Position]int // positions refused as RefuseBehind since then, each with the rounds before
 
 	down     bool
 	isolated bool          // from the other voters, not from gateways
@@ -27,7 +31,14 @@
 }
 
 func newVoter(s *simulation, name string) *voter {
-	return &voter{sim: s, name: name, publisher: NewPublisher(simLimits, Timing{}, Position{}), lag: simNormalLag}
+	v := &voter{
+		sim: s, name: name, publisher: NewPublisher(simLimits, Timing{}, Position{}), lag: simNormalLag,
+		behind: map[Position]int{},
+	}
+	if len(s.voters) == 0 { // the others have rounds for their subscribers alone
+		v.own = NewMemberLease(Timing{})
+	}
+	return v
 }
 
 func (v *voter) start() {
@@ -54,17 +65,28 @@
 		}
 	}
 	v.applied = target
+	v.holds()
 	v.serveAll()
 	v.sim.checker.checkVoter(v)
 }
 
+// holds enters the changes that the voter has applied in its own lease.
+func (v *voter) holds() {
+	if v.own != nil {
+		v.own.Applied(v.sim.cluster.position(v.applied))
+	}
+}
+
 // confirm runs a round: the request goes to the leader, which reads the newest revision, has itself confirmed by a majority
 // and answers.
 func (v *voter) confirm() {
-	if v.down || !v.publisher.NeedsConfirmation() {
+	if v.down || v.own == nil && !v.publisher.NeedsConfirmation() {
 		return
 	}
 	r := &round{voter: v, publisher: v.publisher, confirmation: v.publisher.BeginConfirmation(), applied: v.applied}
+	if v.own != nil {
+		r.heartbeat = v.own.BeginRound(v.sim.clock())
+	}
 	v.sim.after(v.roundDelay(), r.atLeader)
 }
 
@@ -77,7 +99,8 @@
 	voter        *voter
 	publisher    *Publisher
 	confirmation Confirmation
-	applied      int // at its beginning
+	applied      int    // at its beginning
+	heartbeat    uint64 // of the voter's own lease
 	leader       *voter
 	term         uint64
 	through      Revision
@@ -112,7 +135,11 @@
 		return
 	}
 	v.confirmed = r.through
+	v.rounds++
 	v.sim.mutation.confirm(r)
+	if v.own != nil {
+		v.sim.mutation.confirmOwn(r)
+	}
 	v.serveAll()
 }
 
@@ -121,6 +148,7 @@
 	d := v.sim.mutation.subscribe(v, at)
 	v.sim.checker.checkVoter(v)
 	if d.Admission == AdmitRefuse {
+		v.sim.checker.refused(v, at, d.Refusal)
 		c.sendGateway(func() { c.gateway.refused(d.RetryAfter) })
 		v.close(c)
 		return
@@ -277,12 +305,17 @@
 func (v *voter) restart(n int) {
 	v.closeAll()
 	v.applied = n
-	v.confirmed = 0
+	v.confirmed, v.rounds = 0, 0
+	clear(v.behind)
 	from := max(0, n-v.sim.random.IntN(20))
 	v.publisher = NewPublisher(simLimits, Timing{}, v.sim.cluster.position(from))
 	for _, e := range v.sim.cluster.entries[from:n] {
 		v.publisher.Append(e.change)
 	}
+	if v.own != nil {
+		v.own = NewMemberLease(Timing{})
+		v.holds()
+	}
 }
 
 func (v *voter) closeAll() {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -33,6 +33,7 @@
 	log        zerolog.Logger
 	events     front.Mailbox[core.Event] // a change must not wait for the core
 	subscriber *replica.Subscriber       // nil: a voter, or alone
+	store      *replica.Store            // nil: a subscriber, or alone
 
 	mu        sync.Mutex
 	configure func(name string, value json.RawMessage)
@@ -46,13 +47,18 @@
 // subscribes tells whether the gateway has a copy of the state without a vote.
 func (p *Plane) subscribes() bool { return p.operator != nil && p.operator.Replica.Subscribe }
 
-// CopyAgeBound gives the core's bound on copies' age; nil where there is never one.
+// votes tells whether the gateway is one of several members.
+func (p *Plane) votes() bool {
+	return p.operator != nil && !p.operator.Replica.Subscribe && len(p.operator.Replica.Members) > 0
+}
+
+// CopyAgeBound gives the core's bound on copies' age; nil where there is never one, as changes come from nowhere else.
 func (p *Plane) CopyAgeBound() func() time.Duration {
-	if !p.subscribes() {
+	if !p.subscribes() && !p.votes() {
 		return nil
 	}
 	return func() time.Duration {
-		if p.subscriber != nil && p.subscriber.Fresh() {
+		if p.Control != nil && p.Fresh() {
 			return 0
 		}
 		return p.Timing.StaleCopyAge()
@@ -65,7 +71,7 @@
 	switch {
 	case p.subscribes():
 		err = p.openSubscriber()
-	case p.operator != nil && len(p.operator.Replica.Members) > 0:
+	case p.votes():
 		err = p.openVoter()
 	default:
 		p.Control, err = replica.Open(p.storeOptions())
@@ -110,11 +116,12 @@
 	}
 	opt := p.storeOptions()
 	opt.ID, opt.Members, opt.Listener, opt.TLS, opt.Dir = r.ID, r.Members, listener, certificates, p.operator.Path(r.Dir)
-	store, err := replica.Open(opt)
+	opt.OwnLease, opt.FreshnessChanged = true, p.freshnessChanged
+	p.store, err = replica.Open(opt)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
-	p.Control = store
+	p.Control = p.store
 	return nil
 }
 
@@ -175,15 +182,20 @@
 	p.events.Put(core.CopyAgeBounded{})
 }
 
-// Subscription tells how a subscriber stands; nil: the gateway does not subscribe.
+// Subscription tells how a subscriber or a voter stands; nil: the gateway is alone.
 func (p *Plane) Subscription() *console.Subscription {
-	if p.subscriber == nil {
+	var status replica.SubscriberStatus
+	switch {
+	case p.subscriber != nil:
+		status = p.subscriber.Status()
+	case p.store != nil:
+		status.LeaseStatus = p.store.LeaseStatus()
+	default:
 		return nil
 	}
-	status := p.subscriber.Status()
 	out := &console.Subscription{
 		Fresh: status.Fresh, AgeMS: -1, MaxCopyAgeMS: clock.Ms(p.CopyAgeBound()()),
-		Revision: uint64(status.Position.Revision), Voter: status.Voter, Reconnects: status.Reconnects,
+		Revision: uint64(status.Position.Revision), Votes: p.store != nil, Voter: status.Voter, Reconnects: status.Reconnects,
 	}
 	if !status.CompleteAt.IsZero() {
 		out.AgeMS = clock.Ms(status.CompleteAge)
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -211,14 +211,16 @@
 	return append([]bool(nil), s.turns...)
 }
 
-// monitor checks all the time that the subscriber never claims to have been complete at a time after a change was
+// monitor checks all the time that a copy of the state never claims to have been complete at a time after a change was
 // acknowledged that it does not hold. Acknowledged enters such a change, and the test's end ends the check.
 type monitor struct {
-	s    *testSubscriber
-	mu   sync.Mutex
-	acks []acknowledged
-	stop chan struct{}
-	done chan struct{}
+	t      testing.TB
+	name   string
+	status func() LeaseStatus
+	mu     sync.Mutex
+	acks   []acknowledged
+	stop   chan struct{}
+	done   chan struct{}
 }
 
 // acknowledged is a change that was acknowledged to its proposer by a time.
@@ -228,7 +230,11 @@
 }
 
 func (s *testSubscriber) monitor() *monitor {
-	m := &monitor{s: s, stop: make(chan struct{}), done: make(chan struct{})}
+	return startMonitor(s.t, s.name, func() LeaseStatus { return s.Status().LeaseStatus })
+}
+
+func startMonitor(t testing.TB, name string, status func() LeaseStatus) *monitor {
+	m := &monitor{t: t, name: name, status: status, stop: make(chan struct{}), done: make(chan struct{})}
 	go func() {
 		defer close(m.done)
 		for {
@@ -240,7 +246,7 @@
 			}
 		}
 	}()
-	s.t.Cleanup(m.end)
+	t.Cleanup(m.end)
 	return m
 }
 
@@ -255,11 +261,11 @@
 	m.mu.Lock()
 	acks := m.acks
 	m.mu.Unlock()
-	status := m.s.Status()
+	status := m.status()
 	for _, a := range acks {
 		if status.CompleteAt.After(a.at) && status.Position.Revision < a.revision {
-			m.s.t.Errorf("%s claims to be complete at %v after the acknowledgement of %d, and is at %d",
-				m.s.name, status.CompleteAt.Sub(a.at), a.revision, status.Position.Revision)
+			m.t.Errorf("%s claims to be complete at %v after the acknowledgement of %d, and is at %d",
+				m.name, status.CompleteAt.Sub(a.at), a.revision, status.Position.Revision)
 		}
 	}
 }
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -33,10 +33,12 @@
 )
 
 // confirmer has the leader confirmed by a majority, so that marks may be issued: one round at a time, at most one in each
-// heartbeat interval or a few where subscribers are new. It runs only while something is connected that wants marks.
+// heartbeat interval or a few where subscribers are new. It runs only while something wants marks: a subscriber, or the member's
+// own lease.
 type confirmer struct {
 	store    *Store
 	feed     *feed
+	lease    *memberLease // nil: the member keeps none
 	interval time.Duration
 
 	mu     sync.Mutex
@@ -50,8 +52,8 @@
 	abandon context.CancelFunc // of the round under way; nil: there is none
 }
 
-func newConfirmer(s *Store, f *feed, interval time.Duration) *confirmer {
-	c := &confirmer{store: s, feed: f, interval: interval}
+func newConfirmer(s *Store, f *feed, lease *memberLease, interval time.Duration) *confirmer {
+	c := &confirmer{store: s, feed: f, lease: lease, interval: interval}
 	for i := range c.requests {
 		c.requests[i] = make(chan struct{}, 1)
 	}
@@ -118,6 +120,9 @@
 			c.store.opt.Log.Debug().Err(err).Msg("leader not confirmed")
 			c.request(urgent) // the heartbeats that it was for still wait: after an election they need not longer
 		}
+		if c.lease != nil {
+			c.request(periodic)
+		}
 	}
 }
 
@@ -166,11 +171,18 @@
 	c.setAbandon(cancel)
 	defer c.setAbandon(nil)
 	round := c.feed.beginConfirmation()
+	var heartbeat uint64
+	if c.lease != nil {
+		heartbeat = c.lease.beginRound()
+	}
 	through, leader, err := c.store.confirmLeader(ctx, link)
 	if err != nil {
 		return err
 	}
 	c.feed.confirm(round, through, leader)
+	if c.lease != nil {
+		c.lease.confirmed(heartbeat, through)
+	}
 	return nil
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -16,6 +16,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -50,6 +51,13 @@
 	Missed   func(before int64)                       // notified that purges of before a Unix time in ms may be missing; must not block
 	Pace     time.Duration                            // heartbeat time-out; 0: 500 ms, alone 50 ms
 
+	// OwnLease has the member keep a lease on its own state, for a gateway beside it: Fresh and MaxCopyAge go by it. Without
+	// one they take the state for complete. Alone a member has none.
+	OwnLease bool
+	// FreshnessChanged is notified when the state becomes fresh or stale by that lease; it begins as stale. It must not block.
+	FreshnessChanged func(fresh bool)
+	Now              func() time.Time // for that lease, monotonic; nil: time.Now
+
 	Dial   DialFunc            // opens connections to other members; nil: TCP
 	Timing distribution.Timing // of subscribers and confirmations
 	Limits distribution.Limits // of subscribers
@@ -77,11 +85,16 @@
 	proposer      proposer
 	feed          *feed // nil: alone, without subscribers
 	confirmer     *confirmer
+	lease         *memberLease // nil: the member keeps none
+	endLease      func()
 	verifications chan struct{} // places
 }
 
 // Open starts a member.
 func Open(opt Options) (*Store, error) {
+	if opt.Now == nil {
+		opt.Now = time.Now
+	}
 	s := &Store{opt: opt, state: newState()}
 	s.state.changed, s.state.purged, s.state.missed = opt.Changed, opt.Purged, opt.Missed
 	s.proposer = proposer{attempt: s.attempt, closed: s.isShutDown, unixMS: opt.Clock.Unix, pause: steadyPause}
@@ -96,9 +109,24 @@
 	if s.links != nil {
 		s.links.start()
 	}
+	s.startLease()
 	return s, nil
 }
 
+// startLease has the member's own lease renewed until endLease.
+func (s *Store) startLease() {
+	s.endLease = func() {}
+	if s.lease == nil {
+		return
+	}
+	s.confirmer.acquire()
+	s.confirmer.request(urgent)
+	s.endLease = sync.OnceFunc(func() {
+		s.lease.notifier.close()
+		s.confirmer.release()
+	})
+}
+
 // raftParts are what Raft is made of.
 type raftParts struct {
 	conf      *raft.Config
@@ -146,13 +174,18 @@
 	return parts, nil
 }
 
-// newWatches makes what serves subscribers. It runs nothing until there is one.
+// newWatches makes what serves subscribers and the member's own lease. It runs nothing until there is a subscriber, or the
+// member is started with a lease.
 func (s *Store) newWatches() *watches {
 	timing := s.opt.Timing.WithDefaults()
 	s.feed = newFeed(s.opt.Limits, timing)
 	s.state.feed = s.feed
 	s.verifications = make(chan struct{}, maxVerifications)
-	s.confirmer = newConfirmer(s, s.feed, timing.HeartbeatInterval)
+	if s.opt.OwnLease {
+		s.lease = newMemberLease(timing, s.opt.Now, s.opt.FreshnessChanged)
+		s.state.applied = s.lease.applied
+	}
+	s.confirmer = newConfirmer(s, s.feed, s.lease, timing.HeartbeatInterval)
 	w := &watches{
 		feed: s.feed, confirmer: s.confirmer, snapshots: &snapshotCache{state: s.state, feed: s.feed}, timing: timing,
 	}
@@ -231,6 +264,7 @@
 
 // Close ends the member.
 func (s *Store) Close() error {
+	s.endLease()
 	return errors.Join(s.raft.Shutdown().Error(), s.release())
 }
 
@@ -279,11 +313,19 @@
 // Revoked tells whether this member knows a token's use as revoked.
 func (s *Store) Revoked(name string) bool { return s.state.revoked(name) }
 
-// Fresh is always true: a voter's own gateway is not held to a lease.
-func (s *Store) Fresh() bool { return true }
+// Fresh tells whether the state is known to be complete but for the last seconds. Without a lease it is taken to be.
+func (s *Store) Fresh() bool { return s.lease == nil || s.lease.fresh() }
+
+// MaxCopyAge bounds the age of copies that may be served now; 0: no bound.
+func (s *Store) MaxCopyAge() time.Duration { return s.LeaseStatus().MaxCopyAge }
 
-// MaxCopyAge is always 0, no bound, as for Fresh.
-func (s *Store) MaxCopyAge() time.Duration { return 0 }
+// LeaseStatus tells how the member's own lease stands.
+func (s *Store) LeaseStatus() LeaseStatus {
+	if s.lease == nil {
+		return LeaseStatus{Position: s.Position(), Fresh: true}
+	}
+	return s.lease.status()
+}
 
 // Subscribers counts the subscribers of this voter, and the snapshots that are being sent to some.
 func (s *Store) Subscribers() (subscribers, snapshots int) {
--- a/replica/state.go
+++ b/replica/state.go
@@ -82,7 +82,8 @@
 	changed func(name string, value json.RawMessage)
 	purged  func(c distribution.Change)
 	missed  func(before int64)
-	feed    *feed // nil: there are no subscribers to tell
+	applied func(at distribution.Position) // notified once all changes up to a position have had their effect; nil: nobody
+	feed    *feed                          // nil: there are no subscribers to tell
 }
 
 func newState() *state {
@@ -97,6 +98,9 @@
 	}
 	res, change := s.applyAt(distribution.Position{Revision: distribution.Revision(l.Index), Term: l.Term}, c)
 	s.tell(change)
+	if change != nil {
+		s.reached(change.Position)
+	}
 	return res
 }
 
@@ -125,6 +129,13 @@
 	}
 }
 
+// reached tells that all changes up to a position have had their effect.
+func (s *state) reached(at distribution.Position) {
+	if s.applied != nil {
+		s.applied(at)
+	}
+}
+
 // apply carries out a command; mu is held.
 func (s *state) apply(c command) result {
 	s.Latest = max(s.Latest, c.At)
@@ -228,6 +239,7 @@
 	}
 	s.replace(fresh)
 	s.tellAll(fresh)
+	s.reached(s.position())
 	return nil
 }
 
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -81,10 +81,7 @@
 	digest   atomic.Pointer[knownDigest] // nil: none since a snapshot was received
 	fallback atomic.Uint32               // index into order of the voter for commands while the leader is not known
 
-	freshness   sync.Mutex // guards what follows, and the order of FreshnessChanged
-	notified    bool
-	expiry      *time.Timer
-	expiryEnded bool
+	notifier freshnessNotifier
 }
 
 // OpenSubscriber starts a subscriber. It is stale until it has received all from a voter.
@@ -104,6 +101,7 @@
 		ended:  make(chan struct{}),
 	}
 	s.lease = distribution.NewLease(s.timing)
+	s.notifier = freshnessNotifier{changed: opt.FreshnessChanged, fresh: s.Fresh, timeLeft: s.timeLeft}
 	s.backoff = distribution.NewBackoff(opt.RetryMin, opt.RetryMax, opt.Random)
 	s.dialer = newDialer(opt.TLS, s.traffic.count(opt.Dial))
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -136,12 +134,7 @@
 func (s *Subscriber) Close() error {
 	s.cancel()
 	<-s.ended
-	s.freshness.Lock()
-	defer s.freshness.Unlock()
-	s.expiryEnded = true
-	if s.expiry != nil {
-		s.expiry.Stop()
-	}
+	s.notifier.close()
 	return nil
 }
 
@@ -172,6 +165,13 @@
 	return s.lease.Fresh(s.opt.Now())
 }
 
+// timeLeft is the time until the end of the lease.
+func (s *Subscriber) timeLeft() time.Duration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.timing.LeaseTTL - s.opt.Now().Sub(s.lease.CompleteAt())
+}
+
 // MaxCopyAge bounds the age of copies that may be served now; 0: no bound.
 func (s *Subscriber) MaxCopyAge() time.Duration {
 	s.mu.RLock()
--- a/replica/subscriber_status.go
+++ b/replica/subscriber_status.go
@@ -4,23 +4,18 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"turnfork.dev/turnfork/distribution"
 )
 
 // SubscriberStatus tells how a subscriber stands.
 type SubscriberStatus struct {
-	Position    distribution.Position
-	Fresh       bool
-	CompleteAt  time.Time     // when the state was last known to be complete; zero: never
-	CompleteAge time.Duration // since then; 0: never
-	MaxCopyAge  time.Duration // 0: no bound
-	Voter       string        // address of the voter that is watched; "": none
-	Leader      string        // address that commands go to; "": not known
-	Reconnects  uint64        // watches begun but for the first
-	Snapshots   uint64        // received
-	Digest      uint64        // of the state at Position
+	LeaseStatus
+	Voter      string // address of the voter that is watched; "": none
+	Leader     string // address that commands go to; "": not known
+	Reconnects uint64 // watches begun but for the first
+	Snapshots  uint64 // received
+	Digest     uint64 // of the state at Position
 
 	BytesIn, BytesOut       uint64 // over all links, with TLS
 	MessagesIn, MessagesOut uint64 // of watches
@@ -30,18 +25,12 @@
 func (s *Subscriber) Status() SubscriberStatus {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	now := s.opt.Now()
-	status := SubscriberStatus{
-		Position: s.view.Position(), Digest: s.currentDigest(),
-		Fresh: s.lease.Fresh(now), CompleteAt: s.lease.CompleteAt(), MaxCopyAge: s.lease.MaxCopyAge(now),
+	return SubscriberStatus{
+		LeaseStatus: newLeaseStatus(s.lease, s.view.Position(), s.opt.Now()), Digest: s.currentDigest(),
 		Voter: s.voter, Leader: s.leader, Reconnects: max(s.connections, 1) - 1, Snapshots: s.snapshots,
 		BytesIn: s.traffic.bytesIn.Load(), BytesOut: s.traffic.bytesOut.Load(),
 		MessagesIn: s.traffic.messagesIn.Load(), MessagesOut: s.traffic.messagesOut.Load(),
 	}
-	if !status.CompleteAt.IsZero() {
-		status.CompleteAge = now.Sub(status.CompleteAt)
-	}
-	return status
 }
 
 // knownDigest is a digest that was worked out.
--- a/replica/subscriber_watch.go
+++ b/replica/subscriber_watch.go
@@ -240,7 +240,7 @@
 		return nil
 	}
 	w.marked = true
-	w.noteFreshness()
+	w.notifier.update()
 	return w.extend()
 }
 
--- a/subscribe_test.go
+++ b/subscribe_test.go
@@ -26,8 +26,8 @@
 	"turnfork.dev/turnfork/token/ring"
 )
 
-// subscriberFile is the operator's file of a gateway that subscribes to the voters of a trio.
-const subscriberFile = `
+// sharingFile is the operator's file of a gateway that shares the replicated state of a trio, but for its part in that.
+const sharingFile = `
 listen = "127.0.0.1:0"
 console = "127.0.0.1:0"
 operator_secret = "a secret for this test alone"
@@ -55,8 +55,6 @@
 kind = "hmac"
 secret = %q
 [replica]
-id = "phones-9"
-subscribe = true
 ca_file = "ca.pem"
 cert_file = "cert.pem"
 key_file = "key.pem"
@@ -69,15 +67,31 @@
 	BatchDelay: 20 * time.Millisecond,
 }
 
-// subscribed is a gateway that subscribes to a trio's voters.
-type subscribed struct {
+// sharing is a gateway that shares the replicated state of a trio.
+type sharing struct {
 	*trio
 	store *standin.Store
 	addrs Addrs
 }
 
-func newSubscribed(t *testing.T) *subscribed {
-	s := &subscribed{trio: newTrio(t, 3000)}
+// newSubscribed starts a gateway that subscribes to a trio's voters.
+func newSubscribed(t *testing.T) *sharing {
+	return newSharing(t, newTrio(t, 3000), "id = \"phones-9\"\nsubscribe = true\n")
+}
+
+// newVoting starts a gateway that is itself a trio's last member.
+func newVoting(t *testing.T) *sharing {
+	c := newTrio(t, 3000)
+	const member = 2
+	if err := c.stores[member].Close(); err != nil {
+		t.Fatal(err)
+	}
+	m := c.members[member]
+	return newSharing(t, c, fmt.Sprintf("id = %q\nlisten = %q\ndir = %q\n", m.ID, m.Addr, c.dirs[member]))
+}
+
+func newSharing(t *testing.T, c *trio, part string) *sharing {
+	s := &sharing{trio: c}
 	var err error
 	s.store, err = standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=0a,why=local,minted=1", []byte("piece"), true
@@ -89,7 +103,7 @@
 	dir := t.TempDir()
 	s.writeCertificates(dir)
 	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	file := fmt.Sprintf(subscriberFile, s.store.Addr(), s.store.Addr(), secret)
+	file := fmt.Sprintf(sharingFile, s.store.Addr(), s.store.Addr(), secret) + part
 	for _, m := range s.members {
 		file += fmt.Sprintf("[[replica.member]]\nid = %q\naddr = %q\n", m.ID, m.Addr)
 	}
@@ -115,7 +129,7 @@
 }
 
 // writeCertificates writes a member's certificate and its authority's as the operator's file names them.
-func (s *subscribed) writeCertificates(dir string) {
+func (s *sharing) writeCertificates(dir string) {
 	conf, err := s.cert()
 	if err != nil {
 		s.Fatal(err)
@@ -135,7 +149,7 @@
 	}
 }
 
-func (s *subscribed) subscription() *console.Subscription {
+func (s *sharing) subscription() *console.Subscription {
 	s.Helper()
 	resp, err := http.Get("http://" + s.addrs.Console.String() + "/ready")
 	if err != nil {
@@ -149,7 +163,7 @@
 	return state.Subscription
 }
 
-func (s *subscribed) await(what string, ok func() bool) {
+func (s *sharing) await(what string, ok func() bool) {
 	s.Helper()
 	for limit := time.Now().Add(30 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(limit) {
@@ -159,7 +173,7 @@
 }
 
 // get asks for an object with a key, and gives the status and the age in ms that the store was asked for (-1: none).
-func (s *subscribed) get(keys *ring.Ring, key, class string, object uint64) (status, fresh int) {
+func (s *sharing) get(keys *ring.Ring, key, class string, object uint64) (status, fresh int) {
 	s.Helper()
 	path := fmt.Sprintf("/v1/%s/%016x/0", class, object)
 	issued, err := keys.Issue(key, token.Terms{URI: path, Until: s.clock.Unix()/1000 + 600, ID: fmt.Sprint("n", object)})
@@ -189,7 +203,7 @@
 }
 
 // end ends a ride, and gives the status.
-func (s *subscribed) end(nonce string) int {
+func (s *sharing) end(nonce string) int {
 	s.Helper()
 	resp, err := http.Post("http://"+s.addrs.Signed.String()+s.url(nonce), "", nil)
 	if err != nil {
@@ -266,3 +280,47 @@
 		t.Errorf("fresh again: a ride's end has %d", status)
 	}
 }
+
+// A gateway that votes itself holds to the same lease: without a majority it knows that it is stale. It serves on, asks for no
+// copy that a missing purge could make void, and begins no single-use work. It is fresh again with the purge that was made
+// while it was cut off.
+func TestGatewayThatVotes(t *testing.T) {
+	s := newVoting(t)
+	s.await("fresh", func() bool { return s.subscription().Fresh })
+	if got := s.subscription(); !got.Votes || got.AgeMS < 0 || got.MaxCopyAgeMS != 0 {
+		t.Errorf("fresh: %+v", got)
+	}
+	if status, fresh := s.get(s.keys, "url", "firmware", 1); status != http.StatusOK || fresh != -1 {
+		t.Errorf("fresh: status %d, copies of %d ms", status, fresh)
+	}
+	if status := s.end("fresh"); status != http.StatusOK {
+		t.Errorf("fresh: a ride's end has %d", status)
+	}
+
+	for _, other := range []int{0, 1} {
+		s.stores[other].Close()
+	}
+	s.await("stale", func() bool { return !s.subscription().Fresh })
+	bound := int(distribution.Timing{}.StaleCopyAge().Milliseconds())
+	if got := s.subscription(); int(got.MaxCopyAgeMS) != bound {
+		t.Errorf("stale: %+v", got)
+	}
+	if status, fresh := s.get(s.keys, "url", "firmware", 2); status != http.StatusOK || fresh != bound {
+		t.Errorf("stale: status %d, copies of %d ms", status, fresh)
+	}
+	sent := len(s.store.Calls("GET"))
+	if status := s.end("stale"); status != http.StatusServiceUnavailable || len(s.store.Calls("GET")) != sent {
+		t.Errorf("stale: a ride's end has %d, or was sent on", status)
+	}
+
+	for _, other := range []int{0, 1} {
+		s.open(other, nil, 3000)
+	}
+	s.await("fresh again", func() bool { return s.subscription().Fresh })
+	if status, fresh := s.get(s.keys, "url", "firmware", 3); status != http.StatusOK || fresh != -1 {
+		t.Errorf("fresh again: status %d, copies of %d ms", status, fresh)
+	}
+	if status := s.end("again"); status != http.StatusOK {
+		t.Errorf("fresh again: a ride's end has %d", status)
+	}
+}
