Trace the starts of stores

Change: at the level Debug each list leaves a line for every store whose start it names, with its weight and since when. Test: TestTraceTellsOfStarts.

--- a/core/core.go
+++ b/core/core.go
@@ -173,6 +173,7 @@
 	case Probed:
 		c.bookProbe(ev)
 	case Stores:
+		c.traceStores(ev)
 		c.up.Update(ev)
 		list := control.Members{Whole: ev.Whole}
 		for _, s := range ev.List {
--- a/core/trace.go
+++ b/core/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
 
@@ -30,6 +31,19 @@
 
 func (c *Core) tracing() bool { return c.opt.Log.GetLevel() <= zerolog.DebugLevel }
 
+// traceStores tells of the stores whose start a list names: while one is cold, what all gateways send it is limited.
+func (c *Core) traceStores(list Stores) {
+	if !c.tracing() {
+		return
+	}
+	for _, s := range list.List {
+		if m := s.Member; m.Started > 0 {
+			c.opt.Log.Debug().Uint32("store", uint32(m.ID)).Int("kind", m.Kind).Int("zone", m.Zone).Int("state", int(m.State)).
+				Float64("weight", m.Weight).Float64("started_ms_ago", c.now()-clock.Ms(m.Started)).Msg("store")
+		}
+	}
+}
+
 func (c *Core) traceTake(r *request) {
 	if c.tracing() {
 		c.opt.Log.Debug().Str("txn", r.Txn).Str("class", r.Class).Str("name", r.Name).Uint32("part", r.Part).
--- a/core/trace_test.go
+++ b/core/trace_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
 
@@ -85,3 +86,26 @@
 		}
 	}
 }
+
+// A list that names the start of a store leaves a line, from which what all gateways may send it can be told.
+func TestTraceTellsOfStarts(t *testing.T) {
+	c, _, clk := newCore(t)
+	var out bytes.Buffer
+	c.opt.Log = zerolog.New(&out)
+	c.Handle(Stores{List: []Store{
+		{Addr: "a", Member: control.Member{ID: 7, Weight: 12, State: control.Ready, Started: clock.Duration(clk.Now() - 1500)}},
+		{Addr: "b", Member: control.Member{ID: 8, Weight: 12, State: control.Ready}}, // started long ago
+	}})
+	var line struct {
+		Store   uint32  `json:"store"`
+		Weight  float64 `json:"weight"`
+		Ago     float64 `json:"started_ms_ago"`
+		Message string  `json:"message"`
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil { // also where there is more than one line
+		t.Fatalf("%v: %s", err, out.Bytes())
+	}
+	if line.Store != 7 || line.Weight != 12 || line.Ago < 1499 || line.Ago > 1501 || line.Message != "store" {
+		t.Errorf("%+v", line)
+	}
+}
