Replace a lost voter, and let operators purge by a call

Need: the members of the replicated store were fixed in the file. Purges could be agreed on by the library alone.

Ruled out: adding the new voter before the lost one is removed (one more member is needed for a majority while both count), and giving it a vote before it has the log (a majority could depend on an empty member).

Change: package membership decides the next change of the group, without I/O; replica carries it out at the leader, one replacement at a time, over a link of its own kind, and finds the leader as commands do. Every step may be asked for again, so that a replacement that was broken off goes on at the next leader. The list of voters goes into the replicated state, and subscribers turn to it. [replica] join = true has a new member found nothing. POST /-/members and POST /-/purges for operators; the operator's endpoints are a table of short functions now.

Left: nothing replaces a voter without an operator; a member that was removed while it lives keeps its certificate, so that it still is a client of the group; members' own files are changed by hand.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -112,6 +112,7 @@
 	for change, field := range map[string]string{
 		"subscribe = true|subscribe = true\nlisten = \"127.0.0.1:7009\"": "replica.listen",
 		"subscribe = true|subscribe = true\ndir = \"state\"":             "replica.dir",
+		"subscribe = true|subscribe = true\njoin = true":                 "replica.join",
 		"subscribe = true|subscribe = false":                             "replica.dir",
 		"key_file = \"secrets/gateway.key\"|":                            "replica.key_file",
 		voters + "|":                                                     "replica.member",
--- a/config/operator.go
+++ b/config/operator.go
@@ -200,6 +200,7 @@
 type Replica struct {
 	ID        string           `toml:"id"`
 	Subscribe bool             `toml:"subscribe"` // it does not vote: the members are the voters
+	Join      bool             `toml:"join"`      // the other members are a group already, which takes this one in
 	Dir       string           `toml:"dir"`
 	Listen    string           `toml:"listen"`
 	CA        string           `toml:"ca_file"`
@@ -365,8 +366,8 @@
 func (o *Operator) checkReplica() error {
 	r := o.Replica
 	if len(r.Members) == 0 {
-		if r.Subscribe {
-			return fmt.Errorf("replica.member: missing: a subscriber needs voters")
+		if r.Subscribe || r.Join {
+			return fmt.Errorf("replica.member: missing: a subscriber, or a member that joins, needs voters")
 		}
 		return nil
 	}
@@ -380,6 +381,8 @@
 		}
 	}
 	switch {
+	case r.Subscribe && r.Join:
+		return fmt.Errorf("replica.join: a subscriber is no member")
 	case r.Subscribe && r.Dir != "":
 		return fmt.Errorf("replica.dir: a subscriber keeps nothing on disk")
 	case r.Subscribe && r.Listen != "":
--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"strings"
@@ -38,7 +38,8 @@
 	return nil
 }
 
-const manageMost = 3 * time.Second
+// operatorCallTimeout bounds a call of the operator.
+const operatorCallTimeout = 3 * time.Second
 
 // IssueRequest asks for a token or a signed URL.
 type IssueRequest struct {
@@ -112,63 +113,18 @@
 	if m.Method != "POST" {
 		return http1.ErrorAnswer(405, "method", "this takes POST", "Allow: POST\r\n", m.Close)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), manageMost)
-	defer cancel()
-	now := f.opt.Clock.Unix()
-	var (
-		out any = map[string]bool{"ok": true}
-		err error
-	)
-	switch m.Path {
-	case "/-/tokens":
-		var q IssueRequest
-		if err = readJSON(m.Body, &q); err == nil {
-			out, err = Issue(f.ring.Load(), q, now/1000, f.policy.Load().TokenSeconds, rand.Text())
-		}
-	case "/-/revocations":
-		var q struct {
-			Key, ID string
-			Until   float64 // Unix seconds; 0: as long as a token may last
-		}
-		if err = readJSON(m.Body, &q); err != nil {
-			break
-		}
-		if q.Key == "" || q.ID == "" {
-			err = fmt.Errorf("key and id: missing")
-			break
-		}
-		if q.Until == 0 {
-			q.Until = now/1000 + f.policy.Load().TokenSeconds
-		}
-		if e := f.opt.Claims.Revoke(ctx, token.Grant{Key: q.Key, ID: q.ID}.Use(), q.Until*1000+f.policy.Load().LeewayMs); e != nil {
-			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
-		}
-	case "/-/keys":
-		var keys []token.Key
-		if err = readJSON(m.Body, &keys); err != nil {
-			break
-		}
-		if _, err = ring.New(keys); err != nil {
-			break
-		}
-		if e := f.opt.Claims.Put(ctx, ConfigKeys, keys); e != nil {
-			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
-		}
-	case "/-/policy":
-		p := *f.policy.Load()
-		if err = readJSON(m.Body, &p); err != nil {
-			break
-		}
-		if err = p.check(); err != nil {
-			break
-		}
-		if e := f.opt.Claims.Put(ctx, ConfigPolicy, p); e != nil {
-			return http1.ErrorAnswer(503, "no_quorum", e.Error(), "Retry-After: 1\r\n", m.Close)
-		}
-	default:
+	call, ok := operatorCalls[m.Path]
+	if !ok {
 		return http1.ErrorAnswer(404, "not_found", "no such path", "", m.Close)
 	}
-	if err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorCallTimeout)
+	defer cancel()
+	out, err := call(f, ctx, m.Body)
+	var unavailable *unavailableError
+	switch {
+	case errors.As(err, &unavailable):
+		return http1.ErrorAnswer(503, unavailable.code, err.Error(), "Retry-After: 1\r\n", m.Close)
+	case err != nil:
 		return http1.ErrorAnswer(400, "malformed", err.Error(), "", m.Close)
 	}
 	body, err := json.Marshal(out)
--- a/front/signed/object.go
+++ b/front/signed/object.go
@@ -32,11 +32,20 @@
 	return path{parts[0], parts[1], parts[2]}, true
 }
 
+// objectNumber reads an object as paths name it.
+func objectNumber(text string) (uint64, error) {
+	object, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != objectDigits {
+		return 0, fmt.Errorf("the object is no %d hexadecimal digits", objectDigits)
+	}
+	return object, nil
+}
+
 // ask words the request for the core.
 func (o path) ask(q token.Query, m *http1.Message) (a core.Ask, err error) {
 	a.Class, a.Name = o.class, o.object
-	if a.Object, err = strconv.ParseUint(o.object, 16, 64); err != nil || len(o.object) != objectDigits {
-		return a, fmt.Errorf("the object is no %d hexadecimal digits", objectDigits)
+	if a.Object, err = objectNumber(o.object); err != nil {
+		return a, err
 	}
 	part, ok := token.Number(o.part, 32) // one spelling for one part
 	if !ok {
--- /dev/null
+++ b/front/signed/operator_calls.go
@@ -0,0 +1,147 @@
+package signed
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+
+	"turnfork.dev/turnfork/membership"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/ring"
+)
+
+// SharedState is the part of the replicated state that operators change by calls.
+type SharedState interface {
+	// Purge makes copies of an object, or with object 0 of a group, void that are older than now.
+	Purge(ctx context.Context, object uint64, group uint16) error
+	// ReplaceMember has a new member take the place of one that is lost, and gives the voters afterwards.
+	ReplaceMember(ctx context.Context, replacement membership.Replacement) ([]membership.Member, error)
+}
+
+// operatorCalls are the operator's endpoints. Each takes the body of the request, and gives what is answered as JSON.
+var operatorCalls = map[string]func(f *Front, ctx context.Context, body []byte) (any, error){
+	"/-/tokens":      (*Front).issueToken,
+	"/-/revocations": (*Front).revokeToken,
+	"/-/keys":        (*Front).replaceKeys,
+	"/-/policy":      (*Front).changePolicy,
+	"/-/purges":      (*Front).purgeCopies,
+	"/-/members":     (*Front).replaceMember,
+}
+
+// done answers a call that has nothing else to tell.
+var done = map[string]bool{"ok": true}
+
+// unavailableError tells that a call may work a little later.
+type unavailableError struct {
+	code string
+	err  error
+}
+
+func (e *unavailableError) Error() string { return e.err.Error() }
+func (e *unavailableError) Unwrap() error { return e.err }
+
+// agreed passes on what came of a change of the replicated state.
+func agreed(err error) error {
+	if err != nil {
+		return &unavailableError{code: "no_quorum", err: err}
+	}
+	return nil
+}
+
+func (f *Front) issueToken(_ context.Context, body []byte) (any, error) {
+	var q IssueRequest
+	if err := readJSON(body, &q); err != nil {
+		return nil, err
+	}
+	return Issue(f.ring.Load(), q, f.opt.Clock.Unix()/1000, f.policy.Load().TokenSeconds, rand.Text())
+}
+
+func (f *Front) revokeToken(ctx context.Context, body []byte) (any, error) {
+	var q struct {
+		Key, ID string
+		Until   float64 // Unix seconds; 0: as long as a token may last
+	}
+	if err := readJSON(body, &q); err != nil {
+		return nil, err
+	}
+	if q.Key == "" || q.ID == "" {
+		return nil, errors.New("key and id: missing")
+	}
+	policy := f.policy.Load()
+	if q.Until == 0 {
+		q.Until = f.opt.Clock.Unix()/1000 + policy.TokenSeconds
+	}
+	return done, agreed(f.opt.Claims.Revoke(ctx, token.Grant{Key: q.Key, ID: q.ID}.Use(), q.Until*1000+policy.LeewayMs))
+}
+
+func (f *Front) replaceKeys(ctx context.Context, body []byte) (any, error) {
+	var keys []token.Key
+	if err := readJSON(body, &keys); err != nil {
+		return nil, err
+	}
+	if _, err := ring.New(keys); err != nil {
+		return nil, err
+	}
+	return done, agreed(f.opt.Claims.Put(ctx, ConfigKeys, keys))
+}
+
+func (f *Front) changePolicy(ctx context.Context, body []byte) (any, error) {
+	p := *f.policy.Load()
+	if err := readJSON(body, &p); err != nil {
+		return nil, err
+	}
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	return done, agreed(f.opt.Claims.Put(ctx, ConfigPolicy, p))
+}
+
+// purgeCopies makes the copies of one object, or of one group of objects, void that are older than the call.
+func (f *Front) purgeCopies(ctx context.Context, body []byte) (any, error) {
+	var q struct {
+		Object string // as in paths
+		Group  uint16
+	}
+	if err := readJSON(body, &q); err != nil {
+		return nil, err
+	}
+	if (q.Object == "") == (q.Group == 0) {
+		return nil, errors.New("object or group: one of them is needed")
+	}
+	var object uint64
+	if q.Object != "" {
+		var err error
+		if object, err = objectNumber(q.Object); err != nil {
+			return nil, err
+		}
+		if object == 0 {
+			return nil, errors.New("object: 0 names none")
+		}
+	}
+	if f.opt.State == nil {
+		return nil, errors.New("this gateway has no replicated state")
+	}
+	return done, agreed(f.opt.State.Purge(ctx, object, q.Group))
+}
+
+// replaceMember answers with the voters after a replacement.
+func (f *Front) replaceMember(ctx context.Context, body []byte) (any, error) {
+	var replacement membership.Replacement
+	if err := readJSON(body, &replacement); err != nil {
+		return nil, err
+	}
+	if f.opt.State == nil {
+		return nil, errors.New("this gateway has no replicated state")
+	}
+	members, err := f.opt.State.ReplaceMember(ctx, replacement)
+	switch {
+	case errors.Is(err, membership.ErrCatchingUp):
+		return nil, &unavailableError{code: "catching_up", err: err}
+	case errors.Is(err, membership.ErrRefused):
+		return nil, fmt.Errorf("the replacement can't be made: %w", err)
+	case err != nil:
+		return nil, agreed(err)
+	}
+	return map[string][]membership.Member{"members": members}, nil
+}
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -56,11 +56,12 @@
 	Classes    []Class
 	Ring       *ring.Ring
 	Claims     Claims
-	Leeway     float64 // ms that clocks may differ by, either way
-	Scheme     string  // of the URIs that clients see; "": http
-	Operator   string  // the secret of the issuing endpoint; "": there is none
-	TokenMost  float64 // s that an issued token may last; 0: one day
-	MaxConns   int     // 0: 200
+	State      SharedState // nil: there is none to change
+	Leeway     float64     // ms that clocks may differ by, either way
+	Scheme     string      // of the URIs that clients see; "": http
+	Operator   string      // the secret of the issuing endpoint; "": there is none
+	TokenMost  float64     // s that an issued token may last; 0: one day
+	MaxConns   int         // 0: 200
 	CORS       CORS
 	Limits     limits.Options
 	Guard      limits.GuardOptions // the zero value: limits.DefaultGuard
--- a/gateway.go
+++ b/gateway.go
@@ -182,7 +182,7 @@
 		fd = 0
 	}
 	f := signed.New(signed.Options{
-		Post: gw.core.Post, Clock: gw.Clock, Log: gw.Log, Classes: classes(gw.node), Ring: ring, Claims: gw.plane,
+		Post: gw.core.Post, Clock: gw.Clock, Log: gw.Log, Classes: classes(gw.node), Ring: ring, Claims: gw.plane, State: gw.plane,
 		Leeway: o.LeewayS * 1000, Scheme: o.Scheme, Operator: o.OperatorSecret, TokenMost: o.TokenS,
 		MaxConns: gw.room.front, Tap: gw.tap("signed"), Limits: o.Limit.Options(),
 		CORS:       signed.CORS{Origins: o.Cors.Origins, Headers: o.Cors.Headers, MaxAge: o.Cors.MaxAgeS},
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -116,6 +116,7 @@
 	}
 	opt := p.storeOptions()
 	opt.ID, opt.Members, opt.Listener, opt.TLS, opt.Dir = r.ID, r.Members, listener, certificates, p.operator.Path(r.Dir)
+	opt.Join = r.Join
 	opt.OwnLease, opt.FreshnessChanged = true, p.freshnessChanged
 	p.store, err = replica.Open(opt)
 	if err != nil {
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -63,12 +63,13 @@
 	limits  distribution.Limits
 	adjust  func(voter int, opt *Options)
 	stores  []*Store
+	joining map[int]bool // voters that were not among the founders
 }
 
 // newCluster starts voters. Limits are those of each; adjust may change their options further, and be nil.
 func newCluster(t testing.TB, voters int, limits distribution.Limits, adjust func(int, *Options)) *cluster {
 	t.Helper()
-	c := &cluster{t: t, certs: authority(t), network: newNetwork(t), limits: limits, adjust: adjust}
+	c := &cluster{t: t, joining: map[int]bool{}, certs: authority(t), network: newNetwork(t), limits: limits, adjust: adjust}
 	c.client = c.certs()
 	listeners := make([]net.Listener, voters)
 	for i := range listeners {
@@ -87,6 +88,33 @@
 	return c
 }
 
+// prepare gives a further voter a name, an address and a disk. It is not started.
+func (c *cluster) prepare() (voter int) {
+	c.t.Helper()
+	voter = len(c.members)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	addr := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.members = append(c.members, Member{ID: fmt.Sprint("m", voter), Addr: addr})
+	c.dirs = append(c.dirs, c.t.TempDir())
+	c.stores = append(c.stores, nil)
+	c.joining[voter] = true
+	return voter
+}
+
+// join starts a further voter, which the others have yet to take in.
+func (c *cluster) join() (voter int) {
+	c.t.Helper()
+	voter = c.prepare()
+	c.start(voter, nil)
+	return voter
+}
+
 // start starts a voter; a nil listener: on its address of before.
 func (c *cluster) start(voter int, listener net.Listener) {
 	c.t.Helper()
@@ -99,7 +127,7 @@
 	opt := Options{
 		ID: c.members[voter].ID, Members: c.members, Listener: listener, TLS: c.certs(), Dir: c.dirs[voter],
 		Clock: clock.System(), Log: zerolog.Nop(), Pace: 300 * time.Millisecond,
-		Dial: c.network.dialFrom(c.members[voter].ID), Timing: testTiming, Limits: c.limits,
+		Dial: c.network.dialFrom(c.members[voter].ID), Timing: testTiming, Limits: c.limits, Join: c.joining[voter],
 	}
 	if c.adjust != nil {
 		c.adjust(voter, &opt)
--- a/replica/command_test.go
+++ b/replica/command_test.go
@@ -112,7 +112,7 @@
 	c := newCluster(t, 3, distribution.Limits{}, nil)
 	leader := c.leader()
 	s := c.subscriber("gateway", c.members, nil)
-	for i := range s.order {
+	for i := range s.voters {
 		s.leads("")
 		s.fallback.Store(uint32(i))
 		if err := s.Put(patient(t), "policy", i); err != nil {
@@ -125,7 +125,7 @@
 	gone := (leader + 1) % 3
 	s.relay(gone).cut()
 	s.leads("")
-	s.fallback.Store(uint32(slices.Index(s.order, c.members[gone].Addr)))
+	s.fallback.Store(uint32(slices.Index(s.voters, c.members[gone].Addr)))
 	if err := s.Put(patient(t), "policy", "last"); err != nil {
 		t.Error(err)
 	}
--- a/replica/confirm_link.go
+++ b/replica/confirm_link.go
@@ -25,6 +25,7 @@
 // confirmAnswer is what came of it.
 type confirmAnswer struct {
 	Through distribution.Revision `json:"through"`
+	Applied uint64                `json:"applied"` // index in the log of the last entry that this member has applied
 	Err     string                `json:"err,omitempty"`
 }
 
@@ -121,12 +122,16 @@
 func (l *links) answerConfirmation() confirmAnswer {
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
+	answer := confirmAnswer{Applied: l.store.raft.AppliedIndex()}
 	if !l.store.Leads() {
-		return confirmAnswer{Err: notLeader}
+		answer.Err = notLeader
+		return answer
 	}
 	through, err := l.store.verifyLeadership(ctx)
 	if err != nil {
-		return confirmAnswer{Err: err.Error()}
+		answer.Err = err.Error()
+		return answer
 	}
-	return confirmAnswer{Through: through}
+	answer.Through = through
+	return answer
 }
--- a/replica/control.go
+++ b/replica/control.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/membership"
 )
 
 // Control is the replicated state as a gateway uses it, whether it votes ([Store]) or not ([Subscriber]).
@@ -21,6 +22,8 @@
 	Put(ctx context.Context, name string, value any) error
 	// Purge makes copies of an object, or with object 0 of a group, void that are older than now.
 	Purge(ctx context.Context, object uint64, group uint16) error
+	// ReplaceMember has a new member take the place of one that is lost, and gives the voters afterwards.
+	ReplaceMember(ctx context.Context, replacement membership.Replacement) ([]Member, error)
 	// Fresh tells whether what is known here is complete but for the last seconds.
 	Fresh() bool
 	// MaxCopyAge bounds the age of copies that may be served now; 0: no bound.
--- a/replica/forward.go
+++ b/replica/forward.go
@@ -10,7 +10,7 @@
 
 const (
 	answerTimeout  = 5 * time.Second // from the request's first byte to the answer's last
-	forwardTimeout = 3 * time.Second // for the command itself
+	forwardTimeout = 3 * time.Second // for the proposal itself
 	maxForwarded   = 64 << 10
 	notLeader      = "not the leader"
 )
@@ -28,26 +28,26 @@
 
 func (e *notLeaderError) Error() string { return notLeader }
 
-// answer carries out one forwarded command.
-func (l *links) answer(c net.Conn) {
+// answer carries out one forwarded proposal of a kind.
+func (l *links) answer(c net.Conn, kind byte) {
 	c.SetDeadline(time.Now().Add(answerTimeout))
 	b, err := readBlock(c, maxForward)
 	if err != nil {
 		return
 	}
-	writeForwarded(c, l.carryOut(b))
+	writeForwarded(c, l.carryOut(proposal{kind: kind, body: b}))
 }
 
-// carryOut proposes a command where this member leads. A subscriber may turn to any voter, so one that doesn't lead tells
+// carryOut carries a proposal out where this member leads. A subscriber may turn to any voter, so one that doesn't lead tells
 // who does.
-func (l *links) carryOut(b []byte) forwarded {
+func (l *links) carryOut(p proposal) forwarded {
 	if !l.store.Leads() {
 		leader, _ := l.store.raft.LeaderWithID()
 		return forwarded{Sure: true, Err: notLeader, Leader: string(leader)}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
-	res, sure, err := l.store.lead(ctx, b)
+	res, sure, err := l.store.carryOut(ctx, p)
 	if err != nil {
 		return forwarded{Sure: sure, Err: err.Error()}
 	}
@@ -61,9 +61,9 @@
 	}
 }
 
-// forward has the member at an address carry a command out. Sure tells that after an error it was not proposed.
-func forward(ctx context.Context, d dialer, addr string, b []byte) (res result, sure bool, err error) {
-	c, err := d.dial(ctx, addr, linkForward)
+// forward has the member at an address carry a proposal out. Sure tells that after an error it was not made.
+func forward(ctx context.Context, d dialer, addr string, p proposal) (res result, sure bool, err error) {
+	c, err := d.dial(ctx, addr, p.kind)
 	if err != nil {
 		return res, true, err
 	}
@@ -71,7 +71,7 @@
 	stop := context.AfterFunc(ctx, func() { closeNow(c) })
 	defer stop()
 	c.SetDeadline(time.Now().Add(answerTimeout))
-	if err := writeBlock(c, b); err != nil {
+	if err := writeBlock(c, p.body); err != nil {
 		return res, false, err
 	}
 	out, err := readBlock(c, maxForwarded)
--- a/replica/links.go
+++ b/replica/links.go
@@ -19,6 +19,7 @@
 	linkForward = 'f'
 	linkConfirm = 'c' // a voter's questions to the leader
 	linkWatch   = 'w' // changes, to a subscriber
+	linkMembers = 'm' // a replacement of a member, to the leader
 )
 
 const (
@@ -35,6 +36,7 @@
 	maxRaftLinks        = 128 // for as long as Raft has them, also those whose other end is lost
 	maxConfirmLinks     = 16
 	maxForwards         = 256
+	maxReplacements     = 4  // of which one is under way
 	maxRefusals         = 64 // watches that are refused, as all places are taken
 )
 
@@ -84,6 +86,7 @@
 			linkRaft:    make(places, maxRaftLinks),
 			linkForward: make(places, maxForwards),
 			linkConfirm: make(places, maxConfirmLinks),
+			linkMembers: make(places, maxReplacements),
 			linkWatch:   make(places, maxWatches(opt.Limits)),
 		},
 		open: map[net.Conn]struct{}{},
@@ -210,7 +213,7 @@
 // first: a connection that is closed with unread bytes may lose the answer.
 func (l *links) refuse(kind byte, conn net.Conn) {
 	switch kind {
-	case linkForward:
+	case linkForward, linkMembers:
 		if _, err := readBlock(conn, maxForward); err == nil {
 			writeForwarded(conn, forwarded{Sure: true, Err: "all places for commands are taken"})
 		}
@@ -230,8 +233,8 @@
 	defer held.free()
 	defer raw.Close()
 	switch kind {
-	case linkForward:
-		l.answer(conn)
+	case linkForward, linkMembers:
+		l.answer(conn, kind)
 	case linkConfirm:
 		l.answerConfirmations(conn)
 	case linkWatch:
--- a/replica/member_lease_test.go
+++ b/replica/member_lease_test.go
@@ -38,8 +38,10 @@
 	}
 	c := newCluster(t, voters, distribution.Limits{}, func(voter int, opt *Options) {
 		opt.OwnLease = true
-		opt.FreshnessChanged = members[voter].freshnessChanged
-		opt.Purged = members[voter].effects.Purged
+		if voter < voters { // others join later
+			opt.FreshnessChanged = members[voter].freshnessChanged
+			opt.Purged = members[voter].effects.Purged
+		}
 	})
 	return c, members
 }
--- /dev/null
+++ b/replica/members.go
@@ -0,0 +1,208 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/raft"
+	"turnfork.dev/turnfork/membership"
+)
+
+// ConfigMembers is the name under which the replicated store keeps the list of its voters, once one was replaced. Subscribers
+// turn to those.
+const ConfigMembers = "members"
+
+const (
+	// changeTimeout is how long a change of the group may take.
+	changeTimeout = 2 * time.Second
+	// catchUpPause is how long to wait before a joining member is asked again for how far it is.
+	catchUpPause = 100 * time.Millisecond
+	// maxCatchUpLag is how many entries of the log a member may lack to count as caught up: the log goes on meanwhile.
+	maxCatchUpLag = 256
+)
+
+// errReplacing tells that the leader is busy with a replacement.
+var errReplacing = errors.New("replica: another replacement is under way")
+
+// ReplaceMember has a new member take the place of one that is lost for good, and gives the voters afterwards. The new one has to
+// be started first (Options.Join). Where it is broken off, it goes on when it is asked for again.
+func (s *Store) ReplaceMember(ctx context.Context, replacement membership.Replacement) ([]Member, error) {
+	return s.proposer.replace(ctx, replacement)
+}
+
+// ReplaceMember replaces a member as Store's does, by way of the leader.
+func (s *Subscriber) ReplaceMember(ctx context.Context, replacement membership.Replacement) ([]Member, error) {
+	return s.proposer.replace(ctx, replacement)
+}
+
+// replace has the leader carry a replacement out.
+func (p *proposer) replace(ctx context.Context, replacement membership.Replacement) ([]Member, error) {
+	if err := replacement.Check(); err != nil {
+		return nil, err
+	}
+	b, err := json.Marshal(replacement)
+	if err != nil {
+		return nil, err
+	}
+	res, err := p.run(ctx, proposal{kind: linkMembers, body: b, repeatable: true})
+	switch {
+	case err != nil:
+		return nil, err
+	case res.CatchingUp:
+		return nil, membership.ErrCatchingUp
+	case res.Refused != "":
+		return nil, fmt.Errorf("%w: %s", membership.ErrRefused, res.Refused)
+	}
+	return res.Members, nil
+}
+
+// leadReplacement carries a replacement out at the leader. Each of its changes may be made again.
+func (s *Store) leadReplacement(ctx context.Context, b []byte) (result, error) {
+	var replacement membership.Replacement
+	if err := json.Unmarshal(b, &replacement); err != nil {
+		return result{Err: "unreadable replacement"}, nil
+	}
+	if s.links == nil {
+		return result{Refused: "this member is alone"}, nil
+	}
+	if !s.replacing.TryLock() {
+		return result{}, errReplacing
+	}
+	defer s.replacing.Unlock()
+	err := s.replace(ctx, replacement)
+	switch {
+	case errors.Is(err, membership.ErrCatchingUp):
+		return result{CatchingUp: true}, nil
+	case errors.Is(err, membership.ErrRefused):
+		return result{Refused: strings.TrimPrefix(err.Error(), membership.ErrRefused.Error()+": ")}, nil
+	case err != nil:
+		return result{}, err
+	}
+	members, err := s.publishMembers(ctx)
+	return result{OK: err == nil, Members: members}, err
+}
+
+// replace makes one change after the other.
+func (s *Store) replace(ctx context.Context, replacement membership.Replacement) error {
+	caughtUp := false
+	for {
+		group, index, err := s.group()
+		if err != nil {
+			return err
+		}
+		action, err := replacement.Next(group, s.opt.ID, caughtUp)
+		if err != nil {
+			return err
+		}
+		s.opt.Log.Info().Str("action", string(action)).Str("lost", replacement.Lost).Str("joining", replacement.Joining.ID).
+			Msg("replacing a member")
+		switch action {
+		case membership.Done:
+			return nil
+		case membership.AwaitCatchUp:
+			if err := s.awaitCatchUp(ctx, replacement.Joining); err != nil {
+				return err
+			}
+			caughtUp = true
+		case membership.TransferLeadership:
+			if err := s.raft.LeadershipTransfer().Error(); err != nil {
+				return err
+			}
+			return raft.ErrNotLeader // who asked turns to the next leader
+		default:
+			if err := s.change(action, replacement, index); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// change makes a change of the group as it was at an index of the log.
+func (s *Store) change(action membership.Action, replacement membership.Replacement, index uint64) error {
+	id, addr := raft.ServerID(replacement.Joining.ID), raft.ServerAddress(replacement.Joining.Addr)
+	switch action {
+	case membership.AddWithoutVote:
+		return s.raft.AddNonvoter(id, addr, index, changeTimeout).Error()
+	case membership.GiveVote:
+		return s.raft.AddVoter(id, addr, index, changeTimeout).Error()
+	case membership.RemoveLost:
+		return s.raft.RemoveServer(raft.ServerID(replacement.Lost), index, changeTimeout).Error()
+	}
+	return fmt.Errorf("replica: no change of the group: %q", action)
+}
+
+// group gives the members, and the index of the log at which they became these.
+func (s *Store) group() ([]membership.Server, uint64, error) {
+	future := s.raft.GetConfiguration()
+	if err := future.Error(); err != nil {
+		return nil, 0, err
+	}
+	var group []membership.Server
+	for _, server := range future.Configuration().Servers {
+		group = append(group, membership.Server{
+			Member: Member{ID: string(server.ID), Addr: string(server.Address)}, Votes: server.Suffrage == raft.Voter,
+		})
+	}
+	return group, future.Index(), nil
+}
+
+// awaitCatchUp waits until a member has what this one, the leader, has agreed on.
+func (s *Store) awaitCatchUp(ctx context.Context, joining Member) error {
+	link := &confirmLink{store: s}
+	defer link.close()
+	for {
+		answer, err := link.exchange(ctx, joining.Addr)
+		if err != nil {
+			link.close()
+		}
+		if err == nil && answer.Applied+maxCatchUpLag >= s.raft.CommitIndex() && answer.Applied > 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s at %s: %d of %d", membership.ErrCatchingUp, joining.ID, joining.Addr, answer.Applied, s.raft.CommitIndex())
+		case <-time.After(catchUpPause):
+		}
+	}
+}
+
+// publishMembers puts the list of voters into the replicated state where it differs from the one there.
+func (s *Store) publishMembers(ctx context.Context) ([]Member, error) {
+	group, _, err := s.group()
+	if err != nil {
+		return nil, err
+	}
+	var voters []Member
+	for _, server := range group {
+		if server.Votes {
+			voters = append(voters, server.Member)
+		}
+	}
+	value, err := json.Marshal(voters)
+	if err != nil {
+		return nil, err
+	}
+	if known, ok := s.state.config(ConfigMembers); ok && string(known) == string(value) {
+		return voters, nil
+	}
+	return voters, s.Put(ctx, ConfigMembers, json.RawMessage(value))
+}
+
+// membersOf reads a list of voters; nil: it can't be used.
+func membersOf(value []byte) []Member {
+	var members []Member
+	if json.Unmarshal(value, &members) != nil {
+		return nil
+	}
+	for _, m := range members {
+		if _, _, err := net.SplitHostPort(m.Addr); err != nil {
+			return nil
+		}
+	}
+	return members
+}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -19,8 +19,8 @@
 
 // proposer has a majority agree on commands.
 type proposer struct {
-	// attempt proposes a command once; sure tells that after an error it was not proposed.
-	attempt func(ctx context.Context, b []byte) (res result, sure bool, err error)
+	// attempt makes a proposal once; sure tells that after an error it was not made.
+	attempt func(ctx context.Context, p proposal) (res result, sure bool, err error)
 	// closed tells that no further attempt makes sense.
 	closed func() bool
 	// unixMS is the time of proposals.
@@ -29,6 +29,13 @@
 	pause func(attempt int) time.Duration
 }
 
+// proposal is something that the leader is to carry out.
+type proposal struct {
+	kind       byte // of the link that carries it: linkForward, a command; linkMembers, a replacement of a member
+	body       []byte
+	repeatable bool // it may be made again where its fate is unknown
+}
+
 // steadyPause is a member's: members are few.
 func steadyPause(int) time.Duration { return retryPause }
 
@@ -72,8 +79,7 @@
 	return err
 }
 
-// propose has a majority agree on a command, by way of the leader. It goes on looking for one until
-// ctx ends, but a command whose fate is unknown is not proposed again.
+// propose has a majority agree on a command, by way of the leader. A command whose fate is unknown is not proposed again.
 func (p *proposer) propose(ctx context.Context, c command) (out result, err error) {
 	if err := c.check(); err != nil {
 		return out, err
@@ -83,17 +89,22 @@
 	if err != nil {
 		return out, err
 	}
+	// A claim's owner may make its step again.
+	return p.run(ctx, proposal{kind: linkForward, body: b, repeatable: c.steps()})
+}
+
+// run has the leader carry a proposal out. It goes on looking for one until ctx ends.
+func (p *proposer) run(ctx context.Context, proposed proposal) (out result, err error) {
 	for attempt := 0; ; attempt++ {
-		res, sure, err := p.attempt(ctx, b)
+		res, sure, err := p.attempt(ctx, proposed)
 		if err == nil {
 			if res.Err != "" {
 				return out, errors.New("replica: " + res.Err)
 			}
 			return res, nil
 		}
-		// Guards against doing a thing twice, where the first proposal may still be agreed on. A claim's owner may
-		// make its step again.
-		if !sure && !c.steps() || errors.Is(err, raft.ErrRaftShutdown) || p.closed() {
+		// Guards against doing a thing twice, where the first proposal may still be agreed on.
+		if !sure && !proposed.repeatable || errors.Is(err, raft.ErrRaftShutdown) || p.closed() {
 			return out, fmt.Errorf("%w: %w", ErrNoQuorum, err)
 		}
 		select {
@@ -115,16 +126,25 @@
 	return nil
 }
 
-// attempt proposes a command, here or by way of the leader.
-func (s *Store) attempt(ctx context.Context, b []byte) (res result, sure bool, err error) {
+// attempt makes a proposal, here or by way of the leader.
+func (s *Store) attempt(ctx context.Context, p proposal) (res result, sure bool, err error) {
 	if s.Leads() {
-		return s.lead(ctx, b)
+		return s.carryOut(ctx, p)
 	}
 	addr, _ := s.raft.LeaderWithID()
 	if addr == "" || s.links == nil {
 		return res, true, errNoLeader
 	}
-	return forward(ctx, s.links.dialer, string(addr), b)
+	return forward(ctx, s.links.dialer, string(addr), p)
+}
+
+// carryOut carries a proposal out on the leader itself.
+func (s *Store) carryOut(ctx context.Context, p proposal) (res result, sure bool, err error) {
+	if p.kind == linkMembers {
+		res, err = s.leadReplacement(ctx, p.body)
+		return res, true, err
+	}
+	return s.lead(ctx, p.body)
 }
 
 // lead proposes a command on the leader itself.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -26,16 +26,14 @@
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/distribution"
+	"turnfork.dev/turnfork/membership"
 )
 
 // ErrNoQuorum tells that no majority could be reached in time: nothing is known to have changed.
 var ErrNoQuorum = errors.New("replica: no quorum")
 
 // Member is one member as the operator's file names it.
-type Member struct {
-	ID   string `toml:"id"`
-	Addr string `toml:"addr"`
-}
+type Member = membership.Member
 
 // Options are what a member is made of.
 type Options struct {
@@ -50,6 +48,7 @@
 	Purged   func(c distribution.Change)              // notified of purges; must not block
 	Missed   func(before int64)                       // notified that purges of before a Unix time in ms may be missing; must not block
 	Pace     time.Duration                            // heartbeat time-out; 0: 500 ms, alone 50 ms
+	Join     bool                                     // the group is there already and takes this member in by ReplaceMember
 
 	// OwnLease has the member keep a lease on its own state, for a gateway beside it: Fresh and MaxCopyAge go by it. Without
 	// one they take the state for complete. Alone a member has none.
@@ -88,6 +87,7 @@
 	lease         *memberLease // nil: the member keeps none
 	endLease      func()
 	verifications chan struct{} // places
+	replacing     sync.Mutex    // held during a replacement of a member that this one leads
 }
 
 // Open starts a member.
@@ -238,7 +238,7 @@
 	if err != nil {
 		return err
 	}
-	if !known {
+	if !known && !s.opt.Join {
 		founders := raft.Configuration{Servers: p.servers}
 		if err := raft.BootstrapCluster(p.conf, p.logs, p.stable, p.snapshots, p.transport, founders); err != nil {
 			return err
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -49,7 +49,7 @@
 			t.Fatal(err)
 		}
 		ls = append(ls, l)
-		c.members = append(c.members, Member{fmt.Sprintf("m%d", i), l.Addr().String()})
+		c.members = append(c.members, Member{ID: fmt.Sprintf("m%d", i), Addr: l.Addr().String()})
 		c.dirs = append(c.dirs, t.TempDir())
 	}
 	c.stores = make([]*Store, 3)
--- a/replica/state.go
+++ b/replica/state.go
@@ -52,6 +52,10 @@
 	Err string `json:"err,omitempty"`
 
 	Record claims.Record `json:"record,omitzero"` // of a claim, as it stands then
+
+	Members    []Member `json:"members,omitempty"`     // of a replacement: the voters
+	CatchingUp bool     `json:"catching_up,omitempty"` // of a replacement: the joining member is not ready yet
+	Refused    string   `json:"refused,omitempty"`     // of a replacement: why it can't be made
 }
 
 // forgetAfter is how long, in ms, what has lapsed is kept: a member whose clock runs ahead must not
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +60,6 @@
 type Subscriber struct {
 	opt      SubscriberOptions
 	timing   distribution.Timing
-	order    []string // the voters' addresses, the preferred one first
 	dialer   dialer
 	proposer proposer
 	backoff  *distribution.Backoff
@@ -70,6 +70,7 @@
 	ended  chan struct{}
 
 	mu          sync.RWMutex
+	voters      []string // addresses, the preferred one first
 	view        *distribution.View
 	lease       *distribution.Lease
 	leader      string    // address that commands go to; "": not known
@@ -79,7 +80,7 @@
 	forgotAt    time.Time // when Forget was last called
 
 	digest   atomic.Pointer[knownDigest] // nil: none since a snapshot was received
-	fallback atomic.Uint32               // index into order of the voter for commands while the leader is not known
+	fallback atomic.Uint32               // index into voters of the one for commands while the leader is not known
 
 	notifier freshnessNotifier
 }
@@ -96,7 +97,7 @@
 	s := &Subscriber{
 		opt:    opt,
 		timing: opt.Timing.WithDefaults(),
-		order:  voterOrder(opt),
+		voters: voterOrder(opt.Name, opt.Voters),
 		view:   distribution.NewView(opt.Effects),
 		ended:  make(chan struct{}),
 	}
@@ -122,12 +123,31 @@
 }
 
 // voterOrder gives the voters' addresses in the order in which a gateway turns to them.
-func voterOrder(opt SubscriberOptions) []string {
-	addrs := make([]string, 0, len(opt.Voters))
-	for _, voter := range opt.Voters {
+func voterOrder(gateway string, voters []Member) []string {
+	addrs := make([]string, 0, len(voters))
+	for _, voter := range voters {
 		addrs = append(addrs, voter.Addr)
 	}
-	return distribution.VoterOrder(opt.Name, addrs)
+	return distribution.VoterOrder(gateway, addrs)
+}
+
+// updateVoters takes over the voters that the replicated state names, and gives the present order. Changed tells that it is a
+// new one.
+func (s *Subscriber) updateVoters() (order []string, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.view.Get(ConfigMembers)
+	if !ok {
+		return s.voters, false
+	}
+	members := membersOf(value)
+	if len(members) == 0 {
+		return s.voters, false
+	}
+	order = voterOrder(s.opt.Name, members)
+	changed = !slices.Equal(order, s.voters)
+	s.voters = order
+	return order, changed
 }
 
 // Close ends the subscriber. It doesn't tell FreshnessChanged any more afterwards.
@@ -203,10 +223,10 @@
 	return s.proposer.purge(ctx, object, group)
 }
 
-// attempt proposes a command once: at the leader, or at any voter to learn who leads.
-func (s *Subscriber) attempt(ctx context.Context, b []byte) (res result, sure bool, err error) {
+// attempt makes a proposal once: at the leader, or at any voter to learn who leads.
+func (s *Subscriber) attempt(ctx context.Context, p proposal) (res result, sure bool, err error) {
 	addr := s.commandAddress()
-	res, sure, err = forward(ctx, s.dialer, addr, b)
+	res, sure, err = forward(ctx, s.dialer, addr, p)
 	var elsewhere *notLeaderError
 	switch {
 	case errors.As(err, &elsewhere):
@@ -220,12 +240,11 @@
 // commandAddress is where the next command goes.
 func (s *Subscriber) commandAddress() string {
 	s.mu.RLock()
-	leader := s.leader
-	s.mu.RUnlock()
-	if leader != "" {
-		return leader
+	defer s.mu.RUnlock()
+	if s.leader != "" {
+		return s.leader
 	}
-	return s.order[int(s.fallback.Load())%len(s.order)]
+	return s.voters[int(s.fallback.Load())%len(s.voters)]
 }
 
 // leads enters who leads. Where nobody is known to, commands try the voters in turn.
--- a/replica/subscriber_watch.go
+++ b/replica/subscriber_watch.go
@@ -25,8 +25,12 @@
 // run watches one voter after the other until the subscriber is closed.
 func (s *Subscriber) run() {
 	defer close(s.ended)
-	choice := distribution.NewVoterChoice(s.order)
+	voters, _ := s.updateVoters()
+	choice := distribution.NewVoterChoice(voters)
 	for s.ctx.Err() == nil {
+		if voters, changed := s.updateVoters(); changed {
+			choice = distribution.NewVoterChoice(voters)
+		}
 		voter, wait := choice.Next(time.Now())
 		if !s.pause(wait) {
 			return
--- a/signed_test.go
+++ b/signed_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -417,6 +419,44 @@
 	}
 }
 
+// An operator's purge of an object or a group bounds the age of copies that stores are asked for; what names neither, or both,
+// is refused. A gateway that is alone has no members to replace.
+func TestOperatorPurges(t *testing.T) {
+	s := newSite(t, nil)
+	auth := []string{"Authorization", "Bearer " + operatorSecret}
+	object := strings.Split(tile, "/")[3]
+	for body, want := range map[string]int{
+		`{"object":"` + object + `"}`:             200,
+		`{"group":3}`:                             200,
+		`{"object":"` + object + `","group":3}`:   400,
+		`{}`:                                      400,
+		`{"object":"7f3a"}`:                       400,
+		`{"object":"0000000000000000"}`:           400,
+		`{"group":65536}`:                         400,
+		`{"object":"` + object + `","until":"x"}`: 400,
+	} {
+		if code, _, text := s.do("POST", "/-/purges", body, auth...); code != want {
+			t.Errorf("%s: %d %s", body, code, text)
+		}
+	}
+	s.clock.Advance(100)                                                            // the purge was 100 ms ago
+	for limit := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) { // it goes to the core beside the answer
+		if code, _, _ := s.do("GET", s.url(tile, 600, rand.Text()), ""); code != 200 {
+			t.Fatal(code)
+		}
+		calls := s.store.Calls("GET")
+		if age, _ := strconv.Atoi(calls[len(calls)-1].Fields["fresh"]); age > 0 && age <= 100 {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatalf("copies are asked for with %q", calls[len(calls)-1].Fields["fresh"])
+		}
+	}
+	if code, _, text := s.do("POST", "/-/members", `{"lost":"alone","joining":{"id":"b","addr":"127.0.0.1:9"}}`, auth...); code != 400 {
+		t.Errorf("%d %s", code, text)
+	}
+}
+
 // Bytes that are no request, or one that is too large, end the connection with the status that says so.
 func TestMalformedRequests(t *testing.T) {
 	s := newSite(t, nil)
--- a/subscribe_test.go
+++ b/subscribe_test.go
@@ -8,9 +8,11 @@
 	"encoding/pem"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,6 +24,7 @@
 	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
 )
@@ -281,6 +284,71 @@
 	}
 }
 
+// operate calls an operator's endpoint, and gives the status and the body.
+func (s *sharing) operate(path, body string) (int, string) {
+	s.Helper()
+	req, err := http.NewRequest("POST", "http://"+s.addrs.Signed.String()+path, strings.NewReader(body))
+	if err != nil {
+		s.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer a secret for this test alone")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return resp.StatusCode, string(answer)
+}
+
+// An operator has a lost voter replaced by way of a gateway that does not vote. The group then bears the loss of another one,
+// and the gateway stays fresh by the voters that are left.
+func TestOperatorReplacesMember(t *testing.T) {
+	s := newSubscribed(t)
+	s.await("fresh", func() bool { return s.subscription().Fresh })
+	const lost = 2
+	s.stores[lost].Close()
+	host, _, err := net.SplitHostPort(s.members[lost].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := s.listen(host + ":0")
+	joining := replica.Member{ID: "new", Addr: listener.Addr().String()}
+	conf, err := s.cert()
+	if err != nil {
+		t.Fatal(err)
+	}
+	joined, err := replica.Open(replica.Options{
+		ID: joining.ID, Members: append(slices.Clone(s.members), joining), Listener: listener, TLS: conf, Dir: t.TempDir(),
+		Clock: s.clock, Log: zerolog.Nop(), Pace: 200 * time.Millisecond, Join: true, OwnLease: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { joined.Close() })
+	if code, text := s.operate("/-/members", fmt.Sprintf(`{"lost":"nobody","joining":{"id":"new","addr":%q}}`, joining.Addr)); code != 400 {
+		t.Errorf("a name that nobody has: %d %s", code, text)
+	}
+	var text string
+	s.await("replaced", func() bool {
+		var code int
+		code, text = s.operate("/-/members", fmt.Sprintf(`{"lost":%q,"joining":{"id":"new","addr":%q}}`, s.members[lost].ID, joining.Addr))
+		return code == http.StatusOK
+	})
+	if !strings.Contains(text, joining.Addr) || strings.Contains(text, s.members[lost].Addr) {
+		t.Errorf("the voters are %s", text)
+	}
+	s.await("the new voter complete", joined.Fresh)
+	s.stores[1].Close()
+	if code, text := s.operate("/-/policy", `{"leeway_ms":2000}`); code != http.StatusOK {
+		t.Errorf("with one former voter and the new one: %d %s", code, text)
+	}
+	s.await("fresh by those that are left", func() bool { got := s.subscription(); return got.Fresh && got.AgeMS < 2000 })
+}
+
 // A gateway that votes itself holds to the same lease: without a majority it knows that it is stale. It serves on, asks for no
 // copy that a missing purge could make void, and begins no single-use work. It is fresh again with the purge that was made
 // while it was cut off.
