Put the tests' operators' files together from shared parts

The same classes, stores and keys stood in three operators' files of the program's tests, letter for letter, and the same secret was put together at four places. operator_file_test.go has the parts; what each file says is as it was, and no assertion changes. Checked by go vet and the tests of the package.

--- a/claims_test.go
+++ b/claims_test.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"encoding/base64"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -112,9 +110,8 @@
 // newTrio starts three members; deadline, in ms, is ride-end's.
 func newTrio(t *testing.T, deadline float64) *trio {
 	c := &trio{T: t, clock: clock.System(), killed: make(chan struct{}), dirs: []string{t.TempDir(), t.TempDir(), t.TempDir()}}
-	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
 	var err error
-	if c.keys, err = ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: secret}}); err != nil {
+	if c.keys, err = ring.New([]token.Key{{ID: "url", Kind: token.HMAC, Secret: urlSecret}}); err != nil {
 		t.Fatal(err)
 	}
 	// Addresses of their own: while a member is down, no connection that leaves from 127.0.0.1 has its port.
--- a/flood_test.go
+++ b/flood_test.go
@@ -155,28 +155,10 @@
 
 // depotOf runs a gateway with one store and two keys, "url" and "other", and what more its operator's file says.
 func depotOf(t testing.TB, store *standin.Store, log zerolog.Logger, clk *clock.Clock, more string) (addr string, keys *ring.Ring, stop func()) {
-	o, err := config.ParseOperator(fmt.Sprintf(`
-listen = "127.0.0.1:0"
-[[class]]
-name = "firmware"
-deadline_ms = 5000
-[[store]]
-id = 1
-kind = "cache"
-addr = %q
-[[store]]
-id = 2
-kind = "origin"
-addr = %q
-[[key]]
-id = "url"
-kind = "hmac"
-secret = "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
-[[key]]
-id = "other"
-kind = "hmac"
-secret = "b2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s="
-%s`, store.Addr(), store.Addr(), more), t.TempDir())
+	text := anyAddress + classText("firmware", "deadline_ms = 5000") + storesText(store.Addr()) +
+		hmacKeyText("url", "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=") +
+		hmacKeyText("other", "b2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=") + more
+	o, err := config.ParseOperator(text, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/signed_test.go
+++ b/signed_test.go
@@ -60,38 +60,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	o, err := config.ParseOperator(fmt.Sprintf(`
-listen = "127.0.0.1:0"
+	text := anyAddress + fmt.Sprintf(`
 operator_secret = %q
 [cors]
 origins = ["https://app.example", "https://help.example"]
 headers = ["range", "if-range"]
 max_age_s = 600
-[[class]]
-name = "app-assets"
-deadline_ms = 2500
-fresh_s = 12
-[[class]]
-name = "firmware"
-aim_ms = 600
-deadline_ms = 5000
-[[class]]
-name = "ride-end"
-deadline_ms = 3000
-write = true
-[[store]]
-id = 1
-kind = "cache"
-addr = %q
-[[store]]
-id = 2
-kind = "origin"
-addr = %q
-[[key]]
-id = "url"
-kind = "hmac"
-secret = %q
+`, operatorSecret) + classText("app-assets", "deadline_ms = 2500", "fresh_s = 12") +
+		classText("firmware", "aim_ms = 600", "deadline_ms = 5000") + classText("ride-end", "deadline_ms = 3000", "write = true") +
+		storesText(s.store.Addr()) + hmacKeyText("url", urlSecret) + fmt.Sprintf(`
 [[key]]
 id = "KEYPAIR"
 kind = "cloudfront"
@@ -122,7 +99,8 @@
 issuer = "dala"
 audience = "gateways"
 secret = %q
-`, operatorSecret, s.store.Addr(), s.store.Addr(), secret, standin.PrivatePEM(standin.RSAKey()), secret, secret), t.TempDir())
+`, standin.PrivatePEM(standin.RSAKey()), urlSecret, urlSecret)
+	o, err := config.ParseOperator(text, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/subscribe_test.go
+++ b/subscribe_test.go
@@ -29,39 +29,19 @@
 	"turnfork.dev/turnfork/token/ring"
 )
 
-// sharingFile is the operator's file of a gateway that shares the replicated state of a trio, but for its part in that.
-const sharingFile = `
-listen = "127.0.0.1:0"
+// sharingText is the operator's file of a gateway that shares the replicated state of a trio, but for its part in that.
+func sharingText(store string) string {
+	return anyAddress + `
 console = "127.0.0.1:0"
 operator_secret = "a secret for this test alone"
-[[class]]
-name = "app-assets"
-deadline_ms = 2500
-fresh_s = 3
-[[class]]
-name = "firmware"
-deadline_ms = 5000
-[[class]]
-name = "ride-end"
-deadline_ms = 3000
-write = true
-[[store]]
-id = 1
-kind = "cache"
-addr = %q
-[[store]]
-id = 2
-kind = "origin"
-addr = %q
-[[key]]
-id = "url"
-kind = "hmac"
-secret = %q
+` + classText("app-assets", "deadline_ms = 2500", "fresh_s = 3") + classText("firmware", "deadline_ms = 5000") +
+		classText("ride-end", "deadline_ms = 3000", "write = true") + storesText(store) + hmacKeyText("url", urlSecret) + `
 [replica]
 ca_file = "ca.pem"
 cert_file = "cert.pem"
 key_file = "key.pem"
 `
+}
 
 // shortLease are time limits that keep the test short, and are long enough for a loaded machine to renew the lease many
 // times over; the purge deadline stays as it is.
@@ -105,8 +85,7 @@
 	t.Cleanup(func() { s.store.Close() })
 	dir := t.TempDir()
 	s.writeCertificates(dir)
-	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))
-	file := fmt.Sprintf(sharingFile, s.store.Addr(), s.store.Addr(), secret) + part
+	file := sharingText(s.store.Addr()) + part
 	for _, m := range s.members {
 		file += fmt.Sprintf("[[replica.member]]\nid = %q\naddr = %q\n", m.ID, m.Addr)
 	}
@@ -242,8 +221,7 @@
 		t.Errorf("a copy of %d ms will do, %v ms after a purge", fresh, s.clock.Unix()-purged)
 	}
 	secret := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("n", 32)))
-	next := []token.Key{{ID: "next", Kind: token.HMAC, Secret: secret}, {ID: "url", Kind: token.HMAC,
-		Secret: base64.StdEncoding.EncodeToString([]byte(strings.Repeat("k", 32)))}}
+	next := []token.Key{{ID: "next", Kind: token.HMAC, Secret: secret}, {ID: "url", Kind: token.HMAC, Secret: urlSecret}}
 	keys, err := ring.New(next)
 	if err != nil {
 		t.Fatal(err)
