Keep links to the leader for further steps of claims

Ruled out: a kept link for every command. The other end may have closed it, and a command whose answer does not come has an unknown fate: configuration, revocations, purges and replacements get a fresh link each. A place for commands that is held by an idle link: a few hundred gateways would take all of them; a place is held while a command is received and carried out.

Change: commandLinks keeps up to four links to the present leader for 5 s. Only steps of claims, which their owner may make again, go over a kept one; with no answer within 0.5 s, or an error, a fresh link is tried. The leader keeps 2,048 at most, for 15 s.

Tests over relays: 20 steps take one link (20 before), a kept link that ended or fell silent costs one step no more than its patience, few are kept, and a leader without places says so.

--- a/replica/block.go
+++ b/replica/block.go
@@ -22,14 +22,28 @@
 
 // readBlock reads a block of up to limit bytes.
 func readBlock(r io.Reader, limit uint32) ([]byte, error) {
+	n, err := readBlockHeader(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	return readBlockBody(r, n)
+}
+
+// readBlockHeader reads the length of a block of up to limit bytes.
+func readBlockHeader(r io.Reader, limit uint32) (uint32, error) {
 	var head [blockHeader]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > limit {
-		return nil, fmt.Errorf("replica: a block of %d bytes, %d at most", n, limit)
+		return 0, fmt.Errorf("replica: a block of %d bytes, %d at most", n, limit)
 	}
+	return n, nil
+}
+
+// readBlockBody reads a block behind its header.
+func readBlockBody(r io.Reader, n uint32) ([]byte, error) {
 	b := make([]byte, n)
 	_, err := io.ReadFull(r, b)
 	return b, err
--- /dev/null
+++ b/replica/command_links_test.go
@@ -0,0 +1,184 @@
+package replica
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/distribution"
+)
+
+// commander is a follower of a cluster that forwards commands to the leader through a relay.
+type commander struct {
+	*Store
+	t     *testing.T
+	relay *relay // to the leader
+}
+
+func newCommander(t *testing.T) *commander {
+	c := newCluster(t, 3, distribution.Limits{}, func(_ int, opt *Options) { opt.Pace = 2 * time.Second }) // nobody else leads soon
+	leader := c.leader()
+	follower := c.follower()
+	c.awaitVoter(follower)
+	eventually(t, "the follower to know the leader", func() bool {
+		addr, _ := c.stores[follower].raft.LeaderWithID()
+		return string(addr) == c.members[leader].Addr
+	})
+	return &commander{
+		Store: c.stores[follower], t: t, relay: c.network.between(c.members[follower].ID, c.members[leader].Addr),
+	}
+}
+
+// hold makes a step of a claim.
+func (c *commander) hold(name string) {
+	c.t.Helper()
+	if _, ok, err := c.Step(patient(c.t), name, claims.Step{Op: claims.Hold, Owner: "o", Until: 1e15}); !ok || err != nil {
+		c.t.Fatalf("%s: %v, %v", name, ok, err)
+	}
+}
+
+// opens counts the connections to the leader that something takes.
+func (c *commander) opens(do func()) int {
+	before, _ := c.relay.count()
+	do()
+	after, _ := c.relay.count()
+	return after - before
+}
+
+// idleLinks counts the links that are kept.
+func (c *commander) idleLinks() int {
+	c.commands.mu.Lock()
+	defer c.commands.mu.Unlock()
+	return len(c.commands.idle)
+}
+
+// Steps of claims one after the other share a link to the leader. What must not be made twice has a fresh one each time.
+func TestStepsShareALink(t *testing.T) {
+	c := newCommander(t)
+	steps := c.opens(func() {
+		for i := range 20 {
+			c.hold(fmt.Sprint("use-", i))
+		}
+	})
+	if steps != 1 {
+		t.Errorf("20 steps took %d links", steps)
+	}
+	puts := c.opens(func() {
+		for i := range 3 {
+			if err := c.Put(patient(t), "policy", i); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+	if puts != 3 {
+		t.Errorf("3 pieces of configuration took %d links", puts)
+	}
+}
+
+// The connection of a link that is kept is lost: it ended, or it falls silent while new ones pass. The next step goes over a
+// fresh one, and is granted to its owner.
+func TestKeptLinkIsLost(t *testing.T) {
+	for name, lose := range map[string]func(r *relay){
+		"ended":  func(r *relay) { r.cut(); r.heal() },
+		"silent": (*relay).freeze,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCommander(t)
+			c.hold("use")
+			lose(c.relay)
+			begun := time.Now()
+			c.hold("use")
+			if took := time.Since(begun); took > answerTimeout {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// However many commands there are at once, few links are kept; none is kept for long, nor beyond the end.
+func TestKeptLinksAreFew(t *testing.T) {
+	c := newCommander(t)
+	var steps sync.WaitGroup
+	for i := range 40 {
+		steps.Go(func() {
+			if _, ok, err := c.Step(patient(t), fmt.Sprint("use-", i), claims.Step{Op: claims.Hold, Owner: "o", Until: 1e15}); !ok || err != nil {
+				t.Errorf("%d: %v, %v", i, ok, err)
+			}
+		})
+	}
+	steps.Wait()
+	if kept := c.idleLinks(); kept == 0 || kept > maxIdleLinks {
+		t.Errorf("%d links are kept", kept)
+	}
+	c.commands.mu.Lock()
+	for i := range c.commands.idle {
+		c.commands.idle[i].since = time.Now().Add(-idleLinkTTL)
+	}
+	c.commands.mu.Unlock()
+	if link := c.commands.take(c.commands.addr); link != nil {
+		t.Error("a link is used that was kept for too long")
+	}
+	if kept := c.idleLinks(); kept != 0 {
+		t.Errorf("%d links are kept for too long", kept)
+	}
+	c.hold("last")
+	c.commands.close()
+	if kept := c.idleLinks(); kept != 0 {
+		t.Errorf("%d links are left at the end", kept)
+	}
+	c.hold("after the end") // is still carried out, and keeps nothing
+	if kept := c.idleLinks(); kept != 0 {
+		t.Errorf("%d links are kept after the end", kept)
+	}
+}
+
+// A leader whose places for links between commands are taken answers a command, and ends its link. One whose places for
+// commands are taken says so on a link that was kept, and the command goes elsewhere or again.
+func TestLeaderHasNoPlaces(t *testing.T) {
+	c := newCluster(t, 3, distribution.Limits{}, nil)
+	leader := c.stores[c.leader()]
+	follower := c.stores[c.follower()]
+	hold := func(name string) {
+		t.Helper()
+		if _, ok, err := follower.Step(patient(t), name, claims.Step{Op: claims.Hold, Owner: "o", Until: 1e15}); !ok || err != nil {
+			t.Fatalf("%s: %v, %v", name, ok, err)
+		}
+	}
+	hold("first")
+	forwards := leader.links.places[linkForward]
+	taken := 0
+	for forwards.take() {
+		taken++
+	}
+	if taken != maxForwards {
+		t.Errorf("a link without a command holds a place for commands: %d of %d were free", taken, maxForwards)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := follower.Step(patient(t), "second", claims.Step{Op: claims.Hold, Owner: "o", Until: 1e15})
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		t.Errorf("carried out without a place: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	for range taken {
+		forwards.free()
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+
+	kept := 0
+	for leader.links.keptLinks.take() {
+		kept++
+	}
+	hold("third")
+	hold("fourth")
+	for range kept {
+		leader.links.keptLinks.free()
+	}
+}
--- a/replica/forward.go
+++ b/replica/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"time"
 )
@@ -13,8 +12,13 @@
 	forwardTimeout = 3 * time.Second // for the proposal itself
 	maxForwarded   = 64 << 10
 	notLeader      = "not the leader"
+	// keptLinkTimeout ends a link over which no proposal has come for long. Who forwards keeps it for a shorter time.
+	keptLinkTimeout = 3 * idleLinkTTL
 )
 
+// noPlace answers a proposal for which there is no place.
+var noPlace = forwarded{Sure: true, Err: "all places for commands are taken"}
+
 // forwarded answers a forwarded command.
 type forwarded struct {
 	Result result `json:"result"`
@@ -28,14 +32,51 @@
 
 func (e *notLeaderError) Error() string { return notLeader }
 
-// answer carries out one forwarded proposal of a kind.
-func (l *links) answer(c net.Conn, kind byte) {
+// answerAll answers forwarded proposals of a kind, one after the other. A place is held while one is received and carried out;
+// the first is held already. Between proposals a link has one of the places for links that are kept, and ends where there is none.
+func (l *links) answerAll(c net.Conn, kind byte, held places) {
+	if !l.answer(c, kind, held) || !l.keptLinks.take() {
+		return
+	}
+	defer l.keptLinks.free()
+	for {
+		c.SetDeadline(time.Now().Add(keptLinkTimeout))
+		size, err := readBlockHeader(c, maxForward)
+		if err != nil {
+			return
+		}
+		c.SetDeadline(time.Now().Add(answerTimeout))
+		if !held.take() {
+			if _, err := readBlockBody(c, size); err == nil {
+				writeForwarded(c, noPlace)
+			}
+			return
+		}
+		if !l.answerBlock(c, kind, size, held) {
+			return
+		}
+	}
+}
+
+// answer answers the first proposal on a link, and frees its place.
+func (l *links) answer(c net.Conn, kind byte, held places) bool {
 	c.SetDeadline(time.Now().Add(answerTimeout))
-	b, err := readBlock(c, maxForward)
+	size, err := readBlockHeader(c, maxForward)
 	if err != nil {
-		return
+		held.free()
+		return false
+	}
+	return l.answerBlock(c, kind, size, held)
+}
+
+// answerBlock answers a proposal whose header was read, and frees its place. It tells whether the link is still of use.
+func (l *links) answerBlock(c net.Conn, kind byte, size uint32, held places) bool {
+	defer held.free()
+	body, err := readBlockBody(c, size)
+	if err != nil {
+		return false
 	}
-	writeForwarded(c, l.carryOut(proposal{kind: kind, body: b}))
+	return writeForwarded(c, l.carryOut(proposal{kind: kind, body: body})) == nil
 }
 
 // carryOut carries a proposal out where this member leads. A subscriber may turn to any voter, so one that doesn't lead tells
@@ -55,38 +96,10 @@
 }
 
 // writeForwarded writes an answer. Who doesn't get it takes the command's fate for unknown.
-func writeForwarded(c net.Conn, answer forwarded) {
-	if out, err := json.Marshal(answer); err == nil {
-		writeBlock(c, out)
-	}
-}
-
-// forward has the member at an address carry a proposal out. Sure tells that after an error it was not made.
-func forward(ctx context.Context, d dialer, addr string, p proposal) (res result, sure bool, err error) {
-	c, err := d.dial(ctx, addr, p.kind)
-	if err != nil {
-		return res, true, err
-	}
-	defer closeNow(c)
-	stop := context.AfterFunc(ctx, func() { closeNow(c) })
-	defer stop()
-	c.SetDeadline(time.Now().Add(answerTimeout))
-	if err := writeBlock(c, p.body); err != nil {
-		return res, false, err
-	}
-	out, err := readBlock(c, maxForwarded)
+func writeForwarded(c net.Conn, answer forwarded) error {
+	out, err := json.Marshal(answer)
 	if err != nil {
-		return res, false, err
-	}
-	var answer forwarded
-	if err := json.Unmarshal(out, &answer); err != nil {
-		return res, false, err
-	}
-	switch {
-	case answer.Err == notLeader && answer.Sure:
-		return res, true, &notLeaderError{leader: answer.Leader}
-	case answer.Err != "":
-		return res, answer.Sure, errors.New(answer.Err)
+		return err
 	}
-	return answer.Result, true, nil
+	return writeBlock(c, out)
 }
--- a/replica/links.go
+++ b/replica/links.go
@@ -36,8 +36,9 @@
 	maxRaftLinks        = 128 // for as long as Raft has them, also those whose other end is lost
 	maxConfirmLinks     = 16
 	maxForwards         = 256
-	maxReplacements     = 4  // of which one is under way
-	maxRefusals         = 64 // watches that are refused, as all places are taken
+	maxKeptLinks        = 2048 // over which commands come now and then
+	maxReplacements     = 4    // of which one is under way
+	maxRefusals         = 64   // watches that are refused, as all places are taken
 )
 
 // links carries Raft, commands, confirmations and watches, in mutual TLS. It is Raft's StreamLayer.
@@ -56,6 +57,7 @@
 	memberHandshakes places
 	memberHosts      map[string]bool
 	places           map[byte]places
+	keptLinks        places
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -81,7 +83,7 @@
 		opt: opt, store: s, watches: w, dialer: newDialer(opt.TLS, opt.Dial), server: serverConfig(opt.TLS),
 		raft: make(chan net.Conn), done: make(chan struct{}),
 		handshakes: make(places, maxHandshakes), memberHandshakes: make(places, maxMemberHandshakes),
-		memberHosts: memberHosts(opt.Members),
+		memberHosts: memberHosts(opt.Members), keptLinks: make(places, maxKeptLinks),
 		places: map[byte]places{
 			linkRaft:    make(places, maxRaftLinks),
 			linkForward: make(places, maxForwards),
@@ -215,7 +217,7 @@
 	switch kind {
 	case linkForward, linkMembers:
 		if _, err := readBlock(conn, maxForward); err == nil {
-			writeForwarded(conn, forwarded{Sure: true, Err: "all places for commands are taken"})
+			writeForwarded(conn, noPlace)
 		}
 	case linkWatch:
 		if _, err := readBlock(conn, maxSubscriberBlock); err == nil {
@@ -230,11 +232,13 @@
 		l.handToRaft(&placedConn{Conn: conn, free: sync.OnceFunc(held.free)})
 		return
 	}
-	defer held.free()
 	defer raw.Close()
+	if kind == linkForward || kind == linkMembers {
+		l.answerAll(conn, kind, held)
+		return
+	}
+	defer held.free()
 	switch kind {
-	case linkForward, linkMembers:
-		l.answer(conn, kind)
 	case linkConfirm:
 		l.answerConfirmations(conn)
 	case linkWatch:
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -135,7 +135,7 @@
 	if addr == "" || s.links == nil {
 		return res, true, errNoLeader
 	}
-	return forward(ctx, s.links.dialer, string(addr), p)
+	return s.commands.forward(ctx, string(addr), p)
 }
 
 // carryOut carries a proposal out on the leader itself.
--- a/replica/relay_test.go
+++ b/replica/relay_test.go
@@ -23,6 +23,7 @@
 	budget  [2]int  // bytes that a direction passes before it stalls; 0: no such limit
 	delay   time.Duration
 	conns   map[net.Conn]struct{}
+	frozen  map[net.Conn]bool // stalled whatever goes for the others
 	wg      sync.WaitGroup
 	opened  int // connections so far
 }
@@ -39,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	r := &relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}, frozen: map[net.Conn]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	r.wg.Add(1)
 	go r.accept()
@@ -106,7 +107,7 @@
 		r.budget[direction] -= bytes
 		r.toward[direction] = r.budget[direction] <= 0
 	}
-	for r.toward[direction] && r.holds(conn) {
+	for (r.toward[direction] || r.frozen[conn]) && r.holds(conn) {
 		r.changed.Wait()
 	}
 	delay, held := r.delay, r.holds(conn)
@@ -138,9 +139,26 @@
 	defer r.mu.Unlock()
 	for _, conn := range conns {
 		delete(r.conns, conn)
+		delete(r.frozen, conn)
 	}
 }
 
+// freeze stalls the connections that are open now, as a way that has lost their state; new ones pass. Heal lets them go on.
+func (r *relay) freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		r.frozen[conn] = true
+	}
+}
+
+// count gives the connections so far, and those that are open.
+func (r *relay) count() (opened, open int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opened, len(r.conns) / 2
+}
+
 // cut ends all connections and refuses new ones until heal.
 func (r *relay) cut() {
 	r.mu.Lock()
@@ -149,6 +167,7 @@
 	for conn := range r.conns {
 		conn.Close()
 		delete(r.conns, conn)
+		delete(r.frozen, conn)
 	}
 	r.changed.Broadcast()
 }
@@ -196,6 +215,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.isCut, r.toward, r.budget, r.delay = false, [2]bool{}, [2]int{}, 0
+	clear(r.frozen)
 	r.changed.Broadcast()
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -82,7 +82,8 @@
 	disk  io.Closer
 
 	proposer      proposer
-	feed          *feed // nil: alone, without subscribers
+	commands      *commandLinks // nil: alone
+	feed          *feed         // nil: alone, without subscribers
 	confirmer     *confirmer
 	lease         *memberLease // nil: the member keeps none
 	endLease      func()
@@ -168,6 +169,7 @@
 		return nil, fmt.Errorf("dir: %w", err)
 	}
 	s.links = newLinks(s.opt, s, s.newWatches())
+	s.commands = &commandLinks{dialer: s.links.dialer}
 	parts.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
 		Stream: s.links, MaxPool: 3, Timeout: 2 * time.Second, Logger: parts.conf.Logger,
 	})
@@ -272,6 +274,7 @@
 func (s *Store) release() error {
 	if s.links != nil {
 		s.links.Close()
+		s.commands.close()
 		s.confirmer.wait()
 	}
 	if s.disk != nil {
--- a/replica/subscriber.go
+++ b/replica/subscriber.go
@@ -61,6 +61,7 @@
 	opt      SubscriberOptions
 	timing   distribution.Timing
 	dialer   dialer
+	commands *commandLinks
 	proposer proposer
 	backoff  *distribution.Backoff
 	traffic  traffic
@@ -105,6 +106,7 @@
 	s.notifier = freshnessNotifier{changed: opt.FreshnessChanged, fresh: s.Fresh, timeLeft: s.timeLeft}
 	s.backoff = distribution.NewBackoff(opt.RetryMin, opt.RetryMax, opt.Random)
 	s.dialer = newDialer(opt.TLS, s.traffic.count(opt.Dial))
+	s.commands = &commandLinks{dialer: s.dialer}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.proposer = proposer{attempt: s.attempt, closed: s.isClosed, unixMS: opt.Clock.Unix, pause: growingPause}
 	go s.run()
@@ -154,6 +156,7 @@
 func (s *Subscriber) Close() error {
 	s.cancel()
 	<-s.ended
+	s.commands.close()
 	s.notifier.close()
 	return nil
 }
@@ -226,7 +229,7 @@
 // attempt makes a proposal once: at the leader, or at any voter to learn who leads.
 func (s *Subscriber) attempt(ctx context.Context, p proposal) (res result, sure bool, err error) {
 	addr := s.commandAddress()
-	res, sure, err = forward(ctx, s.dialer, addr, p)
+	res, sure, err = s.commands.forward(ctx, addr, p)
 	var elsewhere *notLeaderError
 	switch {
 	case errors.As(err, &elsewhere):
