Trace a share of the requests, the same ones at every gateway

Tracing was all or nothing: at 853 requests a second a gateway's trace takes 0.58 MB a second, 58 times what it has for control.

Change: trace_share in the operator's file. A request is followed where the hash of its Txn is below the share, at any gateway that sees it, and ten a second at most (6.8 KB at the measured 682 B each), whatever the share and the clients' choice of names. Without a share nothing changes, and it can't be set on the platform.

Test: TestTraceOfAShare (whole traces or nothing, alike at two gateways, the share, the limit).

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -69,6 +69,7 @@
 	}
 	for change, field := range map[string]string{
 		`leeway_s = 10|leeway_s = -1`:                  "leeway_s",
+		"leeway_s = 10|leeway_s = 10\ntrace_share = 2": "trace_share",
 		`scheme = "https"|scheme = "gopher"`:           "scheme",
 		`kind = "parent"|kind = "uncle"`:               "store[2].kind",
 		`id = 10|id = 1`:                               "store[2].id",
--- a/config/operator.go
+++ b/config/operator.go
@@ -30,7 +30,8 @@
 	Console        string        `toml:"console"` // where operators call; "": nowhere
 	Scheme         string        `toml:"scheme"`  // of the URIs that clients see
 	LeewayS        float64       `toml:"leeway_s"`
-	TokenS         float64       `toml:"token_s"` // the longest that an issued token may last
+	TokenS         float64       `toml:"token_s"`     // the longest that an issued token may last
+	TraceShare     float64       `toml:"trace_share"` // of the requests, 0 to 1: those that are followed in the log
 	OperatorSecret string        `toml:"operator_secret"`
 	OperatorFile   string        `toml:"operator_secret_file"`
 	Cors           Cors          `toml:"cors"`
@@ -278,6 +279,9 @@
 	if !(o.LeewayS >= 0 && o.LeewayS <= 300) {
 		return fmt.Errorf("leeway_s: %v is not within 0 to 300", o.LeewayS)
 	}
+	if !(o.TraceShare >= 0 && o.TraceShare <= 1) {
+		return fmt.Errorf("trace_share: %v is not within 0 to 1", o.TraceShare)
+	}
 	if o.TokenS < 0 || math.IsNaN(o.TokenS) {
 		return fmt.Errorf("token_s: %v is negative", o.TokenS)
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -37,6 +37,10 @@
 	Clock    *clock.Clock
 	Log      zerolog.Logger
 
+	// TraceShare is the share of requests, 0 to 1, that are followed in the log also below the level Debug, some a second at
+	// most. Every gateway with the same share follows the same requests.
+	TraceShare float64
+
 	// MaxCopyAge bounds the age of copies that are asked for; 0: no bound. It stands while purges may be missing that are
 	// not known here. It must be safe for concurrent use. Nil: there is never a bound.
 	MaxCopyAge func() time.Duration
@@ -47,6 +51,7 @@
 // Core is the part between fronts and upstreams.
 type Core struct {
 	opt     Options
+	sampler sampler
 	module  *control.Controller
 	up      Upstream
 	classes map[string]int
@@ -92,7 +97,7 @@
 		opt.Settle = settleMost
 	}
 	c := &Core{
-		opt: opt, module: module, up: up, classes: map[string]int{}, events: make(chan Event, eventsQueued),
+		opt: opt, sampler: newSampler(opt.TraceShare), module: module, up: up, classes: map[string]int{}, events: make(chan Event, eventsQueued),
 		orders: make(chan Event, ordersQueued),
 		done:   make(chan struct{}), requests: map[control.RequestID]*request{}, byTag: map[tagKey]*request{},
 		byTxn: map[string]*request{}, probes: map[uint32]float64{},
--- a/core/trace.go
+++ b/core/trace.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
@@ -8,7 +11,7 @@
 
 // The trace follows each request at the level Debug: its taking in, every attempt and its end, and the final answer,
 // all under the client's Txn, so that one request can be followed through every gateway that handled it. Below
-// Debug it costs a test of the level.
+// Debug it follows the share of requests that Options.TraceShare names, and costs the others a test of a flag.
 
 var (
 	verdictNames = [...]string{"served", "same", "refused", "failed"}
@@ -31,6 +34,46 @@
 
 func (c *Core) tracing() bool { return c.opt.Log.GetLevel() <= zerolog.DebugLevel }
 
+// maxSampledPerSecond bounds the requests of a share that are followed: a traced request is some 700 bytes of log.
+const maxSampledPerSecond = 10
+
+// sampler chooses the requests of a share by a hash of their Txn, so that every gateway follows the same ones.
+type sampler struct {
+	threshold uint64  // of the hash, below which a request is followed
+	second    float64 // Unix time of the present one
+	followed  int     // in it
+}
+
+func newSampler(share float64) sampler {
+	if share >= 1 {
+		return sampler{threshold: math.MaxUint64}
+	}
+	return sampler{threshold: uint64(max(0, share) * (1 << 63) * 2)}
+}
+
+// follow tells whether a request that is taken now, in Unix ms, is followed.
+func (s *sampler) follow(txn string, now float64) bool {
+	if s.threshold == 0 || xxhash.Sum64String(txn) >= s.threshold {
+		return false
+	}
+	if second := math.Floor(now / 1000); second != s.second {
+		s.second, s.followed = second, 0
+	}
+	s.followed++
+	return s.followed <= maxSampledPerSecond
+}
+
+// trace gives the log event for a request; nil: it is not followed.
+func (c *Core) trace(r *request) *zerolog.Event {
+	switch {
+	case c.tracing():
+		return c.opt.Log.Debug().Str("txn", r.Txn)
+	case r.sampled:
+		return c.opt.Log.Info().Str("txn", r.Txn)
+	}
+	return nil
+}
+
 // traceStores tells of the stores whose start a list names: while one is cold, what all gateways send it is limited.
 func (c *Core) traceStores(list Stores) {
 	if !c.tracing() {
@@ -45,57 +88,58 @@
 }
 
 func (c *Core) traceTake(r *request) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Str("class", r.Class).Str("name", r.Name).Uint32("part", r.Part).
+	if e := c.trace(r); e != nil {
+		e.Str("class", r.Class).Str("name", r.Name).Uint32("part", r.Part).
 			Float64("left_ms", r.Left).Float64("kb", r.SizeKB).Bool("repeat", r.Repeat).Str("key", r.Dedupe).Msg("take")
 	}
 }
 
 func (c *Core) traceSend(r *request, t *attempt, a control.Attempt) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", t.key.N).Uint32("to", t.to).Uint32("source", uint32(a.Source)).
+	if e := c.trace(r); e != nil {
+		e.Int("n", t.key.N).Uint32("to", t.to).Uint32("source", uint32(a.Source)).
 			Uint8("keep", a.Keep).Bool("join", a.Join).Bool("held_only", a.HeldOnly).Dur("timeout", a.Timeout).Bool("held", t.held != nil).Msg("attempt")
 	}
 }
 
-func (c *Core) traceEnd(r *request, t *attempt, e Ended) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", e.N).Uint32("to", t.to).Stringer("result", e.Result).
-			Stringer("note", e.Note).Float64("ms", c.now()-t.sent).Bool("doubt", e.Doubt).Msg("end")
+func (c *Core) traceEnd(r *request, t *attempt, end Ended) {
+	if e := c.trace(r); e != nil {
+		e.Int("n", end.N).Uint32("to", t.to).Stringer("result", end.Result).
+			Stringer("note", end.Note).Float64("ms", c.now()-t.sent).Bool("doubt", end.Doubt).Msg("end")
 	}
 }
 
 // traceSettle tells how long an end was in doubt, in ms, and whether time ended that and not the store's word.
 func (c *Core) traceSettle(r *request, k Key) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Float64("ms", c.now()-r.doubt.from).
+	if e := c.trace(r); e != nil {
+		e.Int("n", k.N).Float64("ms", c.now()-r.doubt.from).
 			Bool("by_time", r.doubt.until <= c.now()).Msg("settled")
 	}
 }
 
 func (c *Core) traceAnswer(r *request, a Answer) {
-	if c.tracing() && a.Verdict == Refused && len(r.attempts) == 0 && a.Reason == GivenUp {
-		c.opt.Log.Debug().Str("txn", r.Txn).Str("module", c.module.Explain(control.ObjectID(r.Object), r.Part)).
-			Msg("refused unsent")
+	if a.Verdict == Refused && len(r.attempts) == 0 && a.Reason == GivenUp {
+		if e := c.trace(r); e != nil {
+			e.Str("module", c.module.Explain(control.ObjectID(r.Object), r.Part)).Msg("refused unsent")
+		}
 	}
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Stringer("verdict", a.Verdict).Stringer("reason", a.Reason).
+	if e := c.trace(r); e != nil {
+		e.Stringer("verdict", a.Verdict).Stringer("reason", a.Reason).
 			Float64("retry_ms", a.RetryAfter).Int("attempts", len(r.attempts)).Float64("ms", c.now()-r.At).Msg("answer")
 	}
 }
 
 // traceConfirm tells what a store that an attempt ended at has shown since, for a further attempt there.
 func (c *Core) traceConfirm(r *request, k Key, silent bool) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("n", k.N).Bool("silent", silent).Msg("confirmed")
+	if e := c.trace(r); e != nil {
+		e.Int("n", k.N).Bool("silent", silent).Msg("confirmed")
 	}
 }
 
 // traceLeave tells how long a request whose client has left waited, in ms, and whether one of its attempts may have
 // reached a store by then. An "attempt" of the same Txn later on would be a request sent on for nobody.
 func (c *Core) traceLeave(r *request) {
-	if c.tracing() {
-		c.opt.Log.Debug().Str("txn", r.Txn).Int("attempts", len(r.attempts)).Bool("sent", r.sent()).
+	if e := c.trace(r); e != nil {
+		e.Int("attempts", len(r.attempts)).Bool("sent", r.sent()).
 			Float64("ms", c.now()-r.At).Msg("left")
 	}
 }
--- a/core/trace_test.go
+++ b/core/trace_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -109,3 +111,60 @@
 		t.Errorf("%+v", line)
 	}
 }
+
+// Of a share of the requests, each leaves the whole trace or nothing, also at the level Info; two gateways with the same share
+// follow the same ones. What is above some a second is left out.
+func TestTraceOfAShare(t *testing.T) {
+	const requests, share = 400, 0.25
+	followed := func() map[string]int {
+		c, w, clk := newCore(t)
+		var out bytes.Buffer
+		c.opt.Log = zerolog.New(&out).Level(zerolog.InfoLevel)
+		c.sampler = newSampler(share)
+		for i := range requests {
+			c.Handle(ask(w, uint64(i+1), "tile", clk.Now()))
+			if sent := w.sends[len(w.sends)-1]; sent.Key.N == 0 {
+				c.Handle(Ended{Key: sent.Key, Result: control.OK, Note: control.Hit, Body: []byte("x")})
+			}
+			clk.Advance(100) // 10 requests a second, of which the share is below the limit
+			c.Tick()
+		}
+		lines := map[string]int{}
+		for _, line := range bytes.Split(bytes.TrimSpace(out.Bytes()), []byte("\n")) {
+			var e struct{ Txn string }
+			if err := json.Unmarshal(line, &e); err != nil || e.Txn == "" {
+				t.Fatalf("%v: %s", err, line)
+			}
+			lines[e.Txn]++
+		}
+		return lines
+	}
+	one, other := followed(), followed()
+	if !maps.Equal(one, other) {
+		t.Error("two gateways follow different requests")
+	}
+	if n := len(one); n < requests*share/2 || n > requests*share*2 {
+		t.Errorf("%d of %d requests are followed", n, requests)
+	}
+	for txn, lines := range one {
+		if lines != 4 { // taken, an attempt, its end, the answer
+			t.Errorf("%s left %d lines", txn, lines)
+		}
+	}
+	s := newSampler(1)
+	for second := range 3 {
+		n := 0
+		for i := range 100 {
+			if s.follow(fmt.Sprint(second, i), float64(1000*second+i)) {
+				n++
+			}
+		}
+		if n != maxSampledPerSecond {
+			t.Errorf("%d are followed in a second", n)
+		}
+	}
+	none := newSampler(0)
+	if none.follow("x", 0) {
+		t.Error("one is followed without a share")
+	}
+}
--- a/core/types.go
+++ b/core/types.go
@@ -242,6 +242,7 @@
 	once     bool
 	keyed    bool // a repeat within the time of its key is dropped by the stores
 	answered bool
+	sampled  bool // it is of the share that is traced
 	attempts []*attempt
 	open     int // attempts without an end
 	last     control.Result
--- a/gateway.go
+++ b/gateway.go
@@ -86,10 +86,15 @@
 func (gw *gateway) openCore(context.Context) (err error) {
 	gw.plane = controlplane.New(gw.Operator, gw.Clock, gw.Log)
 	gw.plane.Timing = gw.Distribution
+	traceShare := 0.0
+	if gw.Operator != nil {
+		traceShare = gw.Operator.TraceShare
+	}
 	up := &struct{ core.Upstream }{}
 	gw.core, err = core.New(core.Options{
 		Settings: gw.node.Settings, Classes: gw.node.Classes, Seed: gw.node.Seed, MaxOpen: gw.node.MaxOpen, Clock: gw.Clock,
 		Flow: gw.node.Flow, Log: gw.Log, MaxCopyAge: gw.plane.CopyAgeBound(),
+		TraceShare: traceShare,
 	}, up)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
