--- a/front/signed/withdraw_test.go
+++ b/front/signed/withdraw_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -155,3 +156,55 @@
 		})
 	}
 }
+
+// A client that asked ahead is read no further until its answers are taken, so its leaving has to be looked for: often enough that
+// the mark comes well within the 0.1 s after which nothing may be sent on for it. The median of many, as the machine may have
+// other work.
+func TestFullPipelineIsLookedAtOften(t *testing.T) {
+	const (
+		clients = 31
+		limit   = 40 * time.Millisecond
+	)
+	d := newDepot(t)
+	f := d.fronts[0]
+	f.classes["firmware"] = Class{Name: "firmware", Deadline: 3000}
+	issued, err := f.ring.Load().Issue("k", token.Terms{URI: "/v1/firmware/00000000000000e1/0", Until: 1e9 + 600, ID: "n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan core.Ask, 16)
+	f.opt.Post = func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			asked <- a
+		}
+	}
+	var took []time.Duration
+	for range clients {
+		nc, err := net.Dial("tcp", d.addrs[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		const requests = pipelineMost + 4
+		fmt.Fprint(nc, strings.Repeat(fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", issued.URL), requests))
+		var handedOn []core.Ask
+		for range pipelineMost + 1 { // the first waits for its answer, and as many as there is room for behind it
+			handedOn = append(handedOn, <-asked)
+		}
+		left := time.Now()
+		nc.Close()
+		for !handedOn[0].Over.Load() {
+			if time.Since(left) > 20*time.Second {
+				t.Fatal("never marked")
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+		took = append(took, time.Since(left))
+		for _, a := range handedOn {
+			a.From.Answer(a.Tag, core.Answer{Verdict: core.Failed, Reason: core.Deserted})
+		}
+	}
+	slices.Sort(took)
+	if median := took[clients/2]; median > limit {
+		t.Errorf("marked after %v in the median, %v at the most", median, took[clients-1])
+	}
+}
