Drop the index that changes of the group were said to depend on

Raft's GetConfiguration gives 0 for it (seen in a probe: 0 with a log of 2 entries), which means no condition. The changes are safe without: a replacement holds a lock at the leader, Raft takes one change at a time, and a deposed leader's is not agreed on. The code says so now. Tests of replacements twice under the race detector: passed.

--- a/replica/members.go
+++ b/replica/members.go
@@ -91,7 +91,7 @@
 func (s *Store) replace(ctx context.Context, replacement membership.Replacement) error {
 	caughtUp := false
 	for {
-		group, index, err := s.group()
+		group, err := s.group()
 		if err != nil {
 			return err
 		}
@@ -115,32 +115,34 @@
 			}
 			return raft.ErrNotLeader // who asked turns to the next leader
 		default:
-			if err := s.change(action, replacement, index); err != nil {
+			if err := s.change(action, replacement); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// change makes a change of the group as it was at an index of the log.
-func (s *Store) change(action membership.Action, replacement membership.Replacement, index uint64) error {
+// change makes a change of the group. There is no other one meanwhile: a replacement holds the lock, and Raft takes a change
+// only once the one before is agreed on.
+func (s *Store) change(action membership.Action, replacement membership.Replacement) error {
+	const unconditional = 0 // index of the log at which the group has to be as it was
 	id, addr := raft.ServerID(replacement.Joining.ID), raft.ServerAddress(replacement.Joining.Addr)
 	switch action {
 	case membership.AddWithoutVote:
-		return s.raft.AddNonvoter(id, addr, index, changeTimeout).Error()
+		return s.raft.AddNonvoter(id, addr, unconditional, changeTimeout).Error()
 	case membership.GiveVote:
-		return s.raft.AddVoter(id, addr, index, changeTimeout).Error()
+		return s.raft.AddVoter(id, addr, unconditional, changeTimeout).Error()
 	case membership.RemoveLost:
-		return s.raft.RemoveServer(raft.ServerID(replacement.Lost), index, changeTimeout).Error()
+		return s.raft.RemoveServer(raft.ServerID(replacement.Lost), unconditional, changeTimeout).Error()
 	}
 	return fmt.Errorf("replica: no change of the group: %q", action)
 }
 
-// group gives the members, and the index of the log at which they became these.
-func (s *Store) group() ([]membership.Server, uint64, error) {
+// group gives the members.
+func (s *Store) group() ([]membership.Server, error) {
 	future := s.raft.GetConfiguration()
 	if err := future.Error(); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	var group []membership.Server
 	for _, server := range future.Configuration().Servers {
@@ -148,7 +150,7 @@
 			Member: Member{ID: string(server.ID), Addr: string(server.Address)}, Votes: server.Suffrage == raft.Voter,
 		})
 	}
-	return group, future.Index(), nil
+	return group, nil
 }
 
 // awaitCatchUp waits until a member has what this one, the leader, has agreed on.
@@ -173,7 +175,7 @@
 
 // publishMembers puts the list of voters into the replicated state where it differs from the one there.
 func (s *Store) publishMembers(ctx context.Context) ([]Member, error) {
-	group, _, err := s.group()
+	group, err := s.group()
 	if err != nil {
 		return nil, err
 	}
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -21,7 +21,7 @@
 // voters gives the voters as one of them has them.
 func (c *cluster) voters(by int) (ids []string) {
 	c.t.Helper()
-	group, _, err := c.stores[by].group()
+	group, err := c.stores[by].group()
 	if err != nil {
 		c.t.Fatal(err)
 	}
