--- a/replica/state_test.go
+++ b/replica/state_test.go
@@ -1,8 +1,8 @@
 package replica
 
 import (
-	"fmt"
 	"bytes"
+	"fmt"
 	"io"
 	"reflect"
 	"strings"
