Rename internal/represent to internal/conditional

NAMES.md's term of the field: conditional and range requests, RFC 9110. No change of behaviour; the tests of the package and of its only user passed.

--- a/front/signed/answer.go
+++ b/front/signed/answer.go
@@ -13,8 +13,8 @@
 	"github.com/dunglas/httpsfv"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/conditional"
 	"turnfork.dev/turnfork/internal/http1"
-	"turnfork.dev/turnfork/internal/represent"
 )
 
 const octets = "application/octet-stream"
@@ -71,7 +71,7 @@
 	if s.class.Write {
 		return http1.Answer(200, octets, head, len(a.Body), a.Body, m.Close)
 	}
-	plan := represent.Decide(represent.Request{
+	plan := conditional.Decide(conditional.Request{
 		Method: m.Method, IfNoneMatch: m.Header["if-none-match"], IfMatch: m.Header["if-match"], IfRange: m.Header["if-range"],
 		Range: m.Header["range"],
 	}, len(a.Body), a.Tag)
@@ -98,12 +98,12 @@
 	return http1.Answer(200, octets, head, len(a.Body), a.Body, m.Close)
 }
 
-func contentRange(p represent.Span, size string) string {
+func contentRange(p conditional.Span, size string) string {
 	return "Content-Range: bytes " + strconv.Itoa(p.From) + "-" + strconv.Itoa(p.To-1) + "/" + size + "\r\n"
 }
 
 // multipart words several ranges as multipart/byteranges (RFC 9110, 14.6).
-func multipart(body []byte, spans []represent.Span) (kind string, out []byte) {
+func multipart(body []byte, spans []conditional.Span) (kind string, out []byte) {
 	boundary, size := rand.Text(), strconv.Itoa(len(body))
 	for _, p := range spans {
 		out = append(out, "\r\n--"+boundary+"\r\nContent-Type: "+octets+"\r\n"+contentRange(p, size)+"\r\n"...)
--- a/front/signed/object.go
+++ b/front/signed/object.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/conditional"
 	"turnfork.dev/turnfork/internal/http1"
-	"turnfork.dev/turnfork/internal/represent"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -80,7 +80,7 @@
 
 // known gives the one tag of a client's copy, which goes to the store. A list or a star is compared with the answer.
 func known(v string) string {
-	tags, ok := represent.Tags(v)
+	tags, ok := conditional.Tags(v)
 	if !ok || len(tags) != 1 {
 		return ""
 	}
--- a/internal/represent/represent.go
+++ b/internal/conditional/conditional.go
@@ -1,6 +1,6 @@
-// Package represent decides how a whole representation answers a request's conditions and ranges (RFC 9110, 13 and 14).
+// Package conditional decides how a whole representation answers a request's conditions and ranges (RFC 9110, 13 and 14).
 // It does no I/O.
-package represent
+package conditional
 
 import (
 	"strconv"
--- a/internal/represent/represent_test.go
+++ b/internal/conditional/conditional_test.go
@@ -1,4 +1,4 @@
-package represent
+package conditional
 
 import (
 	"strings"
