--- a/capacity/voters_test.go
+++ b/capacity/voters_test.go
@@ -17,7 +17,7 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/replica"
 )
 
@@ -79,7 +79,7 @@
 	tb.Helper()
 	g := &group{tb: tb, stores: make([]*replica.Store, voters), ownLease: ownLease}
 	var err error
-	if g.certificate, err = standin.Authority(); err != nil {
+	if g.certificate, err = fakestore.Authority(); err != nil {
 		tb.Fatal(err)
 	}
 	var listeners []net.Listener
@@ -383,7 +383,7 @@
 // tlsSides gives a listener and the configurations of both sides, as package replica sets them.
 func tlsSides(b *testing.B) (l net.Listener, server, client *tls.Config) {
 	b.Helper()
-	certificate, err := standin.Authority()
+	certificate, err := fakestore.Authority()
 	if err == nil {
 		server, err = certificate()
 	}
--- a/claims_test.go
+++ b/claims_test.go
@@ -17,7 +17,7 @@
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/front/signed"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
@@ -117,7 +117,7 @@
 	// Addresses of their own: while a member is down, no connection that leaves from 127.0.0.1 has its port.
 	n := byte(trios.Add(1))
 	at := func(i int) net.IP { return net.IPv4(127, 77, n, byte(i+1)) }
-	if c.cert, err = standin.Authority(at(0), at(1), at(2)); err != nil {
+	if c.cert, err = fakestore.Authority(at(0), at(1), at(2)); err != nil {
 		t.Fatal(err)
 	}
 	listeners := make([]net.Listener, 3)
--- a/cmd/turnfork/crowd_test.go
+++ b/cmd/turnfork/crowd_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // discovery is a change log that names one store and can be down.
@@ -151,7 +151,7 @@
 	bin := build(t)
 	for _, way := range []string{"asked once", "silent", "half a request"} {
 		t.Run(way, func(t *testing.T) {
-			s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+			s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 				return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
 			})
 			if err != nil {
@@ -237,7 +237,7 @@
 func TestIdleClientsOnBothFrontsLeaveDescriptors(t *testing.T) {
 	const sockets, crowd = 160, 160
 	bin := build(t)
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
 	})
 	if err != nil {
--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -19,7 +19,7 @@
 	"testing"
 	"time"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // program is the gateway as it is built and started.
@@ -202,7 +202,7 @@
 func TestPlatform(t *testing.T) {
 	bin := build(t)
 	release := make(chan struct{})
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		if c.Fields["lane"] == "app-assets" {
 			<-release
 		}
@@ -337,7 +337,7 @@
 func TestReplace(t *testing.T) {
 	bin := build(t)
 	release := make(chan struct{})
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		if c.Fields["lane"] == "app-assets" {
 			<-release
 		}
@@ -442,7 +442,7 @@
 // The operator's way: a file, signed URLs from the subcommand, and pcap files written and read again.
 func TestOperatorAndPcap(t *testing.T) {
 	bin, dir := build(t), t.TempDir()
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=00000000000000aa,why=local,minted=1", []byte("hello"), true
 	})
 	if err != nil {
--- a/cmd/turnfork/stop_test.go
+++ b/cmd/turnfork/stop_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // oneStore is a configuration with one store in a list that no change log alters. Clients wait ten times as long as the
@@ -58,22 +58,22 @@
 	type session struct {
 		p *program
 		c net.Conn
-		s *standin.Laggard
+		s *fakestore.SlowStore
 	}
-	came := func(t *testing.T, s *standin.Laggard, id uint16, n int) {
+	came := func(t *testing.T, s *fakestore.SlowStore, id uint16, n int) {
 		for limit := time.Now().Add(20 * time.Second); s.Gets(fmt.Sprintf("%016x", id)) < n; time.Sleep(time.Millisecond) {
 			if time.Now().After(limit) {
 				t.Fatal("no attempt came")
 			}
 		}
 	}
-	hang := func(standin.Call, int) standin.Way { return standin.Hang }
-	good := func(standin.Call, int) standin.Way { return standin.Good }
+	hang := func(fakestore.Call, int) fakestore.Behavior { return fakestore.Hang }
+	good := func(fakestore.Call, int) fakestore.Behavior { return fakestore.Good }
 	term := func(s session) { s.p.cmd.Process.Signal(syscall.SIGTERM) }
 	for _, c := range []struct {
 		name string
-		way  func(standin.Call, int) standin.Way    // nil: connections to the store never come up
-		act  func(t *testing.T, s session) net.Conn // asks for request 1, and for the end; where its answer comes
+		way  func(fakestore.Call, int) fakestore.Behavior // nil: connections to the store never come up
+		act  func(t *testing.T, s session) net.Conn       // asks for request 1, and for the end; where its answer comes
 		want string
 	}{
 		{"an attempt is out at a store that hangs", hang, func(t *testing.T, s session) net.Conn {
@@ -88,11 +88,11 @@
 			term(s)
 			return s.c
 		}, "50"}, // failed, with no promise: 502 or 504
-		{"an attempt follows one whose connection broke", func(_ standin.Call, n int) standin.Way {
+		{"an attempt follows one whose connection broke", func(_ fakestore.Call, n int) fakestore.Behavior {
 			if n == 0 {
-				return standin.ResetReading
+				return fakestore.ResetReading
 			}
-			return standin.Hang
+			return fakestore.Hang
 		}, func(t *testing.T, s session) net.Conn {
 			s.c.Write(get("firmware", 1))
 			came(t, s.s, 1, 1)
@@ -148,7 +148,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			lag, err := standin.NewLaggard(1, c.way)
+			lag, err := fakestore.NewSlowStore(1, c.way)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/cold_test.go
+++ b/cold_test.go
@@ -16,7 +16,7 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // coldFleet is the configuration of one of some gateways whose only store has just started: its number, how many there are
@@ -76,7 +76,7 @@
 // any span of the settings' length the store gets no more calls than the N that they allow and 2 x root of N + 2.
 func TestManyGatewaysMeetAColdStore(t *testing.T) {
 	const gateways, weight, wanted, lull, span = 30, 1, 8, 12000, 1900
-	store, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	store, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=0a,why=local,minted=1", []byte("part"), true
 	})
 	if err != nil {
--- a/config/key_test.go
+++ b/config/key_test.go
@@ -5,7 +5,7 @@
 	"crypto/elliptic"
 	"crypto/rand"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // testKey is made anew for each run.
@@ -14,5 +14,5 @@
 	if err != nil {
 		panic(err)
 	}
-	return standin.PrivatePEM(k)
+	return fakestore.PrivatePEM(k)
 }()
--- a/core/keyed_test.go
+++ b/core/keyed_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 const (
@@ -13,7 +13,7 @@
 )
 
 // mark asks for a keyed write whose first attempt ends in a way, as a client that has left ms to wait.
-func (r *rig) mark(way standin.Way, key string, left float64, repeat bool) (txn string) {
+func (r *rig) mark(way fakestore.Behavior, key string, left float64, repeat bool) (txn string) {
 	txn = string(rune('a'+way)) + "mark"
 	r.core.Post(core.Ask{
 		From: r, Tag: 1, Txn: txn, Class: "mark", Object: 7, Name: "0000000000000007", SizeKB: 1, At: r.clock.Now(),
@@ -32,18 +32,18 @@
 func TestKeyedWorkGoesAgainOnlyInItsTime(t *testing.T) {
 	for _, x := range []struct {
 		name    string
-		way     standin.Way
+		way     fakestore.Behavior
 		notice  bool // the store goes on and reads what was written to it
 		dropped bool // it is given up here
 		gets    int
 	}{
-		{"full", standin.Busy, true, false, 2},
-		{"an error that may have run", standin.Failing, true, false, 2},
-		{"spoilt", standin.Spoilt, true, false, 2},
-		{"cut", standin.Cut, true, false, 2},
-		{"reset", standin.ResetReading, true, false, 2},
-		{"given up, and the store tells that it knows", standin.Hang, true, true, 2},
-		{"given up at a store that stops for longer than the key's time", standin.Hang, false, true, 1},
+		{"full", fakestore.Busy, true, false, 2},
+		{"an error that may have run", fakestore.Failing, true, false, 2},
+		{"spoilt", fakestore.Spoilt, true, false, 2},
+		{"cut", fakestore.Cut, true, false, 2},
+		{"reset", fakestore.ResetReading, true, false, 2},
+		{"given up, and the store tells that it knows", fakestore.Hang, true, true, 2},
+		{"given up at a store that stops for longer than the key's time", fakestore.Hang, false, true, 1},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			r := newRig(t)
@@ -104,7 +104,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			r := newRig(t)
-			r.mark(standin.Good, x.key, x.left, x.repeat)
+			r.mark(fakestore.Good, x.key, x.left, x.repeat)
 			a := r.answer()
 			if a.Reason != x.reason || (a.Verdict == core.Served) != (x.gets > 0) || len(r.lag.Calls()) != x.gets {
 				t.Errorf("%+v after %d attempts", a, len(r.lag.Calls()))
--- a/core/overlap_test.go
+++ b/core/overlap_test.go
@@ -13,7 +13,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/upstream/resp"
 )
 
@@ -22,7 +22,7 @@
 	*testing.T
 	core  *core.Core
 	clock *clock.Clock
-	lag   *standin.Laggard
+	lag   *fakestore.SlowStore
 	list  core.Stores
 
 	far     bool // only a second copy at the same store counts
@@ -42,11 +42,11 @@
 func newRig(t *testing.T) *rig {
 	r := &rig{T: t, clock: clock.Manual(1e12), answers: map[uint64][]core.Answer{}, list: core.Stores{Whole: true}}
 	var err error
-	r.lag, err = standin.NewLaggard(5, func(c standin.Call, n int) standin.Way {
+	r.lag, err = fakestore.NewSlowStore(5, func(c fakestore.Call, n int) fakestore.Behavior {
 		if n > 0 {
-			return standin.Good
+			return fakestore.Good
 		}
-		return standin.Way(c.ID[0] - 'a')
+		return fakestore.Behavior(c.ID[0] - 'a')
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -84,7 +84,7 @@
 	return r
 }
 
-func (r *rig) ask(tag uint64, way standin.Way, part uint32) string {
+func (r *rig) ask(tag uint64, way fakestore.Behavior, part uint32) string {
 	txn := string(rune('a'+way)) + strings.Repeat("0", 15)
 	r.core.Post(core.Ask{
 		From: r, Tag: tag, Txn: txn, Class: "tile", Object: 7, Name: "0000000000000007", Part: part, SizeKB: 40,
@@ -143,21 +143,21 @@
 	)
 	ways := []struct {
 		name string
-		way  standin.Way
+		way  fakestore.Behavior
 		kind int // how it ends for the store
 		act  func(r *rig)
 	}{
-		{"good", standin.Good, told, nil},
-		{"miss", standin.Missing, told, nil},
-		{"full", standin.Busy, told, nil},
-		{"error", standin.Failing, told, nil},
-		{"spoilt", standin.Spoilt, closed, nil},
-		{"cut", standin.Cut, closed, nil},
-		{"reset while reading", standin.ResetReading, closed, nil},
-		{"reset while writing", standin.ResetWriting, closed, nil},
-		{"stalled", standin.Stall, closed, nil},
-		{"silent, given up in time", standin.Hang, dropped, (*rig).dropped},
-		{"given up at a store that drains", standin.Hang, unasked, func(r *rig) {
+		{"good", fakestore.Good, told, nil},
+		{"miss", fakestore.Missing, told, nil},
+		{"full", fakestore.Busy, told, nil},
+		{"error", fakestore.Failing, told, nil},
+		{"spoilt", fakestore.Spoilt, closed, nil},
+		{"cut", fakestore.Cut, closed, nil},
+		{"reset while reading", fakestore.ResetReading, closed, nil},
+		{"reset while writing", fakestore.ResetWriting, closed, nil},
+		{"stalled", fakestore.Stall, closed, nil},
+		{"silent, given up in time", fakestore.Hang, dropped, (*rig).dropped},
+		{"given up at a store that drains", fakestore.Hang, unasked, func(r *rig) {
 			list := core.Stores{}
 			for _, s := range r.list.List[:4] {
 				s.Member.State = control.Draining
@@ -172,10 +172,10 @@
 			r := newRig(t)
 			r.lag.Hold()
 			// A companion is open beside it, and may lose its connection too.
-			other := r.ask(1, standin.Hang, 1)
+			other := r.ask(1, fakestore.Hang, 1)
 			r.until("companion's attempt", func() bool { return r.lag.Gets(other) == 1 })
 			txn := other
-			if w.way != standin.Hang {
+			if w.way != fakestore.Hang {
 				txn = r.ask(2, w.way, 2)
 				r.until("attempt", func() bool { return r.lag.Gets(txn) >= 1 })
 			}
@@ -184,7 +184,7 @@
 			}
 			switch w.kind {
 			case told:
-				r.until("answer", func() bool { r.clock.Advance(1); r.stats(); return r.answered(2) == 1 || w.way != standin.Good })
+				r.until("answer", func() bool { r.clock.Advance(1); r.stats(); return r.answered(2) == 1 || w.way != fakestore.Good })
 				r.lag.Notice()
 			case closed, unasked:
 				r.until("an attempt that waits", func() bool { return r.stats().Held > 0 })
@@ -199,7 +199,7 @@
 			r.until("answers", func() bool {
 				r.clock.Advance(1)
 				r.stats()
-				return r.answered(1) == 1 && (w.way == standin.Hang || r.answered(2) == 1)
+				return r.answered(1) == 1 && (w.way == fakestore.Hang || r.answered(2) == 1)
 			})
 			if n := r.lag.Twice(); n > 0 {
 				t.Errorf("%d times a request was at the stores twice", n)
@@ -212,23 +212,23 @@
 // No time has the next attempt follow to a store that has stopped, as that finds both once it goes on: only that it reads
 // does.
 func TestNothingFollowsToAStoppedStore(t *testing.T) {
-	for name, way := range map[string]standin.Way{
-		"cut": standin.Cut, "reset while reading": standin.ResetReading, "reset while writing": standin.ResetWriting,
-		"stalled": standin.Stall, "given up": standin.Hang,
+	for name, way := range map[string]fakestore.Behavior{
+		"cut": fakestore.Cut, "reset while reading": fakestore.ResetReading, "reset while writing": fakestore.ResetWriting,
+		"stalled": fakestore.Stall, "given up": fakestore.Hang,
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t)
 			r.far = true
 			good := func(tag uint64) {
 				r.clock.Advance(1)
-				r.ask(tag, standin.Good, 1)
+				r.ask(tag, fakestore.Good, 1)
 				r.until("answer beside it", func() bool { r.stats(); return r.answered(tag) == 1 })
 			}
 			good(2) // the store holds the part from now on
 			r.lag.Stop()
 			txn := r.ask(1, way, 1)
 			r.until("attempt", func() bool { return r.lag.Gets(txn) == 1 })
-			if way == standin.Hang {
+			if way == fakestore.Hang {
 				good(3) // it is alive
 				r.dropped()
 			}
@@ -255,18 +255,18 @@
 func TestIDInHandIsRefused(t *testing.T) {
 	r := newRig(t)
 	r.lag.Hold()
-	txn := r.ask(1, standin.Hang, 1)
+	txn := r.ask(1, fakestore.Hang, 1)
 	r.until("attempt", func() bool { return r.lag.Gets(txn) == 1 })
-	r.ask(2, standin.Hang, 2) // another object under it
+	r.ask(2, fakestore.Hang, 2) // another object under it
 	r.until("refusal", func() bool { return r.answered(2) == 1 })
 	r.core.Post(core.Leave{From: r, Tag: 1})
 	r.until("its drop", func() bool { return r.stats().Dropped == 1 })
-	r.ask(3, standin.Hang, 1)
+	r.ask(3, fakestore.Hang, 1)
 	r.until("refusal", func() bool { return r.answered(3) == 1 })
 	r.lag.Notice()
 	tag := uint64(4)
 	r.until("taken again", func() bool {
-		r.ask(tag, standin.Hang, 1)
+		r.ask(tag, fakestore.Hang, 1)
 		r.stats()
 		tag++
 		return r.lag.Gets(txn) >= 2
--- a/core/waiting_test.go
+++ b/core/waiting_test.go
@@ -8,7 +8,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // stores tells of some of the rig's stores as change alters them.
@@ -29,15 +29,15 @@
 	for _, c := range []struct {
 		name  string
 		tell  func(r *rig, over *atomic.Bool)
-		holds func(r *rig, second []standin.Call) bool // of the GETs that came after the first
+		holds func(r *rig, second []fakestore.Call) bool // of the GETs that came after the first
 	}{
-		{"nothing", func(*rig, *atomic.Bool) {}, func(_ *rig, second []standin.Call) bool { return len(second) > 0 }},
+		{"nothing", func(*rig, *atomic.Bool) {}, func(_ *rig, second []fakestore.Call) bool { return len(second) > 0 }},
 		{"all stores drain", func(r *rig, _ *atomic.Bool) { r.stores(drains, 0, 1, 2, 3, 4) },
-			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) == 0 }},
 		{"all stores are gone", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Stores{Whole: true}) },
-			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) == 0 }},
 		{"the sources drain", func(r *rig, _ *atomic.Bool) { r.stores(drains, 3, 4) },
-			func(_ *rig, second []standin.Call) bool {
+			func(_ *rig, second []fakestore.Call) bool {
 				for _, c := range second {
 					if c.Fields["via"] != "" {
 						return false
@@ -48,32 +48,32 @@
 		{"the caches have started anew", func(r *rig, _ *atomic.Bool) {
 			r.clock.Advance(1)
 			r.stores(func(m *control.Member) { m.Started = clock.Duration(r.clock.Now()) }, 0, 1, 2)
-		}, func(r *rig, _ []standin.Call) bool { return r.stats().Attempts > 2 }}, // decided again
+		}, func(r *rig, _ []fakestore.Call) bool { return r.stats().Attempts > 2 }}, // decided again
 		{"the object is purged", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Purge{Object: 7, At: r.clock.Unix()}) },
-			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
 		{"its group is purged", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Purge{Group: 3, At: r.clock.Unix()}) },
-			func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
 		{"copies' age is bounded", func(r *rig, _ *atomic.Bool) {
 			r.maxCopyAge.Store(int64(6500 * time.Millisecond))
 			r.core.Post(core.CopyAgeBounded{})
-		}, func(_ *rig, second []standin.Call) bool {
+		}, func(_ *rig, second []fakestore.Call) bool {
 			return len(second) > 0 && second[0].Fields["fresh"] == "6500"
 		}},
 		{"copies' age is bounded, and the object is purged", func(r *rig, _ *atomic.Bool) {
 			r.maxCopyAge.Store(int64(6500 * time.Millisecond))
 			r.core.Post(core.Purge{Object: 7, At: r.clock.Unix()})
 			r.core.Post(core.CopyAgeBounded{})
-		}, func(_ *rig, second []standin.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
+		}, func(_ *rig, second []fakestore.Call) bool { return len(second) > 0 && second[0].Fields["fresh"] == "1" }},
 		{"the client leaves", func(r *rig, _ *atomic.Bool) { r.core.Post(core.Leave{From: r, Tag: 1}) },
-			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) == 0 }},
 		{"the client leaves, which the core does not hear yet", func(_ *rig, over *atomic.Bool) { over.Store(true) },
-			func(_ *rig, second []standin.Call) bool { return len(second) == 0 }},
+			func(_ *rig, second []fakestore.Call) bool { return len(second) == 0 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t)
 			r.lag.Hold()
 			var over atomic.Bool
-			txn := string(rune('a'+standin.ResetReading)) + "000000000000001"
+			txn := string(rune('a'+fakestore.ResetReading)) + "000000000000001"
 			r.core.Post(core.Ask{
 				From: r, Tag: 1, Txn: txn, Class: "tile", Object: 7, Name: "0000000000000007", Group: 3, SizeKB: 40,
 				At: r.clock.Now(), Left: 2500, Over: &over,
--- a/example/toystore/main.go
+++ b/example/toystore/main.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 func main() {
@@ -21,19 +21,19 @@
 
 	var mu sync.Mutex
 	held, rides := map[string]time.Time{}, 0
-	word := func(c standin.Call, why string, at time.Time) (string, string, []byte, bool) {
+	word := func(c fakestore.Call, why string, at time.Time) (string, string, []byte, bool) {
 		fields := fmt.Sprintf("tag=%016x,minted=%d,why=%s", at.UnixMilli(), at.UnixMilli(), why)
 		log.Printf("%s %s %s/%s: %s", c.Verb, c.Fields["lane"], c.Fields["name"], c.Fields["piece"], why)
 		return "ACK", fields, fmt.Appendf(nil, "%s %s, part %s\n", c.Fields["lane"], c.Fields["name"], c.Fields["piece"]), true
 	}
-	fromOrigin := func(c standin.Call, why string) (string, string, []byte, bool) {
+	fromOrigin := func(c fakestore.Call, why string) (string, string, []byte, bool) {
 		if c.Fields["lane"] == "ride-end" {
 			rides++
 			log.Printf("rides ended: %d", rides)
 		}
 		return word(c, why, time.Now())
 	}
-	a, err := standin.Listen(*cache, func(c standin.Call) (string, string, []byte, bool) {
+	a, err := fakestore.Listen(*cache, func(c fakestore.Call) (string, string, []byte, bool) {
 		mu.Lock()
 		defer mu.Unlock()
 		key := c.Fields["name"] + "/" + c.Fields["piece"]
@@ -51,7 +51,7 @@
 	if err != nil {
 		log.Fatal(err)
 	}
-	b, err := standin.Listen(*origin, func(c standin.Call) (string, string, []byte, bool) {
+	b, err := fakestore.Listen(*origin, func(c fakestore.Call) (string, string, []byte, bool) {
 		mu.Lock()
 		defer mu.Unlock()
 		return fromOrigin(c, "local")
--- a/flood_test.go
+++ b/flood_test.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/config"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
 )
@@ -115,7 +115,7 @@
 // BenchmarkFlood measures the good clients' rate alone and beside 64 connections that send forged links from another
 // address, in one run, and the lines that the log grows by.
 func BenchmarkFlood(b *testing.B) {
-	store, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	store, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=00000000000000aa,why=local,minted=1799999990000", []byte("piece"), true
 	})
 	if err != nil {
@@ -154,7 +154,7 @@
 }
 
 // depotOf runs a gateway with one store and two keys, "url" and "other", and what more its operator's file says.
-func depotOf(t testing.TB, store *standin.Store, log zerolog.Logger, clk *clock.Clock, more string) (addr string, keys *ring.Ring, stop func()) {
+func depotOf(t testing.TB, store *fakestore.Store, log zerolog.Logger, clk *clock.Clock, more string) (addr string, keys *ring.Ring, stop func()) {
 	text := anyAddress + classText("firmware", "deadline_ms = 5000") + storesText(store.Addr()) +
 		hmacKeyText("url", "a2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=") +
 		hmacKeyText("other", "b2tra2tra2tra2tra2tra2tra2tra2tra2tra2tra2s=") + more
@@ -203,7 +203,7 @@
 // Limits of the operator's file hold over sockets: by grant, by key, by client, and in hand; others go on.
 func TestLimitsAtTheFront(t *testing.T) {
 	let := make(chan struct{})
-	store, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	store, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		if c.Fields["piece"] == "9" {
 			<-let
 		}
--- a/internal/standin/standin.go
+++ b/internal/fakestore/fakestore.go
@@ -1,6 +1,6 @@
-// Package standin is a small store for tests and the example: it speaks RESP as stores do and keeps
+// Package fakestore is a small store for tests and the example: it speaks RESP as stores do and keeps
 // nothing.
-package standin
+package fakestore
 
 import (
 	"bufio"
--- a/internal/standin/keys.go
+++ b/internal/fakestore/keys.go
@@ -1,4 +1,4 @@
-package standin
+package fakestore
 
 import (
 	"crypto/rand"
--- a/internal/standin/laggard.go
+++ b/internal/fakestore/slow_store.go
@@ -1,4 +1,4 @@
-package standin
+package fakestore
 
 import (
 	"bufio"
@@ -8,30 +8,30 @@
 	"sync"
 )
 
-// Way is how an attempt ends at a store.
-type Way int
+// Behavior is how an attempt ends at a store.
+type Behavior int
 
 // The ways. Cut, the resets, Stall and Hang leave the attempt out until the store notices that it is given up.
 const (
-	Good         Way = iota
-	Missing          // NOENT
-	Busy             // AGAIN
-	Failing          // EIO
-	Spoilt           // an answer that can't be read
-	Cut              // the connection ends half way through the answer
-	ResetReading     // the connection is reset behind the request
-	ResetWriting     // the connection is reset half way through the answer
-	Stall            // half an answer, and nothing more
-	Hang             // no answer
+	Good         Behavior = iota
+	Missing               // NOENT
+	Busy                  // AGAIN
+	Failing               // EIO
+	Spoilt                // an answer that can't be read
+	Cut                   // the connection ends half way through the answer
+	ResetReading          // the connection is reset behind the request
+	ResetWriting          // the connection is reset half way through the answer
+	Stall                 // half an answer, and nothing more
+	Hang                  // no answer
 )
 
-// Laggard is a process with several stores that notices late: it takes up a GET at once, but a DROP or the end of a
+// SlowStore is a process with several stores that notices late: it takes up a GET at once, but a DROP or the end of a
 // connection only while Hold is not in force. It counts the requests that it has twice at a time.
-type Laggard struct {
+type SlowStore struct {
 	Addrs []string
 
 	server
-	way   func(c Call, n int) Way
+	way   func(c Call, n int) Behavior
 	mu    sync.Mutex
 	gate  *sync.Cond
 	held  bool
@@ -45,9 +45,9 @@
 	at    map[[2]string]int
 }
 
-// NewLaggard starts so many stores. way tells how the GET number n of an ID ends, from 0.
-func NewLaggard(stores int, way func(c Call, n int) Way) (*Laggard, error) {
-	s := &Laggard{way: way, out: map[string]int{}, gets: map[string]int{}, at: map[[2]string]int{}}
+// NewSlowStore starts so many stores. way tells how the GET number n of an ID ends, from 0.
+func NewSlowStore(stores int, way func(c Call, n int) Behavior) (*SlowStore, error) {
+	s := &SlowStore{way: way, out: map[string]int{}, gets: map[string]int{}, at: map[[2]string]int{}}
 	s.gate = sync.NewCond(&s.mu)
 	for range stores {
 		l, err := s.listen("127.0.0.1:0", s.serve)
@@ -61,11 +61,11 @@
 }
 
 // Hold has the stores notice nothing until Notice.
-func (s *Laggard) Hold() { s.set(true) }
+func (s *SlowStore) Hold() { s.set(true) }
 
 // Stop is Hold for stores that are asked in vain whether they read: PINGs have no answer either until Notice. What comes
 // behind a DROP or a PING on their connections is taken up meanwhile.
-func (s *Laggard) Stop() {
+func (s *SlowStore) Stop() {
 	s.mu.Lock()
 	s.deaf = true
 	s.mu.Unlock()
@@ -73,9 +73,9 @@
 }
 
 // Notice ends Hold and Stop.
-func (s *Laggard) Notice() { s.set(false) }
+func (s *SlowStore) Notice() { s.set(false) }
 
-func (s *Laggard) set(held bool) {
+func (s *SlowStore) set(held bool) {
 	s.mu.Lock()
 	s.held = held
 	s.mu.Unlock()
@@ -83,54 +83,54 @@
 }
 
 // Unnoticed counts the DROPs and ends of connections that have come and wait for Notice.
-func (s *Laggard) Unnoticed() int {
+func (s *SlowStore) Unnoticed() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.ends
 }
 
 // Twice counts the GETs that came for a request of which another was out.
-func (s *Laggard) Twice() int {
+func (s *SlowStore) Twice() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.twice
 }
 
 // TwiceAtOne counts those that came to the store that had the other.
-func (s *Laggard) TwiceAtOne() int {
+func (s *SlowStore) TwiceAtOne() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.same
 }
 
 // Out counts the attempts of an ID that are out.
-func (s *Laggard) Out(id string) int {
+func (s *SlowStore) Out(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.out[id]
 }
 
 // Gets counts the GETs that came for an ID.
-func (s *Laggard) Gets(id string) int {
+func (s *SlowStore) Gets(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.gets[id]
 }
 
 // Calls gives the GETs that came.
-func (s *Laggard) Calls() []Call {
+func (s *SlowStore) Calls() []Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.calls)
 }
 
 // Close ends the stores.
-func (s *Laggard) Close() {
+func (s *SlowStore) Close() {
 	s.Notice()
 	s.server.Close()
 }
 
-func (s *Laggard) serve(c net.Conn) {
+func (s *SlowStore) serve(c net.Conn) {
 	mine := map[string]int{} // attempts out on this connection
 	here := func(id string) [2]string { return [2]string{c.LocalAddr().String(), id} }
 	end := func(id string) {
@@ -205,7 +205,7 @@
 }
 
 // wait holds until the store may notice; the lock is held on entry and return.
-func (s *Laggard) wait() {
+func (s *SlowStore) wait() {
 	s.ends++
 	for s.held {
 		s.gate.Wait()
@@ -215,7 +215,7 @@
 }
 
 // noticed returns once no end that has come waits to be noticed.
-func (s *Laggard) noticed() {
+func (s *SlowStore) noticed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.held || s.ends > 0 {
@@ -228,7 +228,7 @@
 	fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$2\r\nok\r\n", len(id), id, len(word), word, len(fields), fields)
 }
 
-func act(c net.Conn, id string, way Way) {
+func act(c net.Conn, id string, way Behavior) {
 	if way == Cut || way == ResetWriting || way == Stall {
 		fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$3\r\nAC", len(id), id)
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -12,13 +12,13 @@
 	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/claims"
 	"turnfork.dev/turnfork/clock"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // authority makes a test's own certificates.
 func authority(t testing.TB) func() *tls.Config {
 	t.Helper()
-	make, err := standin.Authority()
+	make, err := fakestore.Authority()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/signed_test.go
+++ b/signed_test.go
@@ -21,7 +21,7 @@
 	"turnfork.dev/turnfork/config"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front/signed"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/jws"
 	"turnfork.dev/turnfork/token/ring"
@@ -34,7 +34,7 @@
 type site struct {
 	t     testing.TB
 	clock *clock.Clock
-	store *standin.Store
+	store *fakestore.Store
 	ring  *ring.Ring
 	addr  string
 	runs  atomic.Int64 // of ride-end
@@ -44,11 +44,11 @@
 const start = 1.8e12 // Unix ms
 
 // hold lets a test keep a GET unanswered; a nil handler answers at once.
-func newSite(t testing.TB, handle func(standin.Call) (string, string, []byte, bool)) *site {
+func newSite(t testing.TB, handle func(fakestore.Call) (string, string, []byte, bool)) *site {
 	t.Helper()
 	s := &site{t: t, clock: clock.Manual(start)}
 	var err error
-	s.store, err = standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s.store, err = fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		if c.Fields["lane"] == "ride-end" {
 			s.runs.Add(1)
 		}
@@ -99,7 +99,7 @@
 issuer = "dala"
 audience = "gateways"
 secret = %q
-`, standin.PrivatePEM(standin.RSAKey()), urlSecret, urlSecret)
+`, fakestore.PrivatePEM(fakestore.RSAKey()), urlSecret, urlSecret)
 	o, err := config.ParseOperator(text, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -252,7 +252,7 @@
 // hears 502 and the token stays used.
 func TestRideEndInDoubtStaysClaimed(t *testing.T) {
 	var s *site
-	s = newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+	s = newSite(t, func(c fakestore.Call) (string, string, []byte, bool) {
 		s.store.Cut()
 		return "", "", nil, false
 	})
@@ -268,7 +268,7 @@
 func TestRefusedRideEndMayComeAgain(t *testing.T) {
 	var full atomic.Bool
 	full.Store(true)
-	s := newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+	s := newSite(t, func(c fakestore.Call) (string, string, []byte, bool) {
 		if full.Load() {
 			return "AGAIN", "-", nil, true
 		}
@@ -305,7 +305,7 @@
 // A token that expires in the middle of a request: what is under way finishes, and no new attempt starts.
 func TestExpiryMidRequest(t *testing.T) {
 	arrived, let := make(chan struct{}, 8), make(chan string, 8)
-	s := newSite(t, func(c standin.Call) (string, string, []byte, bool) {
+	s := newSite(t, func(c fakestore.Call) (string, string, []byte, bool) {
 		arrived <- struct{}{}
 		return <-let, "tag=0a,why=local,minted=1", []byte("late"), true
 	})
@@ -474,7 +474,7 @@
 // answered 502, at its deadline 504; either way its token stays used, as it may have run.
 func TestDeadline(t *testing.T) {
 	arrived, let := make(chan struct{}, 8), make(chan struct{})
-	s := newSite(t, func(standin.Call) (string, string, []byte, bool) {
+	s := newSite(t, func(fakestore.Call) (string, string, []byte, bool) {
 		arrived <- struct{}{}
 		<-let
 		return "", "", nil, false
--- a/subscribe_test.go
+++ b/subscribe_test.go
@@ -23,7 +23,7 @@
 	"turnfork.dev/turnfork/console"
 	"turnfork.dev/turnfork/distribution"
 	"turnfork.dev/turnfork/front/signed"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/replica"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
@@ -53,7 +53,7 @@
 // sharing is a gateway that shares the replicated state of a trio.
 type sharing struct {
 	*trio
-	store *standin.Store
+	store *fakestore.Store
 	addrs Addrs
 }
 
@@ -76,7 +76,7 @@
 func newSharing(t *testing.T, c *trio, part string) *sharing {
 	s := &sharing{trio: c}
 	var err error
-	s.store, err = standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	s.store, err = fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=0a,why=local,minted=1", []byte("piece"), true
 	})
 	if err != nil {
--- a/token/ring/dialects_test.go
+++ b/token/ring/dialects_test.go
@@ -14,7 +14,7 @@
 	"strings"
 	"testing"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/token"
 )
 
@@ -31,7 +31,7 @@
 }
 
 func samples(t testing.TB) []sample {
-	rs := standin.RSAKey()
+	rs := fakestore.RSAKey()
 	ec, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		t.Fatal(err)
@@ -42,14 +42,14 @@
 	}
 	cdn := base64.URLEncoding.EncodeToString([]byte("sixteen bytes..."))
 	return []sample{
-		{token.Key{ID: "K1", Kind: token.CloudFront, Private: standin.PrivatePEM(rs)}, "http*://cdn.example/v1/firm?are/*"},
-		{token.Key{ID: "K2", Kind: token.CloudFront, Alg: "RS256", Private: standin.PrivatePEM(rs)}, "https://cdn.example/v1/firmware/*"},
-		{token.Key{ID: "K3", Kind: token.CloudFront, Alg: "ES256", Private: standin.PrivatePEM(ec)}, "https://cdn.example/v1/firmware/*"},
+		{token.Key{ID: "K1", Kind: token.CloudFront, Private: fakestore.PrivatePEM(rs)}, "http*://cdn.example/v1/firm?are/*"},
+		{token.Key{ID: "K2", Kind: token.CloudFront, Alg: "RS256", Private: fakestore.PrivatePEM(rs)}, "https://cdn.example/v1/firmware/*"},
+		{token.Key{ID: "K3", Kind: token.CloudFront, Alg: "ES256", Private: fakestore.PrivatePEM(ec)}, "https://cdn.example/v1/firmware/*"},
 		{token.Key{ID: "c", Kind: token.CloudCDN, Secret: cdn}, "https://cdn.example/v1/firmware/"},
 		{token.Key{ID: "AKID", Kind: token.Presign, Secret: strings.Repeat("p", 20), Region: "kz-1", Service: "s3"}, ""},
 		{token.Key{ID: "m", Kind: token.CAT, Alg: "HS256", Secret: secret}, "/v1/firmware/"},
-		{token.Key{ID: "s", Kind: token.CAT, Alg: "ES256", Private: standin.PrivatePEM(ec)}, "/v1/firmware/"},
-		{token.Key{ID: "d", Kind: token.CAT, Alg: "EdDSA", Private: standin.PrivatePEM(ed)}, "/v1/firmware/"},
+		{token.Key{ID: "s", Kind: token.CAT, Alg: "ES256", Private: fakestore.PrivatePEM(ec)}, "/v1/firmware/"},
+		{token.Key{ID: "d", Kind: token.CAT, Alg: "EdDSA", Private: fakestore.PrivatePEM(ed)}, "/v1/firmware/"},
 		{token.Key{ID: "j", Kind: token.JWS, Alg: "HS256", Secret: secret}, `https://cdn\.example/v1/firmware/.*`},
 		{token.Key{ID: "h", Kind: token.HMAC, Secret: secret}, ""},
 		{token.Key{ID: "e", Kind: token.EdgeAuth, Secret: strings.Repeat("0a", 16), Salt: "salt"}, "/v1/tiles/*!/v1/firmware/*"},
@@ -231,8 +231,8 @@
 
 // The published form of a URL with a canned policy: what is signed is this text, byte for byte.
 func TestCloudFrontCanned(t *testing.T) {
-	rs := standin.RSAKey()
-	r := ringOf(t, []sample{{key: token.Key{ID: "K2JCJMDEHXQW5F", Kind: token.CloudFront, Private: standin.PrivatePEM(rs)}}})
+	rs := fakestore.RSAKey()
+	r := ringOf(t, []sample{{key: token.Key{ID: "K2JCJMDEHXQW5F", Kind: token.CloudFront, Private: fakestore.PrivatePEM(rs)}}})
 	sum := sha1.Sum([]byte(`{"Statement":[{"Resource":"https://d111111abcdef8.cloudfront.net/v1/a/b/0?size=large","Condition":{"DateLessThan":{"AWS:EpochTime":1767290400}}}]}`))
 	sig, err := rsa.SignPKCS1v15(nil, rs, crypto.SHA1, sum[:])
 	if err != nil {
--- a/token/ring/ring_test.go
+++ b/token/ring/ring_test.go
@@ -12,7 +12,7 @@
 	"strings"
 	"testing"
 
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/jws"
 )
@@ -38,10 +38,10 @@
 func TestAlgorithms(t *testing.T) {
 	ec, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	edPub, ed, _ := ed25519.GenerateKey(rand.Reader)
-	rs := standin.RSAKey()
+	rs := fakestore.RSAKey()
 	keys := []token.Key{
-		{ID: "a", Kind: token.JWS, Alg: "HS256", Secret: secret}, {ID: "b", Kind: token.JWS, Alg: "ES256", Private: standin.PrivatePEM(ec)},
-		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Private: standin.PrivatePEM(ed)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Private: standin.PrivatePEM(rs)},
+		{ID: "a", Kind: token.JWS, Alg: "HS256", Secret: secret}, {ID: "b", Kind: token.JWS, Alg: "ES256", Private: fakestore.PrivatePEM(ec)},
+		{ID: "c", Kind: token.JWS, Alg: "EdDSA", Private: fakestore.PrivatePEM(ed)}, {ID: "d", Kind: token.JWS, Alg: "RS256", Private: fakestore.PrivatePEM(rs)},
 	}
 	signers, err := New(keys)
 	if err != nil {
--- a/upstream/resp/last_test.go
+++ b/upstream/resp/last_test.go
@@ -13,7 +13,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // What is told while an attempt waits, wherever it does, holds for it: the last check stands before the write. The
@@ -45,11 +45,11 @@
 		for _, ev := range events {
 			t.Run(place+"/"+ev.name, func(t *testing.T) {
 				begun, goOn := make(chan struct{}), make(chan struct{})
-				s, err := standin.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
+				s, err := fakestore.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
 					r.Peek(1)
 					close(begun)
 					<-goOn
-				}, func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+				}, func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -103,11 +103,11 @@
 func TestClientLeavesInTheMiddleOfTheWrite(t *testing.T) {
 	for _, stays := range []bool{true, false} {
 		begun, goOn := make(chan struct{}), make(chan struct{})
-		s, err := standin.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
+		s, err := fakestore.ListenLate("127.0.0.1:0", func(r *bufio.Reader) {
 			r.Peek(1)
 			close(begun)
 			<-goOn
-		}, func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+		}, func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -159,8 +159,8 @@
 // A connection that its store may be closing gets nothing more, however soon after that moment it is asked for.
 func TestNothingMeetsTheIdleClose(t *testing.T) {
 	conns := make(chan struct{}, 8)
-	s, err := standin.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
-		func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	s, err := fakestore.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
+		func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,9 +181,9 @@
 }
 
 // holding starts a store that answers request 1 only once hold is closed, and all others at once.
-func holding(t *testing.T) (s *standin.Store, hold chan struct{}) {
+func holding(t *testing.T) (s *fakestore.Store, hold chan struct{}) {
 	hold = make(chan struct{})
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		if c.ID == send(1, 0, 1).Txn {
 			<-hold
 		}
@@ -233,10 +233,10 @@
 
 // Whether a store reads is asked once for all that wait for the question to leave, and each of them is told.
 func TestConfirmTellsEachWhoWaits(t *testing.T) {
-	answers := func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true }
+	answers := func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true }
 	for name, silent := range map[string]bool{"it answers": false, "its machine refuses": true, "it drains": true, "it is not listed": true} {
 		t.Run(name, func(t *testing.T) {
-			s, err := standin.Listen("127.0.0.1:0", answers)
+			s, err := fakestore.Listen("127.0.0.1:0", answers)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -322,7 +322,7 @@
 // A close waits for who has hold of the descriptor, and that may be a writer that waits for the pool: so the pool must
 // not be held meanwhile.
 func TestCloseHoldsNoPool(t *testing.T) {
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -370,8 +370,8 @@
 func TestConnectionUpTooLate(t *testing.T) {
 	for _, alone := range []bool{false, true} {
 		conns := make(chan struct{}, 8)
-		s, err := standin.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
-			func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+		s, err := fakestore.ListenLate("127.0.0.1:0", func(*bufio.Reader) { conns <- struct{}{} },
+			func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -17,7 +17,7 @@
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
-	"turnfork.dev/turnfork/internal/standin"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // bed is a pool before stand-in stores, with a record of its events.
@@ -108,7 +108,7 @@
 }
 
 func TestWordingAndAnswers(t *testing.T) {
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		return "NOENT", "why=rode,lag=12.5,rep=inflight:7;util:0.61;x9:1", nil, true
 	})
 	if err != nil {
@@ -143,8 +143,8 @@
 	}
 	nobody := l.Addr().String()
 	l.Close()
-	var s *standin.Store
-	s, err = standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	var s *fakestore.Store
+	s, err = fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		s.Cut()
 		return "", "", nil, false
 	})
@@ -166,7 +166,7 @@
 // written, and its late answer is not taken for that of a later attempt with the same ID.
 func TestDropIsWrittenBeforeItsEnd(t *testing.T) {
 	let := make(chan string, 4)
-	s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 		return "ACK", "tag=0a,minted=1,why=local", []byte(<-let), true
 	})
 	if err != nil {
@@ -215,7 +215,7 @@
 		var mu sync.Mutex
 		let := make(chan string, 64)
 		answered := map[string]bool{}
-		s, err := standin.Listen("127.0.0.1:0", func(c standin.Call) (string, string, []byte, bool) {
+		s, err := fakestore.Listen("127.0.0.1:0", func(c fakestore.Call) (string, string, []byte, bool) {
 			word := <-let
 			mu.Lock()
 			defer mu.Unlock()
@@ -481,7 +481,7 @@
 
 // The connection of what must not run twice stays until the store has told that it knows of the DROP.
 func TestWordComesForWhatGoesAlone(t *testing.T) {
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "", "", nil, false })
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) { return "", "", nil, false })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -539,7 +539,7 @@
 	var quiet sync.WaitGroup
 	quiet.Add(1)
 	var calls atomic.Int64
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) {
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) {
 		if calls.Add(1) == 1 {
 			quiet.Wait()
 			return "", "", nil, false
@@ -658,7 +658,7 @@
 
 // What a dial has held up beyond its time does not leave, which proves that it has not run.
 func TestNothingLeavesBeyondItsTime(t *testing.T) {
-	s, err := standin.Listen("127.0.0.1:0", func(standin.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Call) (string, string, []byte, bool) { return "ACK", "tag=0a,minted=1", nil, true })
 	if err != nil {
 		t.Fatal(err)
 	}
