--- a/front/fastcgi/pass_test.go
+++ b/front/fastcgi/pass_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/front"
@@ -157,3 +158,66 @@
 		}
 	}
 }
+
+// A client that leaves while its connection is on its way to another process, and the writer is still held up by an answer that
+// the client does not take, is seen at once, and not when the writer's time is up.
+func TestWithdrawalDuringHandover(t *testing.T) {
+	asks := make(chan core.Ask, 2)
+	f := newFront(func(ev core.Event) {
+		if a, ok := ev.(core.Ask); ok {
+			asks <- a
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() { f.Handle(far) })
+	defer serving.Wait()
+	defer near.Close()
+	near.Write(append(append(begin(1), whole(1, "/v1/firmware", "1")...), append(begin(2), whole(2, "/v1/firmware", "2")...)...))
+	first, second := <-asks, <-asks
+	const size = 32 << 20 // more than both ends of a connection buffer
+	first.From.Answer(first.Tag, core.Answer{Verdict: core.Served, Body: make([]byte, size)})
+	var head [1]byte
+	if _, err := near.Read(head[:]); err != nil { // the answer is being written
+		t.Fatal(err)
+	}
+
+	path := filepath.Join(t.TempDir(), "h")
+	u, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	underWay := make(chan struct{})
+	f.Leave(func() (*net.UnixConn, error) {
+		defer close(underWay)
+		return net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	})
+	<-underWay
+	if err := near.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	left := time.Now()
+	for !second.Over.Load() {
+		if time.Since(left) > 20*time.Second {
+			t.Fatal("never marked")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(left); took > parkMost/2 {
+		t.Errorf("marked %v after the client left", took)
+	}
+	second.From.Answer(second.Tag, core.Answer{Verdict: core.Failed, Reason: core.Deserted}) // as the core does
+}
