Ask for the time only where a request is of the traced share

The core asked the system for the time at each request it took in, to bound the traced share, also where there is no share, as on the platform. The sampler asks for it itself now, once the hash says that the request is of the share.

--- a/core/trace.go
+++ b/core/trace.go
@@ -51,12 +51,12 @@
 	return sampler{threshold: uint64(max(0, share) * (1 << 63) * 2)}
 }
 
-// follow tells whether a request that is taken now, in Unix ms, is followed.
-func (s *sampler) follow(txn string, now float64) bool {
+// follow tells whether a request that is taken now is followed. The time, in Unix ms, is asked for one of the share alone.
+func (s *sampler) follow(txn string, unixMS func() float64) bool {
 	if s.threshold == 0 || xxhash.Sum64String(txn) >= s.threshold {
 		return false
 	}
-	if second := math.Floor(now / 1000); second != s.second {
+	if second := math.Floor(unixMS() / 1000); second != s.second {
 		s.second, s.followed = second, 0
 	}
 	s.followed++
