--- a/front/fastcgi/pass_test.go
+++ b/front/fastcgi/pass_test.go
@@ -120,19 +120,7 @@
 // begun, sees the connection end.
 func TestOldProcessEnds(t *testing.T) {
 	for _, begun := range []bool{false, true} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		c, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		far, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
+		c, far := accepted(t)
 		old, elder := net.Pipe()
 		cl, ended := listen(c), make(chan struct{})
 		f := newFront(func(core.Event) {})
@@ -168,19 +156,7 @@
 			asks <- a
 		}
 	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	far, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	near, far := accepted(t)
 	var serving sync.WaitGroup
 	serving.Go(func() { f.Handle(far) })
 	defer serving.Wait()
@@ -206,7 +182,7 @@
 		return net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
 	})
 	<-underWay
-	if err := near.(*net.TCPConn).CloseWrite(); err != nil {
+	if err := near.CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
 	left := time.Now()
