--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -221,22 +222,26 @@
 	cluster *cluster
 	name    string
 	effects *recorder
+	freshnessLog
+}
 
+// freshnessLog records freshness as its owner is notified of it.
+type freshnessLog struct {
 	mu    sync.Mutex
-	turns []bool // freshness, as it changed
+	turns []bool
 }
 
-func (s *testSubscriber) noteFreshness(fresh bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turns = append(s.turns, fresh)
+func (l *freshnessLog) noteFreshness(fresh bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turns = append(l.turns, fresh)
 }
 
 // turned gives the changes of freshness.
-func (s *testSubscriber) turned() []bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]bool(nil), s.turns...)
+func (l *freshnessLog) turned() []bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.turns)
 }
 
 // monitor checks all the time that a copy of the state never claims to have been complete at a time after a change was
--- a/replica/member_lease_test.go
+++ b/replica/member_lease_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"sync"
 	"testing"
 
 	"turnfork.dev/turnfork/distribution"
@@ -12,21 +11,7 @@
 // leasedMember is a member of a cluster with what its gateway was notified of.
 type leasedMember struct {
 	effects recorder
-
-	mu    sync.Mutex
-	turns []bool // freshness, as it changed
-}
-
-func (m *leasedMember) freshnessChanged(fresh bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.turns = append(m.turns, fresh)
-}
-
-func (m *leasedMember) turned() []bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.Clone(m.turns)
+	freshnessLog
 }
 
 // newLeasedCluster starts voters that each keep a lease on their own state.
@@ -39,7 +24,7 @@
 	c := newCluster(t, voters, distribution.Limits{}, func(voter int, opt *Options) {
 		opt.OwnLease = true
 		if voter < voters { // others join later
-			opt.FreshnessChanged = members[voter].freshnessChanged
+			opt.FreshnessChanged = members[voter].noteFreshness
 			opt.Purged = members[voter].effects.Purged
 		}
 	})
