Log the name under which a token is claimed, refused, revoked and renewed

Cause: nothing that the gateway logged named the token of a claim, a revocation or a renewal, so a log could not tell a claim that was lost or given back from one that was recorded under another name.

Change: info lines (sampled where clients cause them) for a granted and a refused claim, a refused revoked token and an operator's revocation, and a debug line for each renewal, all with the field claim (key/id) of the lines on outcomes.

A claim given back or forgotten would show one name twice.

--- a/front/signed/operator_calls.go
+++ b/front/signed/operator_calls.go
@@ -76,7 +76,12 @@
 	if q.Until == 0 {
 		q.Until = f.opt.Clock.Unix()/1000 + policy.TokenSeconds
 	}
-	return okResponse, asUnavailable(f.opt.Claims.Revoke(ctx, token.Grant{Key: q.Key, ID: q.ID}.UseKey(), q.Until*1000+policy.LeewayMs))
+	name := token.Grant{Key: q.Key, ID: q.ID}.UseKey()
+	if err := f.opt.Claims.Revoke(ctx, name, q.Until*1000+policy.LeewayMs); err != nil {
+		return nil, asUnavailable(err)
+	}
+	f.opt.Log.Info().Str("claim", name).Float64("until_s", q.Until).Msg("token revoked")
+	return okResponse, nil
 }
 
 func (f *Frontend) replaceKeys(ctx context.Context, body []byte) (any, error) {
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -480,6 +480,9 @@
 		return
 	}
 	if grant.ID != "" && f.opt.Claims.Revoked(grant.UseKey()) {
+		f.logSampled(f.opt.Log.Info(), "revoked token rejected", func(e *zerolog.Event) {
+			e.Str("claim", grant.UseKey()).Str("path", m.Path).Str("from", c.source)
+		})
 		c.fail(s, 403, "revoked", "the token was revoked", "")
 		return
 	}
@@ -607,6 +610,11 @@
 			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
 			return false
 		}
+		if !ok {
+			f.logSampled(f.opt.Log.Info(), "single-use token rejected", func(e *zerolog.Event) {
+				e.Str("claim", s.claimName).Str("stage", claimHeader(r)).Str("path", s.msg.Path)
+			})
+		}
 		if !ok && r.Pending(f.opt.Clock.Unix(), s.class.Deadline) {
 			c.fail(s, 503, "claim_pending", "the token is in use; ask again for what became of it", "Retry-After: 1\r\nX-Claim: sent\r\n")
 			return false
@@ -616,6 +624,9 @@
 			return false
 		}
 	}
+	f.logSampled(f.opt.Log.Info(), "single-use token claimed", func(e *zerolog.Event) {
+		e.Str("claim", s.claimName).Str("path", s.msg.Path)
+	})
 	return true
 }
 
@@ -676,10 +687,11 @@
 		return ""
 	}
 	name, text, err := f.ring.Load().Renew(s.renewable, now)
-	switch {
-	case err != nil:
+	if err != nil {
 		return ""
-	case next.Header:
+	}
+	f.opt.Log.Debug().Str("claim", s.renewable.UseKey()).Int("seconds", next.Seconds).Msg("token renewed")
+	if next.Header {
 		return name + ": " + text + "\r\n"
 	}
 	return "Set-Cookie: " + name + "=" + text + "; Path=" + cookiePath(s.msg.Path, next.CookiePathDepth) +
