Keep a Common Access Token's name when it is renewed, also where it has no cti

Callers saw: a phone whose ride's answer was lost asked again with the successor that a read had brought it, and the ride ran a second time (200 in place of 403 replayed, X-Claim: doubt). An operator revoked a token by the id told at issue, and the phone went on being served, each answer renewing its token further.

Cause: token/cat.Open names a token without cti by a digest of its claims. Renew copies the claims and changes exp and iat, so the successor had another digest, and with it another name for its claim, its revocation and its limit.

Change: the successor of a token without cti carries its predecessor's name as cti, which Open takes for the name. The contract is written down at token.Renewer.

--- /dev/null
+++ b/renewed_token_test.go
@@ -0,0 +1,141 @@
+package turnfork
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"turnfork.dev/turnfork/internal/fakestore"
+	"turnfork.dev/turnfork/token"
+	"turnfork.dev/turnfork/token/cat"
+	"turnfork.dev/turnfork/token/jws"
+)
+
+// renewingClient is a client with a token in a cookie, which it replaces by each successor that the gateway sends.
+type renewingClient struct {
+	gateway *signedGateway
+	cookie  string // name of the cookie
+	token   string
+	renewed int // number of successors that it received
+}
+
+// do sends a request, and returns the status, the error code and the stage of the claim in the response.
+func (c *renewingClient) do(method, path string) (status int, code, claim string) {
+	c.gateway.t.Helper()
+	req, err := http.NewRequest(method, "http://"+c.gateway.addr+path, strings.NewReader(""))
+	if err != nil {
+		c.gateway.t.Fatal(err)
+	}
+	req.AddCookie(&http.Cookie{Name: c.cookie, Value: c.token})
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.gateway.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	for _, cookie := range resp.Cookies() {
+		if cookie.Name == c.cookie {
+			c.token = cookie.Value
+			c.renewed++
+		}
+	}
+	var body struct{ Error string }
+	json.NewDecoder(resp.Body).Decode(&body)
+	return resp.StatusCode, body.Error, resp.Header.Get("X-Claim")
+}
+
+// renew has the token renewed by a read, after a pause that gives the successor other dates.
+func (c *renewingClient) renew() {
+	c.gateway.t.Helper()
+	c.gateway.clock.Advance(1500)
+	renewed := c.renewed
+	if status, code, _ := c.do("GET", tile); status != 200 || c.renewed != renewed+1 {
+		c.gateway.t.Fatalf("a read that renews the token: %d %q, %d successors", status, code, c.renewed-renewed)
+	}
+}
+
+// expectReplayed expects a ride-end request to be rejected because its token is used, with a stage of the claim. Until the outcome
+// of the first use is recorded, the response is 503.
+func (c *renewingClient) expectReplayed(what, stage string) {
+	c.gateway.t.Helper()
+	status, code, claim := 503, "", ""
+	for limit := time.Now().Add(20 * time.Second); status == 503 && time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		status, code, claim = c.do("POST", rideEnd)
+	}
+	if status != 403 || code != "replayed" || claim != stage {
+		c.gateway.t.Errorf("%s: %d %q, X-Claim %q; want 403 replayed, %q", what, status, code, claim, stage)
+	}
+}
+
+// issueCovering issues a token for all objects that is renewed by cookie. id is its id, or "" for a token without one.
+func (s *signedGateway) issueCovering(key, id string) token.Issued {
+	s.t.Helper()
+	now := s.clock.Unix() / 1000
+	terms := token.Terms{ID: id, SingleUse: id != "", Now: now, Expires: now + 600, Renew: 3600}
+	if key == "pack" {
+		terms.URI, terms.Patterns = "http://"+s.addr+tile, "http://[^/]+/v1/.*"
+	} else {
+		terms.Patterns = "/v1/"
+	}
+	issued, err := s.ring.Issue(key, terms)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return issued
+}
+
+// cookieOf returns the cookie that carries tokens of a key of newSignedGateway.
+func cookieOf(key string) string {
+	if key == "pack" {
+		return jws.Param
+	}
+	return cat.Param
+}
+
+// Guards against a renewed token that counts as another token: a ride whose answer was lost ended a second time by a successor,
+// and the revocation of the id told at issue ended none of the successors.
+func TestRenewedTokenKeepsItsClaimAndRevocation(t *testing.T) {
+	for _, x := range []struct{ name, key, id string }{
+		{"cat without cti", "access", ""}, {"jws with jti", "pack", "j"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var s *signedGateway
+			var lost atomic.Int32
+			s = newSignedGateway(t, func(c fakestore.Command) (string, string, []byte, bool) {
+				if c.Fields["lane"] == "ride-end" {
+					lost.Add(1)
+					s.endpoint.ResetConnections()
+					return "", "", nil, false
+				}
+				return "ACK", "tag=0a,minted=1,why=local", []byte("a piece"), true
+			})
+			issued := s.issueCovering(x.key, x.id)
+			client := &renewingClient{gateway: s, cookie: cookieOf(x.key), token: issued.Token}
+			client.renew()
+			if status, code, _ := client.do("POST", rideEnd); status != 502 || code != "upstream_failed" {
+				t.Fatalf("a ride whose answer is lost: %d %q", status, code)
+			}
+			first := *client
+			for i := range 3 {
+				client.renew()
+				client.expectReplayed(fmt.Sprintf("successor %d", i+1), "doubt")
+			}
+			first.expectReplayed("the token of the first use", "doubt")
+			if lost.Load() != 1 {
+				t.Errorf("the ride ran %d times", lost.Load())
+			}
+			auth := []string{"Authorization", "Bearer " + operatorSecret}
+			if status, _, text := s.do("POST", "/-/revocations", fmt.Sprintf(`{"key":%q,"id":%q}`, x.key, issued.ID), auth...); status != 200 {
+				t.Fatalf("revocation: %d %s", status, text)
+			}
+			for what, c := range map[string]*renewingClient{"the last successor": client, "an earlier one": &first} {
+				if status, code, _ := c.do("GET", tile); status != 403 || code != "revoked" {
+					t.Errorf("%s after the revocation: %d %q", what, status, code)
+				}
+			}
+		})
+	}
+}
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -316,7 +316,8 @@
 	return out, nil
 }
 
-// Renew returns the next token for one with catr: the same claims, with the validity starting now.
+// Renew returns the next token for one with catr: the same claims, with the validity starting now. A token without cti is named by
+// a digest of its claims, which change with the dates, so its successor carries that name as cti.
 func (Dialect) Renew(k *token.LoadedKey, g *token.Grant, now float64) (name, text string, err error) {
 	old, ok := g.DialectClaims.(map[int64]any)
 	if !ok {
@@ -328,6 +329,9 @@
 	}
 	c[claimExp], c[claimIat] = int64(now)+int64(g.Renewal.Seconds), int64(now)
 	delete(c, claimNbf)
+	if _, present := c[claimCti]; !present {
+		c[claimCti] = []byte(g.ID)
+	}
 	name = Param
 	if g.Renewal.Header {
 		name = Header
--- a/token/dialect.go
+++ b/token/dialect.go
@@ -24,7 +24,8 @@
 // Renewer is a dialect whose tokens can be renewed.
 type Renewer interface {
 	// Renew returns the token that succeeds the token of a grant at now, in Unix seconds, and the name of the cookie or
-	// header to send it in.
+	// header to send it in. The successor has the ID of the grant: the claim of the token's single use, its revocation and its
+	// limits apply to all tokens that are renewed from it.
 	Renew(k *LoadedKey, g *Grant, now float64) (cookie, text string, err error)
 }
 
--- a/token/grant.go
+++ b/token/grant.go
@@ -14,7 +14,7 @@
 type Grant struct {
 	Key              string // id of the key
 	Kind             Kind
-	ID               string         // id that the token carries, otherwise a digest of the signed text; "": none
+	ID               string         // id that the token carries, otherwise a digest of the signed text; "": none. Renewal keeps it
 	Subject          string         // party that the token was issued to, if it states one
 	URIs             []Pattern      // at least one must match
 	RequiredPatterns []Pattern      // all must match
@@ -46,7 +46,8 @@
 	Pattern Pattern
 }
 
-// UseKey returns the name of the token for claims and revocations, which is unique across keys.
+// UseKey returns the name of the token for claims, revocations and limits, which is unique across keys. The tokens that are
+// renewed from it have the same name.
 func (g Grant) UseKey() string { return g.Key + "/" + g.ID }
 
 // maxDate is the maximum absolute value of dates, in Unix seconds.
