Issue every Common Access Token with a cti

Two tokens for several URIs that are issued for the same terms in the same second were one token with one name: the ride of one rider would have used up the token of the other (403 replayed), and one revocation would have ended both.

Cause: token/cat.Issue set cti only for single use, so every other token was named by a digest of its terms and its dates, which are whole seconds.

Change: every issued token has the cti that the frontend chose at random. Single use is still catreplay alone.

Test: TestTokensIssuedAtOnceHaveTheirOwnNames, red before for all three algorithms (two tokens, one name).

--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -53,7 +53,7 @@
 	Data      string     `json:"data,omitempty"`    // edgeauth: passed through
 	Seconds   float64    `json:"seconds"`           // validity
 	After     float64    `json:"after,omitempty"`   // s from now until it becomes valid
-	SingleUse bool       `json:"single_use"`        // gets its own id; signed URLs of kind hmac always have a nonce
+	SingleUse bool       `json:"single_use"`        // gets its own id; kinds hmac and cat always have one
 	Renew     int        `json:"renew,omitempty"`   // jws: lifetime in s of a renewed token, which is sent as a cookie
 }
 
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -284,11 +284,13 @@
 	if t.Method != "" {
 		c[claimMethods] = []any{t.Method}
 	}
-	if t.SingleUse {
+	if t.ID != "" {
 		c[claimCti] = []byte(t.ID)
-		c[claimReplay] = int64(1)
 		out.ID = t.ID
 	}
+	if t.SingleUse {
+		c[claimReplay] = int64(1)
+	}
 	if t.Address != "" {
 		net, err := token.ParsePrefix(t.Address)
 		if err != nil {
--- a/token/ring/token_names_test.go
+++ b/token/ring/token_names_test.go
@@ -87,3 +87,30 @@
 	}
 	return next
 }
+
+// Guards against two riders with one token: two tokens that are issued for the same terms in the same second must have names of their
+// own wherever the dialect has ids, or the ride of one rider uses up the token of the other.
+func TestTokensIssuedAtOnceHaveTheirOwnNames(t *testing.T) {
+	list := samples(t)
+	r := newRing(t, list)
+	for _, s := range list {
+		if s.key.Kind != token.CAT {
+			continue
+		}
+		names := map[string]bool{}
+		for _, id := range []string{"first", "second"} {
+			issued, err := r.Issue(s.key.ID, token.Terms{URI: someURI, Patterns: s.patterns, Expires: endsAt, Now: issuedAt, ID: id, Renew: 600})
+			if err != nil {
+				t.Fatal(err)
+			}
+			g, _, err := r.Verify(requestTo(t, issued.URL), 1500, 0)
+			if err != nil || g.MaxUses != 0 {
+				t.Fatalf("%+v %v", g, err)
+			}
+			names[g.UseKey()] = true
+		}
+		if len(names) != 2 {
+			t.Errorf("%s %s: two tokens have the name %v", s.key.Kind, s.key.Alg, names)
+		}
+	}
+}
