Name URI Signing packages without jti, so that they can be revoked and limited

Callers saw: /-/tokens for kind jws without single_use told no id, so nothing could be given to /-/revocations (400, key and id: missing): neither the package nor any renewed from it could be revoked, and [limit.grant] did not hold for them. The page docs/signed.md promises an id for every token.

Change: a package without jti is named by a digest of its claims, told at issue. As claims change when a package is renewed, the successor carries the name in a private claim (turnfork_id, RFC 7519 4.3), which permits no write: Grant.NoSingleUse keeps the rule that a write needs a jti. Every grant has an id now, so the frontend has no case without one.

Tests: TestPackageWithoutIDCanBeRevoked and TestRenewedTokenKeepsItsLimit (both red before: 400 with the empty id; a fourth read of three allowed) and the rows of jws in TestTokenNames (told id empty).

--- a/front/signed/guard.go
+++ b/front/signed/guard.go
@@ -98,10 +98,7 @@
 	if !f.limits.Enabled() {
 		return true
 	}
-	limitNames := &limits.Subject{Key: g.Key, Client: f.limits.Client(c.clientAddr)}
-	if g.ID != "" {
-		limitNames.Grant = g.UseKey()
-	}
+	limitNames := &limits.Subject{Grant: g.UseKey(), Key: g.Key, Client: f.limits.Client(c.clientAddr)}
 	if r := f.limits.Enter(*limitNames, f.opt.Clock.Now()); r != nil {
 		c.fail(s, 429, "limited", "the limit of this "+r.Limit+" is reached", retryHeaders(r.RetryAfter))
 		return false
--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -60,7 +60,7 @@
 // Issued is the response to an IssueRequest.
 type Issued struct {
 	Key     string  `json:"key"`
-	ID      string  `json:"id,omitempty"` // for a revocation
+	ID      string  `json:"id"` // for a revocation
 	Expires float64 `json:"expires"`
 	Token   string  `json:"token,omitempty"`
 	URL     string  `json:"url"`
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -194,7 +194,7 @@
 	class          Class
 	grantUntil     float64         // expiry of its grant, in Unix seconds
 	grantExpiresAt float64         // the same in clock ms, computed when the request was validated
-	claimName      string          // claim name of its grant; "": the grant has no ID
+	claimName      string          // claim name of its grant; "": the grant permits no single use
 	tokenHeader    string          // name of the header that carried its token
 	renewable      *token.Grant    // nil: its token is not renewable
 	limitSubject   *limits.Subject // names under which it is counted in the limits; nil: it is not
@@ -479,7 +479,7 @@
 		c.reject(s, err)
 		return
 	}
-	if grant.ID != "" && f.opt.Claims.Revoked(grant.UseKey()) {
+	if f.opt.Claims.Revoked(grant.UseKey()) {
 		f.logSampled(f.opt.Log.Info(), "revoked token rejected", func(e *zerolog.Event) {
 			e.Str("claim", grant.UseKey()).Str("path", m.Path).Str("from", c.source)
 		})
@@ -523,7 +523,7 @@
 	s.bookedBytes = len(m.Body)
 	s.class, s.grantUntil, s.tokenHeader = class, grant.Expires, grant.VaryHeader
 	s.grantExpiresAt = judgedAt + grant.Expires*1000 - now
-	if grant.ID != "" {
+	if !grant.NoSingleUse {
 		s.claimName = grant.UseKey()
 	}
 	if grant.Renewal.Seconds > 0 {
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"turnfork.dev/turnfork/front/signed"
 	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/cat"
@@ -87,6 +88,15 @@
 	return issued
 }
 
+// revoke revokes a token by its id.
+func (s *signedGateway) revoke(key, id string) {
+	s.t.Helper()
+	call := fmt.Sprintf(`{"key":%q,"id":%q}`, key, id)
+	if status, _, text := s.do("POST", "/-/revocations", call, "Authorization", "Bearer "+operatorSecret); status != 200 {
+		s.t.Fatalf("revocation of %s: %d %s", call, status, text)
+	}
+}
+
 // cookieOf returns the cookie that carries tokens of a key of newSignedGateway.
 func cookieOf(key string) string {
 	if key == "pack" {
@@ -127,10 +137,7 @@
 			if lost.Load() != 1 {
 				t.Errorf("the ride ran %d times", lost.Load())
 			}
-			auth := []string{"Authorization", "Bearer " + operatorSecret}
-			if status, _, text := s.do("POST", "/-/revocations", fmt.Sprintf(`{"key":%q,"id":%q}`, x.key, issued.ID), auth...); status != 200 {
-				t.Fatalf("revocation: %d %s", status, text)
-			}
+			s.revoke(x.key, issued.ID)
 			for what, c := range map[string]*renewingClient{"the last successor": client, "an earlier one": &first} {
 				if status, code, _ := c.do("GET", tile); status != 403 || code != "revoked" {
 					t.Errorf("%s after the revocation: %d %q", what, status, code)
@@ -139,3 +146,53 @@
 		})
 	}
 }
+
+// issueByCall has the gateway issue a token for all objects that is renewed by cookie.
+func (s *signedGateway) issueByCall(kind string) signed.Issued {
+	s.t.Helper()
+	call := fmt.Sprintf(`{"kind":%q,"uri":"http://%s%s","regex":"http://[^/]+/v1/.*","seconds":600,"renew":3600}`, kind, s.addr, tile)
+	status, _, body := s.do("POST", "/-/tokens", call, "Authorization", "Bearer "+operatorSecret)
+	var issued signed.Issued
+	if err := json.Unmarshal([]byte(body), &issued); err != nil || status != 200 {
+		s.t.Fatal(status, body, err)
+	}
+	return issued
+}
+
+// Guards against a package without jti that has no name: no id was told at issue, so that neither the package nor those renewed from
+// it could be revoked. The name must not permit a write, for which a package needs a jti.
+func TestPackageWithoutIDCanBeRevoked(t *testing.T) {
+	s := newSignedGateway(t, nil)
+	issued := s.issueByCall("jws")
+	client := &renewingClient{gateway: s, cookie: jws.Param, token: issued.Token}
+	first := *client
+	for i := range 3 {
+		client.renew()
+		if status, code, _ := client.do("POST", rideEnd); status != 403 || code != "bad_claim" {
+			t.Errorf("a write with successor %d: %d %q", i+1, status, code)
+		}
+	}
+	s.revoke(issued.Key, issued.ID)
+	for what, c := range map[string]*renewingClient{"the package": &first, "its last successor": client} {
+		if status, code, _ := c.do("GET", tile); status != 403 || code != "revoked" {
+			t.Errorf("%s after the revocation: %d %q", what, status, code)
+		}
+	}
+	if s.runs.Load() != 0 {
+		t.Errorf("%d rides ran", s.runs.Load())
+	}
+}
+
+// Guards against a limit for each token that starts anew with each renewal.
+func TestRenewedTokenKeepsItsLimit(t *testing.T) {
+	for _, key := range []string{"access", "pack"} {
+		s := newSignedGatewayWith(t, "[limit.grant]\nper_second = 0.01\nburst = 3\n", nil)
+		client := &renewingClient{gateway: s, cookie: cookieOf(key), token: s.issueCovering(key, "").Token}
+		for range 3 {
+			client.renew()
+		}
+		if status, code, _ := client.do("GET", tile); status != 429 || code != "limited" {
+			t.Errorf("%s: a successor after 3 of 3 requests: %d %q", key, status, code)
+		}
+	}
+}
--- a/signed_test.go
+++ b/signed_test.go
@@ -45,6 +45,12 @@
 // newSignedGateway starts a gateway. handle responds to the calls of the endpoint, and may block to keep a request in flight; nil:
 // the endpoint responds at once.
 func newSignedGateway(t testing.TB, handle func(fakestore.Command) (string, string, []byte, bool)) *signedGateway {
+	t.Helper()
+	return newSignedGatewayWith(t, "", handle)
+}
+
+// newSignedGatewayWith is newSignedGateway with further sections of the operator's file.
+func newSignedGatewayWith(t testing.TB, sections string, handle func(fakestore.Command) (string, string, []byte, bool)) *signedGateway {
 	t.Helper()
 	s := &signedGateway{t: t, clock: clock.Manual(start)}
 	var err error
@@ -99,7 +105,7 @@
 issuer = "dala"
 audience = "gateways"
 secret = %q
-`, fakestore.PrivatePEM(fakestore.SharedRSAKey()), urlSecret, urlSecret)
+`, fakestore.PrivatePEM(fakestore.SharedRSAKey()), urlSecret, urlSecret) + sections
 	o, err := config.ParseOperator(text, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
--- a/token/grant.go
+++ b/token/grant.go
@@ -14,7 +14,7 @@
 type Grant struct {
 	Key              string // id of the key
 	Kind             Kind
-	ID               string         // id that the token carries, otherwise a digest of the signed text; "": none. Renewal keeps it
+	ID               string         // id that the token carries, otherwise a digest of the signed text. Renewal keeps it
 	Subject          string         // party that the token was issued to, if it states one
 	URIs             []Pattern      // at least one must match
 	RequiredPatterns []Pattern      // all must match
@@ -26,6 +26,7 @@
 	Issued           float64        // time of issue, in Unix seconds; 0: unknown
 	Expires          float64        // end of validity, in Unix seconds; 0: none, so Check rejects the grant
 	MaxUses          int            // 1: the token can be used once, also for reads; 0: unlimited
+	NoSingleUse      bool           // it is rejected where its use has to be claimed: its dialect has ids, and the token carries none
 	Renewal          Renewal
 	VaryHeader       string // name of the request header that carried the token; "": the URL carried it
 	DialectClaims    any    // claims in the dialect's own type, kept for renewal
--- a/token/jws/jws.go
+++ b/token/jws/jws.go
@@ -16,7 +16,7 @@
 // Param is the name of the query parameter and of the cookie that carry a package.
 const Param = "URISigningPackage"
 
-// Claims are the supported claims of a URI Signing package (RFC 9246, 2.1).
+// Claims are the supported claims of a URI Signing package (RFC 9246, 2.1), and a private one (RFC 7519, 4.3).
 type Claims struct {
 	Issuer    string   `json:"iss,omitempty"`
 	Subject   string   `json:"sub,omitempty"`
@@ -32,6 +32,10 @@
 	Renew     int      `json:"cdniets,omitempty"` // lifetime of a renewed package, in seconds
 	Transport int      `json:"cdnistt,omitempty"` // transport of renewed packages: 0 none, 1 cookie
 	Depth     int      `json:"cdnistd,omitempty"` // leading path segments in the Path attribute of the renewed cookie
+
+	// DerivedID is the derived id of the first package, in packages that are renewed from one without jti. Unlike jti it does
+	// not permit a single use.
+	DerivedID string `json:"turnfork_id,omitempty"`
 }
 
 // audience is one name or a list of names.
@@ -181,6 +185,9 @@
 	if err := c.check(key, payload); err != nil {
 		return g, err
 	}
+	if c.ID == "" && c.DerivedID == "" {
+		c.DerivedID = token.DerivedID(string(payload))
+	}
 	if g, err = c.grant(key.ID); err != nil || c.ClientIP == "" {
 		return g, err
 	}
@@ -202,6 +209,8 @@
 		return token.Reject(token.BadClaim, "cdniv: unknown version")
 	case len(c.ID) > token.MaxIDLength:
 		return token.Reject(token.Malformed, "jti: too long")
+	case len(c.DerivedID) > token.MaxIDLength:
+		return token.Reject(token.Malformed, "turnfork_id: too long")
 	case c.Expires == nil || *c.Expires == 0:
 		return token.Reject(token.BadClaim, "exp: missing")
 	case c.Transport != 0 && c.Transport != 1: // 1 is the only registered transport (RFC 9246, 6.5)
@@ -241,6 +250,9 @@
 		return g, err
 	}
 	g = token.Grant{Key: key, ID: c.ID, Subject: c.Subject, Expires: *c.Expires, URIs: uris, CoversQuery: true, DialectClaims: *c}
+	if c.ID == "" {
+		g.ID, g.NoSingleUse = c.DerivedID, true
+	}
 	if c.NotBefore != nil {
 		g.NotBefore = *c.NotBefore
 	}
@@ -300,11 +312,24 @@
 	if out.Token, err = Sign(k, c); err != nil {
 		return out, err
 	}
-	out.ID = c.ID
+	if out.ID = c.ID; out.ID == "" {
+		out.ID = derivedID(out.Token)
+	}
 	out.URL = token.AppendQuery(u, Param+"="+out.Token)
 	return out, nil
 }
 
+// derivedID returns the id of a signed package without jti.
+func derivedID(text string) string {
+	_, rest, _ := strings.Cut(text, ".")
+	encoded, _, _ := strings.Cut(rest, ".")
+	payload, err := base64.RawURLEncoding.DecodeString(encoded)
+	if err != nil {
+		return ""
+	}
+	return token.DerivedID(string(payload))
+}
+
 // Sign signs claims. Missing iss and aud claims are taken from the key.
 func Sign(key *token.LoadedKey, c Claims) (string, error) {
 	if c.Issuer == "" {
@@ -343,7 +368,8 @@
 	return sig.CompactSerialize()
 }
 
-// Renew returns the next package for one with signed token renewal: the same claims, with the validity starting now.
+// Renew returns the next package for one with signed token renewal: the same claims, with the validity starting now. A package
+// without jti is named by a digest of its claims, which change with the dates, so its successor carries that name.
 func (Dialect) Renew(k *token.LoadedKey, g *token.Grant, now float64) (cookie, text string, err error) {
 	c, ok := g.DialectClaims.(Claims)
 	if !ok {
--- a/token/ring/token_names_test.go
+++ b/token/ring/token_names_test.go
@@ -16,9 +16,6 @@
 		terms[name] = t
 	}
 	add("single use", func(t *token.Terms) { t.SingleUse = true })
-	if s.key.Kind == token.JWS {
-		return terms
-	}
 	add("URI", func(*token.Terms) {})
 	if s.key.Kind != token.HMAC { // its tokens always have a nonce
 		add("without id", func(t *token.Terms) { t.ID = "" })
