Keep the claim of a renewable token until no token renewed from it can be used

Callers saw: a phone that went on renewing its token could end the same ride again once the claim of the first token had been forgotten, some 11 minutes after that token's end (200 in place of 403 replayed, X-Claim: ran), and then every hour.

Cause: front/signed kept a claim until the end of the claimed token alone (slot.grantUntil), though renewal gives the same name to tokens that end later, and has no end.

--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -87,7 +87,7 @@
 	disconnectPollInterval = 20 * time.Millisecond // at which to check whether a client has disconnected whose requests are not being read
 	maxPipelined           = 4                     // requests of a connection queued behind the one that is being answered
 	maxTotalBodyBytes      = 8 << 20               // bytes of the bodies of unanswered requests, on all connections
-	claimMargin            = 60000                 // ms that a claim is kept beyond the token's expiry and leeway
+	claimMargin            = 60000                 // ms that a claim is kept beyond the end of the token's single use and leeway
 	outcomeTimeout         = time.Minute           // for recording the outcome of a claim; after it the claim stays as it is
 	maxLogsPerSecond       = 10                    // of each kind that clients can cause
 	maxPendingOutcomes     = 256                   // outcomes that are being recorded at the same time
@@ -192,8 +192,8 @@
 	msg            http1.Message
 	receivedAt     float64 // when its last byte arrived, in clock ms
 	class          Class
-	grantUntil     float64         // expiry of its grant, in Unix seconds
-	grantExpiresAt float64         // the same in clock ms, computed when the request was validated
+	claimUntil     float64         // Unix ms until which the claim of its grant must be kept
+	grantExpiresAt float64         // expiry of its grant, in clock ms; computed when the request was validated
 	claimName      string          // claim name of its grant; "": the grant permits no single use
 	tokenHeader    string          // name of the header that carried its token
 	renewable      *token.Grant    // nil: its token is not renewable
@@ -499,6 +499,11 @@
 		c.fail(s, 405, "method", "this class takes "+method, "Allow: "+allow+"\r\n")
 		return
 	}
+	needsClaim := class.Write || grant.MaxUses == 1
+	if leeway := f.policy.Load().LeewayMs; needsClaim && now > grant.SingleUseEnd()*1000+leeway {
+		c.fail(s, 403, "expired", "the token has been renewed for too long to be used once; a new one is needed", "")
+		return
+	}
 	request, err := object.request(query, m)
 	if err != nil {
 		c.fail(s, 400, "malformed", err.Error(), "")
@@ -521,7 +526,8 @@
 		return
 	}
 	s.bookedBytes = len(m.Body)
-	s.class, s.grantUntil, s.tokenHeader = class, grant.Expires, grant.VaryHeader
+	s.class, s.tokenHeader = class, grant.VaryHeader
+	s.claimUntil = grant.SingleUseEnd()*1000 + 2*f.policy.Load().LeewayMs + claimMargin
 	s.grantExpiresAt = judgedAt + grant.Expires*1000 - now
 	if !grant.NoSingleUse {
 		s.claimName = grant.UseKey()
@@ -539,7 +545,7 @@
 	request.RequestTag, request.Canceled = s.tag, s.canceled
 	c.open[s.tag] = s
 	c.mu.Unlock()
-	if !class.Write && grant.MaxUses != 1 {
+	if !needsClaim {
 		c.submit(s, request)
 		return
 	}
@@ -599,8 +605,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(remaining, f.opt.ClaimTimeout)))
 	defer cancel()
-	until := s.grantUntil*1000 + 2*f.policy.Load().LeewayMs + claimMargin
-	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: until}, {Op: claims.Send, Owner: s.owner}} {
+	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: s.claimUntil}, {Op: claims.Send, Owner: s.owner}} {
 		r, ok, err := f.opt.Claims.Step(ctx, s.claimName, step)
 		if err != nil {
 			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("single-use token could not be claimed")
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -75,8 +75,9 @@
 func (s *signedGateway) issueCovering(key, id string) token.Issued {
 	s.t.Helper()
 	now := s.clock.Unix() / 1000
-	terms := token.Terms{ID: id, SingleUse: id != "", Now: now, Expires: now + 600, Renew: 3600}
+	terms := token.Terms{ID: id, Now: now, Expires: now + 600, Renew: 3600}
 	if key == "pack" {
+		terms.SingleUse = id != "" // else a package gets no jti
 		terms.URI, terms.Patterns = "http://"+s.addr+tile, "http://[^/]+/v1/.*"
 	} else {
 		terms.Patterns = "/v1/"
@@ -196,3 +197,65 @@
 		}
 	}
 }
+
+// passTime advances the clock, and has a claim agreed on, after which the replicated store forgets what has expired.
+func (s *signedGateway) passTime(seconds float64) {
+	s.t.Helper()
+	s.clock.Advance(seconds * 1000)
+	other := strings.Replace(rideEnd, "e1", "e2", 1)
+	if status, code, text := s.do("POST", s.url(other, 60, fmt.Sprint("at ", s.clock.Unix())), ""); status != 200 {
+		s.t.Fatalf("a ride of another client: %d %q %s", status, code, text)
+	}
+}
+
+// Guards against a claim that is forgotten while a token that was renewed from the claimed one is still valid: the ride ended a
+// second time by that token.
+func TestClaimOutlivesRenewedTokens(t *testing.T) {
+	for _, x := range []struct{ name, key, id string }{
+		{"cat without cti", "access", ""}, {"cat with cti", "access", "c"}, {"jws with jti", "pack", "j"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := newSignedGateway(t, nil)
+			client := &renewingClient{gateway: s, cookie: cookieOf(x.key), token: s.issueCovering(x.key, x.id).Token}
+			if status, code, _ := client.do("POST", rideEnd); status != 200 {
+				t.Fatalf("the ride: %d %q", status, code)
+			}
+			others := 0
+			for hours := 1; hours <= 30; hours++ { // each successor is valid for one hour
+				client.renew()
+				s.passTime(3540)
+				others++
+				status, code, claim := client.do("POST", rideEnd)
+				replayed := code == "replayed" && claim == "ran"
+				expired := code == "expired" && hours > 24
+				if status != 403 || !replayed && !expired {
+					t.Errorf("a successor after %d h: %d %q, X-Claim %q", hours, status, code, claim)
+				}
+			}
+			if runs := s.runs.Load() - int64(others); runs != 1 {
+				t.Errorf("the ride ran %d times", runs)
+			}
+		})
+	}
+}
+
+// A renewed token can be used once until a day after the first token's end, as claims are kept until then. Reads go on.
+func TestSingleUseOfRenewedTokenEnds(t *testing.T) {
+	s := newSignedGateway(t, nil)
+	early := &renewingClient{gateway: s, cookie: cat.Param, token: s.issueCovering("access", "early").Token}
+	late := &renewingClient{gateway: s, cookie: cat.Param, token: s.issueCovering("access", "late").Token}
+	for range 24 {
+		early.renew()
+		late.renew()
+		s.clock.Advance(3500 * 1000)
+	}
+	if status, code, _ := early.do("POST", rideEnd); status != 200 {
+		t.Errorf("the first use after 24 h: %d %q", status, code)
+	}
+	late.renew()
+	s.clock.Advance(3500 * 1000)
+	if status, code, _ := late.do("POST", rideEnd); status != 403 || code != "expired" {
+		t.Errorf("the first use later: %d %q", status, code)
+	}
+	late.renew()
+}
--- a/token/cat/cat.go
+++ b/token/cat/cat.go
@@ -59,6 +59,8 @@
 	claimRenewal   = 323 // catr
 	firstCATClaim  = 308 // CTA-5007: an unknown claim in this range might restrict the token
 	lastCATClaim   = 323
+
+	claimFirstExp = -71316 // private use (RFC 8392, 9.1.1): exp of the first token, in tokens that are renewed
 )
 
 const (
@@ -331,6 +333,7 @@
 	}
 	c[claimExp], c[claimIat] = int64(now)+int64(g.Renewal.Seconds), int64(now)
 	delete(c, claimNbf)
+	c[claimFirstExp] = g.FirstExpiry()
 	if _, present := c[claimCti]; !present {
 		c[claimCti] = []byte(g.ID)
 	}
@@ -408,6 +411,7 @@
 		}
 	}
 	g.Expires, g.NotBefore, g.Issued = r.parseDate(claimExp), r.parseDate(claimNbf), r.parseDate(claimIat)
+	g.FirstExpires = r.parseDate(claimFirstExp)
 	switch replay, present := r.claims[claimReplay]; {
 	case !present, replay == int64(0), replay == int64(2): // 2 asks for the detection of reuse, not for its rejection
 	case replay == int64(1):
--- a/token/grant.go
+++ b/token/grant.go
@@ -25,6 +25,7 @@
 	NotBefore        float64        // start of validity, in Unix seconds; 0: none
 	Issued           float64        // time of issue, in Unix seconds; 0: unknown
 	Expires          float64        // end of validity, in Unix seconds; 0: none, so Check rejects the grant
+	FirstExpires     float64        // Expires of the first token, from which this one was renewed; 0: it is the first
 	MaxUses          int            // 1: the token can be used once, also for reads; 0: unlimited
 	NoSingleUse      bool           // it is rejected where its use has to be claimed: its dialect has ids, and the token carries none
 	Renewal          Renewal
@@ -32,15 +33,6 @@
 	DialectClaims    any    // claims in the dialect's own type, kept for renewal
 }
 
-// Renewal is the way in which a token is renewed.
-type Renewal struct {
-	Seconds         int     // lifetime of the renewed token; 0: no renewal
-	Cookie          bool    // send the renewed token in a cookie
-	Header          bool    // send the renewed token in a response header
-	CookiePathDepth int     // number of leading path segments in the Path attribute of the cookie
-	WindowSeconds   float64 // renew only during the last WindowSeconds of the validity; 0: always
-}
-
 // HeaderMatch is a pattern that the value of a request header must match.
 type HeaderMatch struct {
 	Name    string
@@ -57,7 +49,7 @@
 // Check returns an error unless a grant allows a request at now, in Unix seconds. leeway is the clock skew to tolerate, in
 // seconds.
 func (g *Grant) Check(q *Request, now, leeway float64) error {
-	for _, v := range []float64{g.NotBefore, g.Issued, g.Expires} {
+	for _, v := range []float64{g.NotBefore, g.Issued, g.Expires, g.FirstExpires} {
 		if math.IsNaN(v) || math.Abs(v) > maxDate {
 			return Reject(Malformed, "a date out of range")
 		}
@@ -113,12 +105,6 @@
 	return true
 }
 
-// NeedsRenewal reports whether the token is to be renewed at now, in Unix seconds.
-func (g *Grant) NeedsRenewal(now float64) bool {
-	r := &g.Renewal
-	return r.Seconds > 0 && (r.Cookie || r.Header) && (r.WindowSeconds == 0 || now >= g.Expires-r.WindowSeconds)
-}
-
 // allowsMethod reports whether a method is allowed. A grant for GET includes HEAD.
 func (g *Grant) allowsMethod(method string) bool {
 	for _, m := range g.Methods {
--- a/token/jws/jws.go
+++ b/token/jws/jws.go
@@ -16,7 +16,7 @@
 // Param is the name of the query parameter and of the cookie that carry a package.
 const Param = "URISigningPackage"
 
-// Claims are the supported claims of a URI Signing package (RFC 9246, 2.1), and a private one (RFC 7519, 4.3).
+// Claims are the supported claims of a URI Signing package (RFC 9246, 2.1), and private ones (RFC 7519, 4.3).
 type Claims struct {
 	Issuer    string   `json:"iss,omitempty"`
 	Subject   string   `json:"sub,omitempty"`
@@ -36,6 +36,8 @@
 	// DerivedID is the derived id of the first package, in packages that are renewed from one without jti. Unlike jti it does
 	// not permit a single use.
 	DerivedID string `json:"turnfork_id,omitempty"`
+	// FirstExpires is the expiry of the first package, in packages that are renewed.
+	FirstExpires float64 `json:"turnfork_first_exp,omitempty"`
 }
 
 // audience is one name or a list of names.
@@ -249,7 +251,7 @@
 	if err != nil {
 		return g, err
 	}
-	g = token.Grant{Key: key, ID: c.ID, Subject: c.Subject, Expires: *c.Expires, URIs: uris, CoversQuery: true, DialectClaims: *c}
+	g = token.Grant{Key: key, ID: c.ID, Subject: c.Subject, Expires: *c.Expires, FirstExpires: c.FirstExpires, URIs: uris, CoversQuery: true, DialectClaims: *c}
 	if c.ID == "" {
 		g.ID, g.NoSingleUse = c.DerivedID, true
 	}
@@ -376,7 +378,7 @@
 		return "", "", fmt.Errorf("token: no package")
 	}
 	exp := now + float64(c.Renew)
-	c.Expires, c.IssuedAt = &exp, &now
+	c.Expires, c.IssuedAt, c.FirstExpires = &exp, &now, g.FirstExpiry()
 	if c.NotBefore != nil && *c.NotBefore > now {
 		c.NotBefore = nil
 	}
