Keep a revocation as long as any token renewed from the revoked one may last

Callers saw: a revocation with until, such as the expiry that was told at issue, ended while tokens renewed from the revoked one were valid: they were served again some 20 minutes later (200 in place of 403 revoked).

Cause: /-/revocations took until as it came. Only without until was the revocation kept for the maximum lifetime of a token, which the frontend relies on when it renews (renewalHeader).

Change: until lengthens a revocation, and no longer shortens it below that lifetime.

--- a/front/signed/operator_calls.go
+++ b/front/signed/operator_calls.go
@@ -64,7 +64,7 @@
 func (f *Frontend) revokeToken(ctx context.Context, body []byte) (any, error) {
 	var q struct {
 		Key, ID string
-		Until   float64 // Unix seconds; 0: the maximum lifetime of a token from now on
+		Until   float64 // Unix seconds; at least the maximum lifetime of a token from now on
 	}
 	if err := readJSON(body, &q); err != nil {
 		return nil, err
@@ -73,9 +73,8 @@
 		return nil, errors.New("key and id: missing")
 	}
 	policy := f.policy.Load()
-	if q.Until == 0 {
-		q.Until = f.opt.Clock.Unix()/1000 + policy.TokenSeconds
-	}
+	// Tokens that were renewed from the revoked one may last for the maximum lifetime from now on.
+	q.Until = max(q.Until, f.opt.Clock.Unix()/1000+policy.TokenSeconds)
 	name := token.Grant{Key: q.Key, ID: q.ID}.UseKey()
 	if err := f.opt.Claims.Revoke(ctx, name, q.Until*1000+policy.LeewayMs); err != nil {
 		return nil, asUnavailable(err)
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -259,3 +259,25 @@
 	}
 	late.renew()
 }
+
+// Guards against a revocation that ends before the tokens that were renewed from the revoked one: a call with the expiry that was
+// told at issue ended none of those.
+func TestRevocationOutlivesRenewedTokens(t *testing.T) {
+	for _, key := range []string{"access", "pack"} {
+		s := newSignedGateway(t, nil)
+		issued := s.issueCovering(key, "n")
+		client := &renewingClient{gateway: s, cookie: cookieOf(key), token: issued.Token}
+		s.clock.Advance(590 * 1000)
+		client.renew()
+		call := fmt.Sprintf(`{"key":%q,"id":%q,"until":%d}`, key, issued.ID, int64(start/1000+600))
+		if status, _, text := s.do("POST", "/-/revocations", call, "Authorization", "Bearer "+operatorSecret); status != 200 {
+			t.Fatalf("revocation: %d %s", status, text)
+		}
+		for range 5 { // the successor is valid for an hour
+			s.passTime(600)
+			if status, code, _ := client.do("GET", tile); status != 403 || code != "revoked" {
+				t.Errorf("%s: a successor after %.0f s: %d %q", key, (s.clock.Unix()-start)/1000, status, code)
+			}
+		}
+	}
+}
