Split the signed frontend and the CAT dialect by job; short steps for a request's checks

Change: moves only, but for handleRequest, which is now authorize, checkClass, admit, register and claimAndSubmit around an authorization with named questions. The leeway is read once a request in place of four times.

--- a/front/signed/claim.go
+++ b/front/signed/claim.go
@@ -2,12 +2,66 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"errors"
 	"strconv"
+	"time"
 
+	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/claims"
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/core"
 )
 
+const (
+	claimMargin        = 60000       // ms that a claim is kept beyond the end of the token's single use and leeway
+	outcomeTimeout     = time.Minute // for recording the outcome of a claim; after it the claim stays as it is
+	maxPendingOutcomes = 256         // outcomes that are being recorded at the same time
+)
+
+// claim marks a request's token as used, before the request is sent. If the replicated store gives no result, the request is
+// not sent: the token may be claimed by another, so the client has to retry.
+func (c *conn) claim(s *slot, remaining float64) bool {
+	f := c.frontend
+	if s.claimName == "" {
+		c.fail(s, 403, "bad_claim", "this class needs a token of a single use, with a jti", "")
+		return false
+	}
+	c.mu.Lock()
+	s.owner = rand.Text()
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(remaining, f.opt.ClaimTimeout)))
+	defer cancel()
+	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: s.claimUntil}, {Op: claims.Send, Owner: s.owner}} {
+		r, ok, err := f.opt.Claims.Step(ctx, s.claimName, step)
+		if err != nil {
+			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("single-use token could not be claimed")
+			if !errors.Is(err, claims.ErrNotProposed) {
+				f.recordOutcome(s.claimName, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whether or not the step was applied
+			}
+			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
+			return false
+		}
+		if !ok {
+			f.logSampled(f.opt.Log.Info(), "single-use token rejected", func(e *zerolog.Event) {
+				e.Str("claim", s.claimName).Str("stage", claimHeader(r)).Str("path", s.msg.Path)
+			})
+		}
+		if !ok && r.Pending(f.opt.Clock.Unix(), s.class.Deadline) {
+			c.fail(s, 503, "claim_pending", "the token is in use; ask again for what became of it", "Retry-After: 1\r\nX-Claim: sent\r\n")
+			return false
+		}
+		if !ok {
+			c.fail(s, 403, "replayed", replayDetail(r), "X-Claim: "+claimHeader(r)+"\r\n")
+			return false
+		}
+	}
+	f.logSampled(f.opt.Log.Info(), "single-use token claimed", func(e *zerolog.Event) {
+		e.Str("claim", s.claimName).Str("path", s.msg.Path)
+	})
+	return true
+}
+
 // outcomeStep returns the step that records how a claimed request ended. A rejection guarantees that nothing ran, and a
 // request that was never sent has not run either: the token may be used again. A request that failed after it was sent may
 // have run.
--- /dev/null
+++ b/front/signed/conn.go
@@ -0,0 +1,276 @@
+package signed
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/internal/http1"
+	"turnfork.dev/turnfork/limits"
+	"turnfork.dev/turnfork/token"
+)
+
+// slot is one request's position in the order of responses.
+type slot struct {
+	tag            uint64
+	msg            http1.Message
+	receivedAt     float64 // when its last byte arrived, in clock ms
+	class          Class
+	claimUntil     float64         // Unix ms until which the claim of its grant must be kept
+	grantExpiresAt float64         // expiry of its grant, in clock ms; computed when the request was validated
+	claimName      string          // claim name of its grant; "": the grant permits no single use
+	tokenHeader    string          // name of the header that carried its token
+	renewable      *token.Grant    // nil: its token is not renewable
+	limitSubject   *limits.Subject // names under which it is counted in the limits; nil: it is not
+	owner          string          // owner of its claim; "": it is not claimed
+	bookedBytes    int             // bytes of its body that are booked in the frontend's budget
+	submitted      bool            // it was submitted to the core
+	canceled       *atomic.Bool    // true once its client has disconnected
+	done           bool
+	ready          chan struct{} // closed once done
+	answer         []byte        // valid once done; nil: the client has disconnected
+}
+
+type conn struct {
+	frontend   *Frontend
+	net        net.Conn
+	serverConn *front.Conn
+	queue      chan *slot
+	writerDone chan struct{} // closed when the writer returns
+
+	clientAddr netip.Addr // address of the client
+	source     string     // key under which its failures are counted
+
+	lingering  bool         // no further request is read; used by the reader only
+	unanswered atomic.Int64 // complete or malformed requests whose response is not yet written
+
+	mu              sync.Mutex
+	disconnected    bool             // the client no longer reads
+	requestDeadline float64          // when the incomplete request must be complete; 0: there is none
+	open            map[uint64]*slot // by tag
+	lastTag         uint64           // the last tag that was assigned
+}
+
+func (f *Frontend) handle(nc net.Conn, serverConn *front.Conn) {
+	c := &conn{
+		frontend: f, net: nc, serverConn: serverConn,
+		queue: make(chan *slot, maxPipelined), writerDone: make(chan struct{}), open: map[uint64]*slot{},
+	}
+	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		c.clientAddr = a.AddrPort().Addr().Unmap()
+	}
+	c.source = sourceOf(c.clientAddr)
+	serverConn.CloseWhenIdle()
+	var g errgroup.Group
+	g.Go(func() error { c.write(); return nil })
+	c.read()
+	g.Wait()
+}
+
+// read reads requests and handles them, until the connection ends. It runs in the reader goroutine.
+func (c *conn) read() {
+	defer close(c.queue)
+	r := bufio.NewReaderSize(interruptibleReader{c, c.serverConn.CountReads(c.net)}, 4<<10)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			c.disconnect(err)
+			return
+		}
+		c.setRequestDeadline(c.frontend.opt.Clock.Now() + requestTimeout)
+		m, err := http1.Read(r, maxBodyBytes, c.sendContinue)
+		c.unanswered.Add(1) // before the report by setRequestDeadline: an unanswered request keeps the connection open
+		c.setRequestDeadline(0)
+		s := &slot{msg: m, receivedAt: c.serverConn.ArrivedAt(), ready: make(chan struct{})}
+		if b, ok := http1.AsBadMessage(err); ok {
+			c.frontend.guard.Failed(c.source, c.frontend.opt.Clock.Now())
+			c.frontend.logSampled(c.frontend.opt.Log.Warn(), "request can't be read", func(e *zerolog.Event) {
+				e.Int("status", b.Status).Str("what", b.Detail).Str("from", c.source)
+			})
+			s.msg.Close = true
+			c.frontend.open.Add(1)
+			s.finish(c.frontend.errorResponse(s, b.Status, "malformed", b.Detail, ""))
+			c.enqueue(s)
+			c.linger(r)
+			return
+		}
+		if err != nil {
+			c.disconnect(err)
+			return
+		}
+		c.frontend.open.Add(1)
+		if !c.enqueue(s) {
+			c.disconnect(nil)
+			return
+		}
+		c.handleRequest(s)
+		if s.msg.Close {
+			c.linger(r)
+			return
+		}
+		if !c.pauseReading() {
+			c.disconnect(nil)
+			return
+		}
+	}
+}
+
+// setRequestDeadline reports to the server that an incomplete request must be complete by a time, or with 0 that there is none.
+func (c *conn) setRequestDeadline(until float64) {
+	c.mu.Lock()
+	c.requestDeadline = until
+	c.mu.Unlock()
+	c.report(false)
+}
+
+// interruptibleReader repeats a read that the server has interrupted, unless the connection is to be closed. By then the
+// server knows what was read: a complete request is open, and an incomplete one was reported with its deadline.
+type interruptibleReader struct {
+	conn *conn
+	in   io.Reader
+}
+
+func (r interruptibleReader) Read(b []byte) (int, error) {
+	for {
+		n, err := r.in.Read(b)
+		if n > 0 || r.conn.lingering || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		r.conn.net.SetReadDeadline(time.Time{}) // before ShouldClose, so that no later interruption is lost
+		if r.conn.serverConn.ShouldClose() {
+			return n, err
+		}
+	}
+}
+
+// report reports the connection's open requests and the deadline of the incomplete one to the server.
+func (c *conn) report(hadRequest bool) {
+	c.mu.Lock() // reader and writer both report
+	defer c.mu.Unlock()
+	c.serverConn.Update(int(c.unanswered.Load()), hadRequest, c.requestDeadline)
+}
+
+// sendContinue has a client send the body that it holds back. While earlier responses are pending it sends nothing, as the
+// bytes could end up within them; such a client sends the body without it after a time-out.
+func (c *conn) sendContinue() {
+	if c.unanswered.Load() == 0 {
+		c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+		c.net.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+}
+
+// linger waits for the client to close the connection after the last response, and discards what it still sends. If the
+// client closes the connection before that response, its requests are canceled.
+func (c *conn) linger(r *bufio.Reader) {
+	c.lingering = true
+	c.net.SetReadDeadline(time.Now().Add(lingerTimeout))
+	if _, err := io.Copy(io.Discard, r); !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.disconnect(err)
+	}
+}
+
+// disconnect closes a connection whose client no longer reads, and cancels its open requests.
+func (c *conn) disconnect(err error) {
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		c.frontend.opt.Log.Debug().Err(err).Msg("connection ended")
+	}
+	c.net.Close()
+	c.mu.Lock()
+	c.disconnected = true
+	var submitted []uint64
+	for tag, s := range c.open {
+		s.finish(nil)
+		s.canceled.Store(true)
+		if s.submitted {
+			submitted = append(submitted, tag)
+		}
+		if s.owner == "" { // a claimed one may have run: its outcome is awaited and recorded, so that replays learn it
+			delete(c.open, tag)
+		}
+	}
+	c.mu.Unlock()
+	for _, tag := range submitted {
+		c.frontend.events.Push(core.CancelRequest{Frontend: c, RequestTag: tag})
+	}
+}
+
+// enqueue appends a request to the order of responses, and reports false if the client has disconnected. It guards against
+// a client that pipelines requests and disconnects: its close follows requests that are not read while responses are pending.
+func (c *conn) enqueue(s *slot) bool {
+	poll := time.NewTicker(disconnectPollInterval)
+	defer poll.Stop()
+	for {
+		select {
+		case c.queue <- s:
+			return true
+		case <-poll.C:
+			if !front.PeerClosed(c.net) {
+				continue
+			}
+		case <-c.writerDone:
+		}
+		c.frontend.open.Add(-1)
+		return false
+	}
+}
+
+// finish sets the response of a slot, unless it has one.
+func (s *slot) finish(b []byte) {
+	if !s.done {
+		s.done = true
+		s.answer = b
+		close(s.ready)
+	}
+}
+
+// reply answers a request without the core.
+func (c *conn) reply(s *slot, b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.finish(b)
+}
+
+// write writes the responses in the order of the requests. It runs in the writer goroutine.
+func (c *conn) write() {
+	defer c.net.Close()
+	defer func() {
+		close(c.writerDone)
+		for s := range c.queue { // the reader cancels open requests, which completes these slots too
+			<-s.ready
+			c.frontend.releaseLimits(s)
+			c.frontend.bodyBudget.Release(s.bookedBytes)
+			c.frontend.open.Add(-1)
+		}
+	}()
+	for s := range c.queue {
+		<-s.ready
+		c.frontend.bodyBudget.Release(s.bookedBytes)
+		c.frontend.releaseLimits(s)
+		if s.answer != nil && !c.frontend.responseBudget.TryReserve(len(s.answer)) {
+			// A client must not lose its connection because others leave too much unread, so it gets a small error response
+			// beyond the budget. Each connection has only one such response at a time.
+			c.frontend.opt.Log.Warn().Msg("response budget exhausted; responding 502 instead")
+			s.answer = c.frontend.errorResponse(s, 502, "crowded", "too much waits to be written", "Retry-After: 1\r\n")
+			c.frontend.responseBudget.Reserve(len(s.answer))
+		}
+		booked := len(s.answer)
+		c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, err := c.net.Write(s.answer)
+		c.frontend.responseBudget.Release(booked)
+		c.frontend.open.Add(-1)
+		c.unanswered.Add(-1)
+		c.report(true)
+		if err != nil || s.msg.Close || s.answer == nil {
+			return
+		}
+	}
+}
