Give ids that are not text names of their own in the replicated state

Callers saw: nothing reported; found by asking whether one token is one name on every path. A Common Access Token's cti and a signed URL's nonce may be any bytes. Two tokens whose ids differ in bytes that are not UTF-8 had one claim, so the second rider's ride was refused 403 replayed though it never ran, and a revocation of such an id had no effect (and refused others' rides as replayed).

Cause: names are stored and sent as JSON, which replaces each such byte by U+FFFD, while Revoked looked up the bytes.

Change: Ring gives each id one text form (base64: and the bytes where the id is not UTF-8, or begins so itself), for claims, revocations, limits and the id told at issue. Ids that are text, that is all that this program issues, keep their names.

Upgrade: a claim that the build before stored under the replaced form still refuses its token, and a gateway of this build leaves a claim under that form, so that one of the build before refuses the token too. Claims of this build there are marked, and do not refuse other tokens of that form. It costs such a write two further steps.

--- a/front/signed/claim.go
+++ b/front/signed/claim.go
@@ -32,29 +32,10 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(min(remaining, f.opt.ClaimTimeout)))
 	defer cancel()
-	for _, step := range []claims.Step{{Op: claims.Hold, Owner: s.owner, Until: s.claimUntil}, {Op: claims.Send, Owner: s.owner}} {
-		r, ok, err := f.opt.Claims.Step(ctx, s.claimName, step)
-		if err != nil {
-			f.opt.Log.Warn().Err(err).Str("step", string(step.Op)).Msg("single-use token could not be claimed")
-			if !errors.Is(err, claims.ErrNotProposed) {
-				f.recordOutcome(s.claimName, claims.Step{Op: claims.Release, Owner: s.owner}) // nothing was sent, whether or not the step was applied
-			}
-			c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
-			return false
-		}
-		if !ok {
-			f.logSampled(f.opt.Log.Info(), "single-use token rejected", func(e *zerolog.Event) {
-				e.Str("claim", s.claimName).Str("stage", claimHeader(r)).Str("path", s.msg.Path)
-			})
-		}
-		if !ok && r.Pending(f.opt.Clock.Unix(), s.class.Deadline) {
-			c.fail(s, 503, "claim_pending", "the token is in use; ask again for what became of it", "Retry-After: 1\r\nX-Claim: sent\r\n")
-			return false
-		}
-		if !ok {
-			c.fail(s, 403, "replayed", replayDetail(r), "X-Claim: "+claimHeader(r)+"\r\n")
-			return false
-		}
+	hold := claims.Step{Op: claims.Hold, Owner: s.owner, Until: s.claimUntil}
+	send := claims.Step{Op: claims.Send, Owner: s.owner}
+	if !c.claimStep(ctx, s, hold) || !c.claimEarlierName(ctx, s) || !c.claimStep(ctx, s, send) {
+		return false
 	}
 	f.logSampled(f.opt.Log.Info(), "single-use token claimed", func(e *zerolog.Event) {
 		e.Str("claim", s.claimName).Str("path", s.msg.Path)
@@ -62,6 +43,46 @@
 	return true
 }
 
+// claimStep applies a step to the claim of a request's token, or answers the request if the step is not granted.
+func (c *conn) claimStep(ctx context.Context, s *slot, step claims.Step) (granted bool) {
+	r, granted, err := c.frontend.opt.Claims.Step(ctx, s.claimName, step)
+	switch {
+	case err != nil:
+		if !errors.Is(err, claims.ErrNotProposed) {
+			c.releaseClaim(s)
+		}
+		c.failUnavailable(s, step.Op, err)
+		return false
+	case !granted:
+		c.failReplayed(s, r)
+	}
+	return granted
+}
+
+// releaseClaim releases the claim of a request of which nothing was sent, whether or not its steps were applied.
+func (c *conn) releaseClaim(s *slot) {
+	c.frontend.recordOutcome(s.claimName, claims.Step{Op: claims.Release, Owner: s.owner})
+}
+
+// failUnavailable answers a request for which a step of a claim had no result.
+func (c *conn) failUnavailable(s *slot, op claims.Op, err error) {
+	c.frontend.opt.Log.Warn().Err(err).Str("step", string(op)).Msg("single-use token could not be claimed")
+	c.fail(s, 503, "no_quorum", "the token can't be checked at present", "Retry-After: 1\r\n")
+}
+
+// failReplayed answers a request whose token has the claim r of another request.
+func (c *conn) failReplayed(s *slot, r claims.Record) {
+	f := c.frontend
+	f.logSampled(f.opt.Log.Info(), "single-use token rejected", func(e *zerolog.Event) {
+		e.Str("claim", s.claimName).Str("stage", claimHeader(r)).Str("path", s.msg.Path)
+	})
+	if r.Pending(f.opt.Clock.Unix(), s.class.Deadline) {
+		c.fail(s, 503, "claim_pending", "the token is in use; ask again for what became of it", "Retry-After: 1\r\nX-Claim: sent\r\n")
+		return
+	}
+	c.fail(s, 403, "replayed", replayDetail(r), "X-Claim: "+claimHeader(r)+"\r\n")
+}
+
 // outcomeStep returns the step that records how a claimed request ended. A rejection guarantees that nothing ran, and a
 // request that was never sent has not run either: the token may be used again. A request that failed after it was sent may
 // have run.
--- a/front/signed/claim_test.go
+++ b/front/signed/claim_test.go
@@ -25,13 +25,17 @@
 	mu      sync.Mutex
 	records map[string]claims.Record
 	faults  map[claims.Op]string // "before" or "after" the step is applied; each occurs once
+	faultAt string               // name to whose steps the faults occur; "": any
 }
 
 func (b *claimStore) Step(_ context.Context, name string, s claims.Step) (claims.Record, bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	fault := b.faults[s.Op]
-	delete(b.faults, s.Op)
+	fault := ""
+	if b.faultAt == "" || b.faultAt == name {
+		fault = b.faults[s.Op]
+		delete(b.faults, s.Op)
+	}
 	if fault == "before" {
 		return claims.Record{}, false, errors.New("no leader")
 	}
@@ -72,14 +76,24 @@
 	submitted chan core.Request
 }
 
-func newGatewayPair(t *testing.T) *gatewayPair {
+// binaryID is an id that is not text, and binaryIDName and earlierBinaryIDName are the names of its token for claims.
+const (
+	binaryID            = "id \x80"
+	binaryIDName        = "k/base64:aWQggA"
+	earlierBinaryIDName = "k/id \ufffd"
+)
+
+func newGatewayPair(t *testing.T) *gatewayPair { return newGatewayPairWithID(t, "n", "k/n") }
+
+// newGatewayPairWithID starts the gateways. The token of the request has an id, and a name for claims.
+func newGatewayPairWithID(t *testing.T, id, claimName string) *gatewayPair {
 	keys, err := ring.New([]token.Key{{ID: "k", Kind: token.HMAC, Secret: base64.StdEncoding.EncodeToString([]byte(strings.Repeat("s", 32)))}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	clk := clock.Manual(1e12)
-	d := &gatewayPair{T: t, clock: clk, store: &claimStore{records: map[string]claims.Record{}, faults: map[claims.Op]string{}}, claimName: "k/n", submitted: make(chan core.Request, 16)}
-	got, err := keys.Issue("k", token.Terms{URI: "/v1/ride-end/00000000000000e1/0", Expires: 1e9 + 600, ID: "n"})
+	d := &gatewayPair{T: t, clock: clk, store: &claimStore{records: map[string]claims.Record{}, faults: map[claims.Op]string{}}, claimName: claimName, submitted: make(chan core.Request, 16)}
+	got, err := keys.Issue("k", token.Terms{URI: "/v1/ride-end/00000000000000e1/0", Expires: 1e9 + 600, ID: id})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -149,15 +163,34 @@
 // Whichever message of the claim store is lost, and however the request ends, a client that retries at either gateway gets its
 // request run at most once, and learns how it ended.
 func TestClaimRetriesRunAtMostOnce(t *testing.T) {
+	testClaimRetries(t, []claims.Op{"", claims.Hold, claims.Send, claims.Finish, claims.Release}, func(t *testing.T) *gatewayPair {
+		return newGatewayPair(t)
+	})
+}
+
+// The same holds for an id that is not text, which has an earlier name that is claimed too.
+func TestClaimRetriesOfBinaryIDRunAtMostOnce(t *testing.T) {
+	testClaimRetries(t, []claims.Op{"", claims.Hold, claims.Send, claims.Finish, claims.Release}, func(t *testing.T) *gatewayPair {
+		return newGatewayPairWithID(t, binaryID, binaryIDName)
+	})
+	testClaimRetries(t, []claims.Op{claims.Hold, claims.Send}, func(t *testing.T) *gatewayPair {
+		d := newGatewayPairWithID(t, binaryID, binaryIDName)
+		d.store.faultAt = earlierBinaryIDName
+		return d
+	})
+}
+
+// testClaimRetries loses each of the steps ops before and after it is applied, for each way in which a request may end.
+func testClaimRetries(t *testing.T, ops []claims.Op, newPair func(t *testing.T) *gatewayPair) {
 	cases := 0
-	for _, op := range []claims.Op{"", claims.Hold, claims.Send, claims.Finish, claims.Release} {
+	for _, op := range ops {
 		for _, when := range []string{"before", "after"} {
 			for name, answers := range map[string][]core.Answer{
 				"served": {served}, "rejected, then served": {rejected, served}, "failed": {failed}, "late": {timedOut}, "rejected twice": {rejected, rejected, served},
 			} {
 				cases++
 				t.Run(fmt.Sprint(op, " lost ", when, ", ", name), func(t *testing.T) {
-					d := newGatewayPair(t)
+					d := newPair(t)
 					at := 0
 					d.answer = func() core.Answer { a := answers[min(at, len(answers)-1)]; at++; return a }
 					if op != "" {
@@ -256,3 +289,40 @@
 		t.Errorf("after its end: %d %s %s", code, claim, text)
 	}
 }
+
+// A version that did not encode ids claimed a token with a binary id by a name that other tokens may share. Its claim holds after an
+// upgrade, and a claim of this version holds at a gateway of that version. Claims of this version by other tokens of the
+// earlier name reject nothing.
+func TestClaimOfEarlierVersionHolds(t *testing.T) {
+	for _, stage := range []claims.Stage{claims.Sent, claims.Ran, claims.Unconfirmed} {
+		d := newGatewayPairWithID(t, binaryID, binaryIDName)
+		d.answer = func() core.Answer { return served }
+		d.store.records[earlierBinaryIDName] = claims.Record{Owner: "EARLIERVERSION", Until: 2e12, Stage: stage}
+		code, claim, text := d.call(0)
+		d.waitIdle()
+		if code != 403 || claim != string(stage) || d.runs != 0 {
+			t.Errorf("%q: %d %q %s, %d runs", stage, code, claim, text, d.runs)
+		}
+		if got := d.store.stage(binaryIDName); got != "" {
+			t.Errorf("%q: the rejected request left a claim in stage %q", stage, got)
+		}
+	}
+
+	d := newGatewayPairWithID(t, binaryID, binaryIDName)
+	d.answer = func() core.Answer { return served }
+	d.store.records[earlierBinaryIDName] = claims.Record{Owner: encodedIDOwner + "another token", Until: 2e12, Stage: claims.Sent}
+	if code, claim, text := d.call(0); code != 200 || d.runs != 1 {
+		t.Errorf("beside another token's claim: %d %q %s, %d runs", code, claim, text, d.runs)
+	}
+
+	d = newGatewayPairWithID(t, binaryID, binaryIDName)
+	d.answer = func() core.Answer { return served }
+	if code, _, text := d.call(0); code != 200 {
+		t.Fatalf("%d %s", code, text)
+	}
+	for _, op := range []claims.Op{claims.Hold, claims.Send} {
+		if _, granted, _ := d.store.Step(t.Context(), earlierBinaryIDName, claims.Step{Op: op, Owner: "EARLIERVERSION"}); granted {
+			t.Errorf("an earlier version was granted %s after this one had claimed the token", op)
+		}
+	}
+}
--- a/front/signed/conn.go
+++ b/front/signed/conn.go
@@ -22,23 +22,24 @@
 
 // slot is one request's position in the order of responses.
 type slot struct {
-	tag            uint64
-	msg            http1.Message
-	receivedAt     float64 // when its last byte arrived, in clock ms
-	class          Class
-	claimUntil     float64         // Unix ms until which the claim of its grant must be kept
-	grantExpiresAt float64         // expiry of its grant, in clock ms; computed when the request was validated
-	claimName      string          // claim name of its grant; "": the grant permits no single use
-	tokenHeader    string          // name of the header that carried its token
-	renewable      *token.Grant    // nil: its token is not renewable
-	limitSubject   *limits.Subject // names under which it is counted in the limits; nil: it is not
-	owner          string          // owner of its claim; "": it is not claimed
-	bookedBytes    int             // bytes of its body that are booked in the frontend's budget
-	submitted      bool            // it was submitted to the core
-	canceled       *atomic.Bool    // true once its client has disconnected
-	done           bool
-	ready          chan struct{} // closed once done
-	answer         []byte        // valid once done; nil: the client has disconnected
+	tag              uint64
+	msg              http1.Message
+	receivedAt       float64 // when its last byte arrived, in clock ms
+	class            Class
+	claimUntil       float64         // Unix ms until which the claim of its grant must be kept
+	grantExpiresAt   float64         // expiry of its grant, in clock ms; computed when the request was validated
+	claimName        string          // claim name of its grant; "": the grant permits no single use
+	earlierClaimName string          // claim name of its grant in versions that did not encode ids; "": the same
+	tokenHeader      string          // name of the header that carried its token
+	renewable        *token.Grant    // nil: its token is not renewable
+	limitSubject     *limits.Subject // names under which it is counted in the limits; nil: it is not
+	owner            string          // owner of its claim; "": it is not claimed
+	bookedBytes      int             // bytes of its body that are booked in the frontend's budget
+	submitted        bool            // it was submitted to the core
+	canceled         *atomic.Bool    // true once its client has disconnected
+	done             bool
+	ready            chan struct{} // closed once done
+	answer           []byte        // valid once done; nil: the client has disconnected
 }
 
 type conn struct {
--- /dev/null
+++ b/front/signed/earlier_claim.go
@@ -0,0 +1,39 @@
+package signed
+
+import (
+	"context"
+	"strings"
+
+	"turnfork.dev/turnfork/claims"
+)
+
+// encodedIDOwner begins the owners of claims under earlier names. Owners of versions that did not encode ids never contain it.
+const encodedIDOwner = "encoded-id/"
+
+// claimEarlierName claims the name that a held token has in versions that did not encode ids, if it differs from its own: such a
+// version may have claimed the token under that name before an upgrade, or still run at another gateway during one. Other tokens
+// may have the same earlier name, so a claim of this version under it does not reject the request: the token's own name does.
+// The claim of an earlier name is never released, as another token may rely on it.
+func (c *conn) claimEarlierName(ctx context.Context, s *slot) (granted bool) {
+	if s.earlierClaimName == "" {
+		return true
+	}
+	owner := encodedIDOwner + s.owner
+	for _, step := range []claims.Step{{Op: claims.Hold, Owner: owner, Until: s.claimUntil}, {Op: claims.Send, Owner: owner}} {
+		r, granted, err := c.frontend.opt.Claims.Step(ctx, s.earlierClaimName, step)
+		switch {
+		case err != nil:
+			c.releaseClaim(s)
+			c.failUnavailable(s, step.Op, err)
+			return false
+		case granted:
+		case strings.HasPrefix(r.Owner, encodedIDOwner):
+			return true
+		default:
+			c.releaseClaim(s)
+			c.failReplayed(s, r)
+			return false
+		}
+	}
+	return true
+}
--- a/front/signed/request.go
+++ b/front/signed/request.go
@@ -173,7 +173,7 @@
 	grant := &auth.grant
 	s.tokenHeader, s.claimUntil, s.grantExpiresAt = grant.VaryHeader, auth.claimUntil(), auth.expiresAt()
 	if !grant.NoSingleUse {
-		s.claimName = grant.UseKey()
+		s.claimName, s.earlierClaimName = grant.UseKey(), grant.EarlierUseKey()
 	}
 	if grant.Renewal.Seconds > 0 {
 		s.renewable = grant
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -92,8 +92,11 @@
 // revoke revokes a token by its id.
 func (s *signedGateway) revoke(key, id string) {
 	s.t.Helper()
-	call := fmt.Sprintf(`{"key":%q,"id":%q}`, key, id)
-	if status, _, text := s.do("POST", "/-/revocations", call, "Authorization", "Bearer "+operatorSecret); status != 200 {
+	call, err := json.Marshal(map[string]string{"key": key, "id": id})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if status, _, text := s.do("POST", "/-/revocations", string(call), "Authorization", "Bearer "+operatorSecret); status != 200 {
 		s.t.Fatalf("revocation of %s: %d %s", call, status, text)
 	}
 }
--- a/token/grant.go
+++ b/token/grant.go
@@ -15,6 +15,7 @@
 	Key              string // id of the key
 	Kind             Kind
 	ID               string         // id that the token carries, otherwise a digest of the signed text. Renewal keeps it
+	EarlierID        string         // form of ID in the state of versions that did not encode ids, which other tokens may share; "": the same
 	Subject          string         // party that the token was issued to, if it states one
 	URIs             []Pattern      // at least one must match
 	RequiredPatterns []Pattern      // all must match
@@ -43,6 +44,14 @@
 // renewed from it have the same name.
 func (g Grant) UseKey() string { return g.Key + "/" + g.ID }
 
+// EarlierUseKey returns the name of the token for claims in versions that did not encode ids; "": the same as UseKey.
+func (g Grant) EarlierUseKey() string {
+	if g.EarlierID == "" {
+		return ""
+	}
+	return g.Key + "/" + g.EarlierID
+}
+
 // maxDate is the maximum absolute value of dates, in Unix seconds.
 const maxDate = 1e12
 
--- a/token/ring/ring.go
+++ b/token/ring/ring.go
@@ -101,6 +101,7 @@
 		return g, nil, err
 	}
 	g.Kind = dialect.Kind()
+	g.SetID(g.ID)
 	switch found.Source {
 	case token.InHeader:
 		g.VaryHeader = found.Name
@@ -146,7 +147,9 @@
 			return token.Issued{}, fmt.Errorf("address: %w", err)
 		}
 	}
-	return dialectOf(k.Kind).Issue(k, t)
+	issued, err := dialectOf(k.Kind).Issue(k, t)
+	issued.ID = token.TextID(issued.ID)
+	return issued, err
 }
 
 // SignClaims signs the claims of a URI Signing package unchanged, with a key of kind jws.
