--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -54,7 +54,7 @@
 	Seconds   float64    `json:"seconds"`           // validity
 	After     float64    `json:"after,omitempty"`   // s from now until it becomes valid
 	SingleUse bool       `json:"single_use"`        // gets its own id; kinds hmac and cat always have one
-	Renew     int        `json:"renew,omitempty"`   // jws: lifetime in s of a renewed token, which is sent as a cookie
+	Renew     int        `json:"renew,omitempty"`   // jws, cat: lifetime in s of a renewed token, which is sent as a cookie
 }
 
 // Issued is the response to an IssueRequest.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -172,8 +172,8 @@
 	flags.StringVar(&q.Data, "data", "", "edgeauth: data to include in the token")
 	flags.Float64Var(&q.After, "after", 0, "seconds from now until it becomes valid")
 	flags.Float64Var(&q.Seconds, "seconds", 3600, "seconds for which it is valid")
-	flags.BoolVar(&q.SingleUse, "single-use", false, "include a jti (signed URLs always have a nonce)")
-	flags.IntVar(&q.Renew, "renew", 0, "jws: lifetime in seconds of a package that is renewed by cookie; 0: none")
+	flags.BoolVar(&q.SingleUse, "single-use", false, "include a jti (kinds hmac and cat always have an id)")
+	flags.IntVar(&q.Renew, "renew", 0, "jws, cat: lifetime in seconds of a token that is renewed by cookie; 0: none")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
