--- a/front/signed/earlier_claim.go
+++ b/front/signed/earlier_claim.go
@@ -13,8 +13,9 @@
 // claimEarlierName claims the name that a held token has in versions that did not encode ids, if it differs from its own: such a
 // version may have claimed the token under that name before an upgrade, or still run at another gateway during one. Other tokens
 // may have the same earlier name, so a claim of this version under it does not reject the request: the token's own name does.
-// The claim of an earlier name is never released, as another token may rely on it.
-func (c *conn) claimEarlierName(ctx context.Context, s *slot) (granted bool) {
+// The claim of an earlier name is never released, as another token may rely on it. It reports whether the request may go on, and
+// answers it otherwise.
+func (c *conn) claimEarlierName(ctx context.Context, s *slot) bool {
 	if s.earlierClaimName == "" {
 		return true
 	}
