Do not rely on an earlier name that another token's request only holds

A token with such an id could have gone on while its earlier name was only held for another token. A hold passes on, so a gateway of the version before could have used the same token a second time in a mixed group, if the other request's gateway had died at that moment.

Change: such a request releases its claim and is answered 503 with Retry-After; its next try is served.

Test: a case in TestClaimOfEarlierVersionHolds, red before (200 at once in place of 503).

--- a/front/signed/claim_test.go
+++ b/front/signed/claim_test.go
@@ -26,6 +26,8 @@
 	records map[string]claims.Record
 	faults  map[claims.Op]string // "before" or "after" the step is applied; each occurs once
 	faultAt string               // name to whose steps the faults occur; "": any
+	// takeover is a name whose hold passes to another token's request before the first step to sent.
+	takeover string
 }
 
 func (b *claimStore) Step(_ context.Context, name string, s claims.Step) (claims.Record, bool, error) {
@@ -39,6 +41,10 @@
 	if fault == "before" {
 		return claims.Record{}, false, errors.New("no leader")
 	}
+	if b.takeover == name && s.Op == claims.Send {
+		b.takeover = ""
+		b.records[name] = claims.Record{Owner: encodedIDOwner + "another token", Until: 2e12, Stage: claims.Held}
+	}
 	old, exists := b.records[name]
 	s.At = 1e12
 	next, keep, ok := claims.Apply(old, exists, s)
@@ -315,6 +321,17 @@
 		t.Errorf("beside another token's claim: %d %q %s, %d runs", code, claim, text, d.runs)
 	}
 
+	d = newGatewayPairWithID(t, binaryID, binaryIDName)
+	d.answer = func() core.Answer { return served }
+	d.store.takeover = earlierBinaryIDName
+	if code, claim, text := d.call(0); code != 503 || d.runs != 0 {
+		t.Errorf("another token takes the earlier name over before it is sent: %d %q %s, %d runs", code, claim, text, d.runs)
+	}
+	d.waitIdle()
+	if code, _, text := d.call(1); code != 200 || d.runs != 1 {
+		t.Errorf("the client's next try: %d %s, %d runs", code, text, d.runs)
+	}
+
 	d = newGatewayPairWithID(t, binaryID, binaryIDName)
 	d.answer = func() core.Answer { return served }
 	if code, _, text := d.call(0); code != 200 {
--- a/front/signed/earlier_claim.go
+++ b/front/signed/earlier_claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 
 	"turnfork.dev/turnfork/claims"
@@ -10,6 +11,10 @@
 // encodedIDOwner begins the owners of claims under earlier names. Owners of versions that did not encode ids never contain it.
 const encodedIDOwner = "encoded-id/"
 
+// errEarlierNameHeld is the error for a token whose earlier name is being claimed for another token at the same time. Until that claim
+// is in its stage sent, it does not keep an earlier version from using the token.
+var errEarlierNameHeld = errors.New("signed: the earlier name of the token is being claimed for another token")
+
 // claimEarlierName claims the name that a held token has in versions that did not encode ids, if it differs from its own: such a
 // version may have claimed the token under that name before an upgrade, or still run at another gateway during one. Other tokens
 // may have the same earlier name, so a claim of this version under it does not reject the request: the token's own name does.
@@ -22,13 +27,17 @@
 	owner := encodedIDOwner + s.owner
 	for _, step := range []claims.Step{{Op: claims.Hold, Owner: owner, Until: s.claimUntil}, {Op: claims.Send, Owner: owner}} {
 		r, granted, err := c.frontend.opt.Claims.Step(ctx, s.earlierClaimName, step)
+		ofThisVersion := strings.HasPrefix(r.Owner, encodedIDOwner)
+		if ofThisVersion && !granted && r.Stage == claims.Held {
+			err = errEarlierNameHeld
+		}
 		switch {
 		case err != nil:
 			c.releaseClaim(s)
 			c.failUnavailable(s, step.Op, err)
 			return false
 		case granted:
-		case strings.HasPrefix(r.Owner, encodedIDOwner):
+		case ofThisVersion:
 			return true
 		default:
 			c.releaseClaim(s)
