--- a/front/signed/claim_test.go
+++ b/front/signed/claim_test.go
@@ -169,9 +169,7 @@
 // Whichever message of the claim store is lost, and however the request ends, a client that retries at either gateway gets its
 // request run at most once, and learns how it ended.
 func TestClaimRetriesRunAtMostOnce(t *testing.T) {
-	testClaimRetries(t, []claims.Op{"", claims.Hold, claims.Send, claims.Finish, claims.Release}, func(t *testing.T) *gatewayPair {
-		return newGatewayPair(t)
-	})
+	testClaimRetries(t, []claims.Op{"", claims.Hold, claims.Send, claims.Finish, claims.Release}, newGatewayPair)
 }
 
 // The same holds for an id that is not text, which has an earlier name that is claimed too.
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -92,7 +92,13 @@
 // revoke revokes a token by its id.
 func (s *signedGateway) revoke(key, id string) {
 	s.t.Helper()
-	call, err := json.Marshal(map[string]string{"key": key, "id": id})
+	s.revokeUntil(key, id, 0)
+}
+
+// revokeUntil revokes a token by its id until a time in Unix seconds.
+func (s *signedGateway) revokeUntil(key, id string, until float64) {
+	s.t.Helper()
+	call, err := json.Marshal(map[string]any{"key": key, "id": id, "until": until})
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -272,10 +278,7 @@
 		client := &renewingClient{gateway: s, cookie: cookieOf(key), token: issued.Token}
 		s.clock.Advance(590 * 1000)
 		client.renew()
-		call := fmt.Sprintf(`{"key":%q,"id":%q,"until":%d}`, key, issued.ID, int64(start/1000+600))
-		if status, _, text := s.do("POST", "/-/revocations", call, "Authorization", "Bearer "+operatorSecret); status != 200 {
-			t.Fatalf("revocation: %d %s", status, text)
-		}
+		s.revokeUntil(key, issued.ID, start/1000+600)
 		for range 5 { // the successor is valid for an hour
 			s.passTime(600)
 			if status, code, _ := client.do("GET", tile); status != 403 || code != "revoked" {
--- a/token/ring/token_names_test.go
+++ b/token/ring/token_names_test.go
@@ -1,6 +1,7 @@
 package ring
 
 import (
+	"slices"
 	"testing"
 
 	"turnfork.dev/turnfork/token"
@@ -37,6 +38,11 @@
 func TestTokenNames(t *testing.T) {
 	list := samples(t)
 	r := newRing(t, list)
+	for _, kind := range Kinds() {
+		if !slices.ContainsFunc(list, func(s sample) bool { return s.key.Kind == kind }) {
+			t.Errorf("no sample of kind %s", kind)
+		}
+	}
 	for _, s := range list {
 		for terms, issueTerms := range namedTerms(s) {
 			t.Run(string(s.key.Kind)+s.key.Alg+"/"+terms, func(t *testing.T) {
