Share the sampling of log lines that clients can cause between the frontends

Cause: the FastCGI frontend wrote a line for each rejected or malformed request, on the reader's path and under its connection's lock: the evidence has hundreds of equal lines and none of the connections that caused them. Only the signed frontend limited such lines.

--- a/front/signed/guard.go
+++ b/front/signed/guard.go
@@ -77,19 +77,12 @@
 	}
 }
 
-// logSampled writes a log line that clients can cause. It limits the lines per second of each kind, and adds the number of
-// lines that were suppressed.
+// logSampled writes a log line that clients can cause, within the limit on lines of each kind.
 func (f *Frontend) logSampled(e *zerolog.Event, kind string, addFields func(*zerolog.Event)) {
-	f.samplerMu.Lock()
-	ok, suppressed := f.sampler.Take(kind, f.opt.Clock.Now())
-	f.samplerMu.Unlock()
-	if !ok {
-		return
+	if f.logSampler.Take(e, kind) {
+		addFields(e)
+		e.Msg(kind)
 	}
-	if addFields(e); suppressed > 0 {
-		e.Int("left_out", suppressed)
-	}
-	e.Msg(kind)
 }
 
 // enterLimits counts a request in the limits of its grant, its key and its client, or rejects the request.
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,7 +75,6 @@
 	disconnectPollInterval = 20 * time.Millisecond // at which to check whether a client has disconnected whose requests are not being read
 	maxPipelined           = 4                     // requests of a connection queued behind the one that is being answered
 	maxTotalBodyBytes      = 8 << 20               // bytes of the bodies of unanswered requests, on all connections
-	maxLogsPerSecond       = 10                    // of each kind that clients can cause
 )
 
 // Frontend is the frontend of one listener.
@@ -94,9 +92,7 @@
 	cachedDate     atomic.Pointer[dateLine]
 	guard          *limits.Guard
 	limits         *limits.Limits
-
-	samplerMu sync.Mutex
-	sampler   *limits.Sampler
+	logSampler     *front.LogSampler
 }
 
 // New returns a frontend.
@@ -125,7 +121,7 @@
 		responseBudget: front.Budget{Limit: opt.MaxResponseBytes}, bodyBudget: front.Budget{Limit: maxTotalBodyBytes},
 		classes: map[string]Class{}, outcomeSlots: make(chan struct{}, maxPendingOutcomes),
 		guard: limits.NewGuard(guardOptions(opt.Guard)), limits: limits.New(opt.Limits),
-		sampler: limits.NewSampler(limits.Rate{PerSecond: maxLogsPerSecond, Burst: maxLogsPerSecond}),
+		logSampler: front.NewLogSampler(opt.Clock),
 	}
 	f.events.Post = func(ev core.Event) { f.opt.Post(ev) }
 	for _, c := range opt.Classes {
