Count every byte of a FastCGI request, and stop reading behind unread responses

What callers saw: gateways killed for their memory beside clients that sent large requests in part.

Cause: recordReader held up to 65,790 bytes of a record on each connection before any budget counted them; buffers grew to twice the counted length; END_REQUEST and other small responses were queued without a limit while their client read nothing; an aborted request stayed in the connection's list for the core with its body, which was not counted any more. One unsound request closed its connection with all others open on it. IDs and names could have any number of leading zeros and were kept as sent.

Change: stream records are handled as their content arrives, so that a connection holds its 4 KB read buffer and what the request budget counts: capacities, and 1 KB for each request's state. The last quarter of the budget is for requests of up to 4 KB. A reader waits while over 64 responses of its connection are unwritten, and ends at once when its client disconnects, also before unread bytes. Small responses share a buffer. An oversized or malformed request is answered alone (413, 431, 400). Log lines that clients cause are sampled and name connection, request and bytes.

--- a/front/fastcgi/fastcgi_test.go
+++ b/front/fastcgi/fastcgi_test.go
@@ -188,7 +188,7 @@
 // bytes of ended requests are released.
 func TestRequestBudget(t *testing.T) {
 	f := newTestFrontend(func(core.Event) {})
-	f.requestBudget.Limit = 20000
+	f.requestBudget.SetLimit(20000)
 	c := dial(f)
 	big := bytes.Repeat([]byte{'x'}, 8000)
 	for id := uint16(1); id <= 3; id++ {
--- a/front/fastcgi/handover.go
+++ b/front/fastcgi/handover.go
@@ -70,10 +70,7 @@
 			c.updateServer()
 		}
 		c.mu.Unlock()
-		select {
-		case c.wake <- struct{}{}:
-		default:
-		}
+		signal(c.wake)
 	}()
 	tcp, ok := nc.(*net.TCPConn)
 	successor := c.frontend.successor.Load()
@@ -89,11 +86,11 @@
 	// A response that is queued but not yet written must be written first: its request is no longer open here, so the new
 	// process would not know its id.
 	c.mu.Lock()
-	for end := time.Now().Add(writerWaitTimeout); (c.writing || len(c.out) > 0) && time.Now().Before(end) && !front.PeerClosed(nc); c.mu.Lock() {
+	for end := time.Now().Add(writerWaitTimeout); (c.writing || !c.out.empty()) && time.Now().Before(end) && !front.PeerClosed(nc); c.mu.Lock() {
 		c.mu.Unlock()
 		time.Sleep(handoverPollInterval)
 	}
-	if c.writing || len(c.out) > 0 || c.closed || c.closeAfterWrite {
+	if c.writing || !c.out.empty() || c.closed || c.closeAfterWrite {
 		c.mu.Unlock()
 		to.Close()
 		return nil, false
@@ -111,7 +108,7 @@
 	}
 	c.mu.Unlock()
 	// The bytes that were read after these records: a partial record and the content of the read buffer.
-	unprocessed = append(unprocessed, r.partialBytes()...)
+	unprocessed = append(unprocessed, r.unprocessed()...)
 	ahead, _ := buffered.Peek(buffered.Buffered())
 	unprocessed = append(unprocessed, ahead...)
 	if err := sendState(to, tcp, ids, unprocessed); err != nil {
@@ -149,11 +146,7 @@
 			case <-poll.C:
 			}
 		}
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for _, q := range c.open {
-			c.cancel(q)
-		}
+		c.cancelAll()
 	}()
 	return func() { close(stopped) }
 }
@@ -301,10 +294,10 @@
 	return b, err
 }
 
-// sendWithinBudget queues bytes for the writer. While the response budget is exhausted it waits, and the old process waits
+// sendWithinBudget queues bytes for the writer, with which a number of responses are complete. While the response budget is exhausted it waits, and the old process waits
 // with the rest of its response. The caller holds mu, which is released during the wait.
-func (c *conn) sendWithinBudget(b []byte) {
-	for !c.trySend(b) {
+func (c *conn) sendWithinBudget(b []byte, responses int) {
+	for !c.trySend(b, responses) {
 		c.mu.Unlock()
 		time.Sleep(handoverPollInterval)
 		c.mu.Lock()
@@ -316,22 +309,16 @@
 // response is truncated.
 func (c *conn) relayResponses() {
 	c.mu.Lock()
-	r := &recordReader{r: bufio.NewReaderSize(c.oldProcess, 4<<10)}
+	r := &recordReader{r: bufio.NewReaderSize(c.oldProcess, readBufferSize)}
 	c.mu.Unlock()
 	for {
-		rec, err := r.next()
+		part, err := r.next()
 		c.mu.Lock()
 		if err != nil {
 			break
 		}
-		if _, open := c.relayed[rec.id]; open && (rec.kind == typeStdout || rec.kind == typeEnd) {
-			c.relayed[rec.id] = true
-			c.sendWithinBudget(appendRecord(nil, rec.kind, rec.id, rec.data))
-			if _, open := c.relayed[rec.id]; open && rec.kind == typeEnd {
-				delete(c.relayed, rec.id)
-				c.frontend.open.Add(-1)
-			}
-			c.updateServer()
+		if _, open := c.relayed[part.id]; open && (part.kind == typeStdout || part.kind == typeEnd) {
+			c.relayPart(part)
 		}
 		c.mu.Unlock()
 	}
@@ -350,3 +337,18 @@
 	}
 	c.updateServer()
 }
+
+// relayPart passes a part of a response on to the client, as a record of its own. The caller holds mu.
+func (c *conn) relayPart(part recordPart) {
+	responses := 0
+	if part.kind == typeEnd {
+		responses = 1
+	}
+	c.relayed[part.id] = true
+	c.sendWithinBudget(appendRecord(nil, part.kind, part.id, part.data), responses)
+	if _, open := c.relayed[part.id]; open && part.kind == typeEnd {
+		delete(c.relayed, part.id)
+		c.frontend.open.Add(-1)
+	}
+	c.updateServer()
+}
--- a/front/signed/conn.go
+++ b/front/signed/conn.go
@@ -261,7 +261,7 @@
 			// beyond the budget. Each connection has only one such response at a time.
 			c.frontend.opt.Log.Warn().Msg("response budget exhausted; responding 502 instead")
 			s.answer = c.frontend.errorResponse(s, 502, "crowded", "too much waits to be written", "Retry-After: 1\r\n")
-			c.frontend.responseBudget.Reserve(len(s.answer))
+			c.frontend.responseBudget.ReserveBeyond(len(s.answer))
 		}
 		booked := len(s.answer)
 		c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -81,8 +81,8 @@
 type Frontend struct {
 	opt            Options
 	server         front.Server
-	responseBudget front.Budget
-	bodyBudget     front.Budget
+	responseBudget *limits.ByteBudget
+	bodyBudget     *limits.ByteBudget
 	classes        map[string]Class
 	ring           atomic.Pointer[ring.Ring]
 	policy         atomic.Pointer[Policy]
@@ -118,7 +118,7 @@
 			Max: opt.MaxConns, FirstByteTimeout: firstByteTimeout, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, RequestTimeout: requestTimeout,
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
-		responseBudget: front.Budget{Limit: opt.MaxResponseBytes}, bodyBudget: front.Budget{Limit: maxTotalBodyBytes},
+		responseBudget: limits.NewByteBudget(opt.MaxResponseBytes), bodyBudget: limits.NewByteBudget(maxTotalBodyBytes),
 		classes: map[string]Class{}, outcomeSlots: make(chan struct{}, maxPendingOutcomes),
 		guard: limits.NewGuard(guardOptions(opt.Guard)), limits: limits.New(opt.Limits),
 		logSampler: front.NewLogSampler(opt.Clock),
