Count the responses of endpoints from their announced length until they are handed on

Cause: a body was allocated at its announced length of up to 256 KB on each of up to 393 connections, and waited in the queue to the core, before the frontend's budget was asked; a stopped endpoint held it for 2 s. The writer of each connection kept up to 1 MB. With both frontends configured each had the whole of the shares.

A wait is not charged to the endpoint; one of over 2 s is a local failure. memory_limits.go divides what a process leaves over for buffers, in place of shares of the whole limit.

--- a/connection_limits.go
+++ b/connection_limits.go
@@ -1,13 +1,6 @@
 package turnfork
 
-import (
-	"math"
-	"runtime"
-	"runtime/debug"
-
-	"turnfork.dev/turnfork/adminapi"
-	"turnfork.dev/turnfork/config"
-)
+import "turnfork.dev/turnfork/adminapi"
 
 // Shares of the machine's file descriptors.
 const (
@@ -21,15 +14,6 @@
 	defaultSockets = 1024
 )
 
-// Shares of the machine's memory limit.
-const (
-	heapShare     = 0.6  // target of the garbage collector
-	responseShare = 0.15 // for buffered responses
-	requestShare  = 0.05 // for unanswered requests
-
-	bytesPerMB = 1 << 20
-)
-
 // connectionLimits are the limits on the number of connections of each kind, as each takes a descriptor.
 type connectionLimits struct{ admin, frontend, upstream int }
 
@@ -43,26 +27,3 @@
 		upstream: int(upstreamShare * rest),
 	}
 }
-
-// SetRuntimeLimits configures the Go runtime for a machine with this number of cores and this memory; 0 leaves a setting as it
-// is.
-func SetRuntimeLimits(cores float64, memoryMB int) {
-	if cores > 0 {
-		runtime.GOMAXPROCS(max(1, int(math.Round(cores))))
-	}
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(memoryMB) * bytesPerMB))
-	}
-}
-
-// setHeapLimit sets the memory limit of the Go runtime to this process's share.
-func setHeapLimit(node config.Node, processes int) {
-	if node.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(node.MemoryMB) / float64(processes) * bytesPerMB))
-	}
-}
-
-// memoryBytes returns a share of the node's memory in bytes; 0 if no memory limit is set.
-func memoryBytes(share float64, node config.Node) int64 {
-	return int64(share * float64(node.MemoryMB) * bytesPerMB)
-}
--- a/core/core.go
+++ b/core/core.go
@@ -184,6 +184,7 @@
 		c.cancelRequest(ev)
 	case AttemptResult:
 		c.handleAttemptResult(ev)
+		ev.BodyReservation.Release()
 	case CancelConfirmed:
 		c.handleCancelConfirmed(ev)
 	case BarrierResult:
--- a/core/events.go
+++ b/core/events.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/limits"
 )
 
 // Events that frontends, upstreams, discovery and the admin API post to the core. Times are in ms, of the monotonic clock
@@ -65,6 +66,10 @@
 	ETag        string
 	CreatedAt   float64 // Unix time in ms at which the origin sent the copy; 0: unknown
 	NotModified bool    // the client's copy is current
+
+	// BodyReservation holds the bytes of Body in a budget of the upstream. The core releases it once the frontend has the
+	// answer. Nil: the upstream has no budget.
+	BodyReservation *limits.Reservation
 }
 
 // CancelConfirmed reports that the endpoint has acknowledged the end of an attempt that ended Unconfirmed.
--- a/frontends.go
+++ b/frontends.go
@@ -51,8 +51,8 @@
 		MaxConns:         gw.limits.frontend,
 		Tap:              gw.connWrapper("fastcgi"),
 		RetryAfter:       retryAfter(gw.node),
-		MaxResponseBytes: memoryBytes(responseShare, gw.node),
-		MaxRequestBytes:  memoryBytes(requestShare, gw.node),
+		MaxResponseBytes: gw.memory.responses,
+		MaxRequestBytes:  gw.memory.requests,
 	})
 	gw.addrs.FastCGI, err = gw.listen(ctx, "listen", gw.node.Listen, gw.node.SocketFD, f)
 	if err != nil {
@@ -107,7 +107,7 @@
 		Limits:           operator.Limit.Options(),
 		CORS:             signed.CORS{Origins: operator.Cors.Origins, Headers: operator.Cors.Headers, MaxAge: operator.Cors.MaxAgeS},
 		RetryAfter:       retryAfter(gw.node),
-		MaxResponseBytes: memoryBytes(responseShare, gw.node),
+		MaxResponseBytes: gw.memory.responses,
 	}
 }
 
--- a/gateway.go
+++ b/gateway.go
@@ -13,6 +13,7 @@
 	"turnfork.dev/turnfork/discovery"
 	"turnfork.dev/turnfork/internal/controlplane"
 	"turnfork.dev/turnfork/internal/handover"
+	"turnfork.dev/turnfork/limits"
 	"turnfork.dev/turnfork/upstream/httpstore"
 	"turnfork.dev/turnfork/upstream/mux"
 	"turnfork.dev/turnfork/upstream/resp"
@@ -28,10 +29,13 @@
 	Config
 	node   config.Node
 	limits connectionLimits
+	memory memoryLimits
 	core   *core.Core
 	pool   *resp.Pool
 	plane  *controlplane.Plane
 
+	upstreamBudget *limits.ByteBudget // for responses of endpoints; nil: no memory limit is set
+
 	registry *handover.Registry
 	admin    *adminState
 
@@ -59,8 +63,12 @@
 		Config:         cfg,
 		node:           cfg.Node,
 		limits:         newConnectionLimits(cfg.Node.Sockets),
+		memory:         newMemoryLimits(cfg.Node, frontendCount(cfg)),
 		addressChanges: make(chan discovery.AddressChange),
 	}
+	if gw.memory.upstreamResponses > 0 {
+		gw.upstreamBudget = limits.NewByteBudget(gw.memory.upstreamResponses)
+	}
 	gw.logSettings()
 	for _, open := range []func(context.Context) error{
 		gw.openCore, gw.openSharedState, gw.openPlane, gw.openFastCGI, gw.openSigned, gw.openProcessLimits, gw.openAdminAPI,
@@ -73,6 +81,17 @@
 	return gw, nil
 }
 
+// frontendCount returns the number of frontends that a configuration has.
+func frontendCount(cfg Config) (count int) {
+	if cfg.Node.Listen != "" {
+		count++
+	}
+	if cfg.Operator != nil {
+		count++
+	}
+	return count
+}
+
 func (gw *gateway) logSettings() {
 	gw.Log.Debug().
 		Interface("settings", gw.node.Settings).
@@ -149,6 +168,7 @@
 		MaxRequestDuration:  clock.Ms(longestDeadline(gw.node)),
 		DisableHealthChecks: !gw.node.Settings.CanCheckHealth,
 		DisableCancel:       !gw.node.Settings.CanCancel,
+		ResponseBudget:      gw.upstreamBudget,
 		Clock:               gw.Clock,
 		Log:                 gw.Log,
 	}, post)
@@ -158,12 +178,13 @@
 // openHTTPEndpoints opens the upstream for HTTP endpoints.
 func (gw *gateway) openHTTPEndpoints(post func(core.Event)) *httpstore.Upstream {
 	httpUpstream := httpstore.New(httpstore.Options{
-		Endpoints:   gw.Operator.HTTPEndpoints(),
-		DialTimeout: gw.node.DialTimeoutMs,
-		IdleClose:   gw.node.IdleTimeoutMs,
-		MaxConns:    connsPerHTTPEndpoint,
-		Clock:       gw.Clock,
-		Log:         gw.Log,
+		Endpoints:      gw.Operator.HTTPEndpoints(),
+		DialTimeout:    gw.node.DialTimeoutMs,
+		IdleClose:      gw.node.IdleTimeoutMs,
+		MaxConns:       connsPerHTTPEndpoint,
+		ResponseBudget: gw.upstreamBudget,
+		Clock:          gw.Clock,
+		Log:            gw.Log,
 	}, post)
 	gw.addCloser(func() { httpUpstream.Close() })
 	return httpUpstream
@@ -215,7 +236,8 @@
 
 // setProcessCount limits this process to its share of the gateway's limits, given the number of processes.
 func (gw *gateway) setProcessCount(processes int) {
-	setHeapLimit(gw.node, processes)
+	setHeapLimit(gw.node.MemoryMB, processes)
+	gw.setUpstreamBudget(processes)
 	limits := newConnectionLimits(gw.node.Sockets / processes)
 	gw.pool.SetMaxConns(limits.upstream)
 	for _, f := range gw.frontends {
@@ -224,6 +246,13 @@
 	go gw.core.Post(core.ProcessCount{Processes: processes})
 }
 
+// setUpstreamBudget limits the responses of endpoints to this process's share of the memory.
+func (gw *gateway) setUpstreamBudget(processes int) {
+	if gw.upstreamBudget != nil {
+		gw.upstreamBudget.SetLimit(gw.memory.upstreamResponses / int64(processes))
+	}
+}
+
 // openAdminAPI listens for admin calls if an address is configured.
 func (gw *gateway) openAdminAPI(ctx context.Context) (err error) {
 	if gw.node.AdminAddr == "" {
--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -23,6 +23,7 @@
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/neterr"
+	"turnfork.dev/turnfork/limits"
 )
 
 // Endpoint is the address of an endpoint, and the signer of its requests.
@@ -34,10 +35,11 @@
 // Options configure an upstream.
 type Options struct {
 	Endpoints       map[uint32]Endpoint
-	DialTimeout     float64 // ms
-	IdleClose       float64 // ms
-	HealthCheckPath string  // path of health checks, below Base; "": Base itself
-	MaxConns        int     // to one endpoint
+	DialTimeout     float64            // ms
+	IdleClose       float64            // ms
+	HealthCheckPath string             // path of health checks, below Base; "": Base itself
+	MaxConns        int                // to one endpoint
+	ResponseBudget  *limits.ByteBudget // for the bodies of responses until the core has handed them on; nil: no limit
 	Clock           *clock.Clock
 	Log             zerolog.Logger
 	Dial            func(ctx context.Context, network, addr string) (net.Conn, error) // nil: net.Dialer
@@ -242,8 +244,14 @@
 		return result
 	}
 	defer resp.Body.Close()
+	reservation, err := u.reserveBody(ctx, resp)
+	if err != nil {
+		result.Outcome, result.Unconfirmed = control.Canceled, true
+		return result
+	}
 	body, err := readAll(resp.Body)
 	if err != nil {
+		reservation.Release()
 		result.Outcome, result.Unconfirmed = control.ServerError, true
 		if ctx.Err() != nil || neterr.IsLocal(err) {
 			result.Outcome = control.Canceled
@@ -253,7 +261,7 @@
 	result.ETag = strings.Trim(resp.Header.Get("ETag"), `"`)
 	switch {
 	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated || resp.StatusCode == http.StatusNoContent:
-		result.Outcome, result.Note, result.Body = control.OK, control.Hit, body
+		result.Outcome, result.Note, result.Body, result.BodyReservation = control.OK, control.Hit, body, reservation
 	case resp.StatusCode == http.StatusNotModified:
 		result.Outcome, result.Note, result.NotModified = control.OK, control.Hit, true
 	case resp.StatusCode == http.StatusNotFound:
@@ -264,6 +272,9 @@
 		result.Outcome = control.ServerError
 		u.opt.Log.Debug().Int("status", resp.StatusCode).Str("store", endpoint.Base).Msg("endpoint responded with an error status")
 	}
+	if result.BodyReservation == nil {
+		reservation.Release()
+	}
 	// Only a rejection (429 or 503) proves that a write has not run. A 404 does not, so it counts as a server error.
 	if s.Write && result.Outcome == control.Miss {
 		result.Outcome = control.ServerError
@@ -308,6 +319,23 @@
 	return a.body.Read(b[:min(len(b), bodyChunkSize)])
 }
 
+// reserveBody reserves the bytes of a response's body before it is read, and waits while the budget is exhausted, at most until
+// the attempt is canceled.
+func (u *Upstream) reserveBody(ctx context.Context, resp *http.Response) (*limits.Reservation, error) {
+	budget := u.opt.ResponseBudget
+	if budget == nil || resp.ContentLength == 0 {
+		return nil, nil
+	}
+	size := maxBodyBytes
+	if resp.ContentLength > 0 {
+		size = int(min(resp.ContentLength, maxBodyBytes))
+	}
+	if err := budget.Reserve(ctx, size); err != nil {
+		return nil, err
+	}
+	return limits.NewReservation(budget, size), nil
+}
+
 func readAll(r io.Reader) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, maxBodyBytes+1))
 	if err == nil && len(b) > maxBodyBytes {
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/neterr"
+	"turnfork.dev/turnfork/limits"
 )
 
 // conn is one connection. The pool's lock guards all fields except net and the buffers of the reader and writer goroutines.
@@ -54,7 +56,7 @@
 
 	maxBatch        = 16 << 10 // bytes after which no further chunk is added to a write
 	commandOverhead = 256      // bytes estimated for a queued GET without its body
-	maxKeptBuffer   = 1 << 20  // bytes, the capacity above which the write buffer is released
+	maxKeptBuffer   = maxBatch // bytes, the capacity above which the write buffer is released
 
 	maxBarriers = 4 // PINGs behind DROPs in flight on a connection
 
@@ -445,9 +447,28 @@
 // time in deadline. An idle connection has no limit.
 type responseReader struct {
 	net      net.Conn
+	pool     *Pool
 	deadline time.Time // zero: no response has begun
 }
 
+// reserve reserves the bytes of a body, and waits while the budget is exhausted. The endpoint is not charged for that wait: the
+// time limit of the response starts again after it.
+func (p *responseReader) reserve(bytes int) (*limits.Reservation, error) {
+	budget := p.pool.opt.ResponseBudget
+	if budget == nil || bytes == 0 {
+		return nil, nil
+	}
+	if !budget.TryReserve(bytes) {
+		ctx, cancel := context.WithTimeoutCause(p.pool.ctx, responseTimeout, errResponseBudget)
+		defer cancel()
+		if err := budget.Reserve(ctx, bytes); err != nil {
+			return nil, err
+		}
+		p.deadline = time.Now().Add(responseTimeout)
+	}
+	return limits.NewReservation(budget, bytes), nil
+}
+
 // Read reads the available bytes. Within a response it fails with a timeout if the next bytes do not arrive in time.
 func (p *responseReader) Read(b []byte) (int, error) {
 	deadline := p.deadline
@@ -462,7 +483,7 @@
 func (c *conn) readLoop() {
 	p := c.pool
 	defer p.wg.Done()
-	in := &responseReader{net: c.net}
+	in := &responseReader{net: c.net, pool: p}
 	r := bufio.NewReaderSize(in, readBufferSize)
 	var err error
 	for err == nil {
@@ -472,10 +493,14 @@
 		}
 		in.deadline = time.Now().Add(responseTimeout)
 		var a response
-		if a, err = readResponse(r); err == nil {
+		if a, err = readResponse(r, in.reserve); err == nil {
 			var ev core.Event
 			var confirmed []core.AttemptKey
-			if ev, confirmed, err = c.handleResponse(a); ev != nil {
+			ev, confirmed, err = c.handleResponse(a)
+			if result, ok := ev.(core.AttemptResult); !ok || result.BodyReservation == nil {
+				a.reservation.Release() // the body is not passed on
+			}
+			if ev != nil {
 				p.post(ev)
 			}
 			for _, k := range confirmed {
@@ -525,7 +550,7 @@
 // were not sent, and of those that may have run. A failure local to this host, or a client's cancellation in the middle of
 // writing its request, is not counted against the endpoint.
 func (c *conn) closeOutcomes(readErr error) (notSent, mayHaveRun control.Outcome) {
-	if neterr.IsLocal(readErr) || neterr.IsLocal(c.writeErr) || errors.Is(c.writeErr, errClientCanceled) {
+	if neterr.IsLocal(readErr) || errors.Is(readErr, errResponseBudget) || neterr.IsLocal(c.writeErr) || errors.Is(c.writeErr, errClientCanceled) {
 		return control.LocalFailure, control.Canceled
 	}
 	return control.ConnectFailed, control.ConnectionLost
@@ -580,6 +605,7 @@
 	ev, _ := p.endAttempt(t, res).(core.AttemptResult)
 	ev.Note, ev.QueueDelay, ev.Load = notes[a.fields.get("why")], a.fields.number("lag"), a.fields.load()
 	ev.ETag, ev.CreatedAt, ev.Body, ev.NotModified = a.fields.get("tag"), a.fields.number("minted"), a.body, a.status == "NOMOD"
+	ev.BodyReservation = a.reservation
 	return ev, nil, nil
 }
 
--- a/upstream/resp/parse.go
+++ b/upstream/resp/parse.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/limits"
 )
 
 // Limits of a response.
@@ -26,13 +27,23 @@
 
 // response is one response of an endpoint.
 type response struct {
-	id, status string
-	fields     fields
-	body       []byte
+	id, status  string
+	fields      fields
+	body        []byte
+	reservation *limits.Reservation // of the body
 }
 
-// readResponse reads one RESP array of bulk strings. It checks lengths before it allocates.
-func readResponse(r *bufio.Reader) (a response, err error) {
+// reserveFunc reserves the bytes of a body before it is read. It may wait.
+type reserveFunc func(bytes int) (*limits.Reservation, error)
+
+// readResponse reads one RESP array of bulk strings. It checks lengths before it allocates, and reserves the bytes of the body.
+// After an error, nothing stays reserved.
+func readResponse(r *bufio.Reader, reserve reserveFunc) (a response, err error) {
+	defer func() {
+		if err != nil {
+			a.reservation.Release()
+		}
+	}()
 	n, err := readLength(r, '*')
 	if err != nil {
 		return a, err
@@ -41,11 +52,21 @@
 		return a, fmt.Errorf("%w: array of %d elements", errMalformed, n)
 	}
 	for i := range n {
+		isBody := i == elementsWithBody-1
 		limit := maxElementBytes
-		if i == elementsWithBody-1 {
+		if isBody {
 			limit = maxBodyBytes
 		}
-		b, err := readBulk(r, limit)
+		size, err := readBulkLength(r, limit)
+		if err != nil {
+			return a, unexpectedEOF(err)
+		}
+		if isBody {
+			if a.reservation, err = reserve(size); err != nil {
+				return a, err
+			}
+		}
+		b, err := readBulk(r, size)
 		if err != nil {
 			return a, unexpectedEOF(err)
 		}
@@ -89,14 +110,20 @@
 	return int(n), nil
 }
 
-func readBulk(r *bufio.Reader, limit int) ([]byte, error) {
+// readBulkLength reads the length of a bulk string, which must be at most limit.
+func readBulkLength(r *bufio.Reader, limit int) (int, error) {
 	n, err := readLength(r, '$')
 	if err != nil {
-		return nil, err
+		return 0, err
 	}
 	if n > limit {
-		return nil, fmt.Errorf("%w: element of %d bytes, limit %d", errMalformed, n, limit)
+		return 0, fmt.Errorf("%w: element of %d bytes, limit %d", errMalformed, n, limit)
 	}
+	return n, nil
+}
+
+// readBulk reads the n bytes of a bulk string.
+func readBulk(r *bufio.Reader, n int) ([]byte, error) {
 	b := make([]byte, n)
 	if _, err := io.ReadFull(r, b); err != nil {
 		return nil, unexpectedEOF(err)
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -16,18 +16,20 @@
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/neterr"
+	"turnfork.dev/turnfork/limits"
 )
 
 // Options set the limits of an upstream.
 type Options struct {
-	DialTimeout         float64 // ms
-	IdleClose           float64 // ms after which endpoints close idle connections; the pool closes them somewhat earlier
-	HealthCheckTimeout  float64 // ms, of health checks and PINGs
-	MaxAttemptsPerConn  int     // maximum number of attempts in flight on one connection
-	MaxConns            int     // to all endpoints together
-	MaxRequestDuration  float64 // ms, the maximum duration of a request
-	DisableHealthChecks bool    // health checks are disabled, and with them PINGs: only time resolves an unconfirmed cancellation
-	DisableCancel       bool    // cancellation is disabled: no DROP is sent, and a canceled attempt runs to its end at the endpoint
+	DialTimeout         float64            // ms
+	IdleClose           float64            // ms after which endpoints close idle connections; the pool closes them somewhat earlier
+	HealthCheckTimeout  float64            // ms, of health checks and PINGs
+	MaxAttemptsPerConn  int                // maximum number of attempts in flight on one connection
+	MaxConns            int                // to all endpoints together
+	MaxRequestDuration  float64            // ms, the maximum duration of a request
+	DisableHealthChecks bool               // health checks are disabled, and with them PINGs: only time resolves an unconfirmed cancellation
+	DisableCancel       bool               // cancellation is disabled: no DROP is sent, and a canceled attempt runs to its end at the endpoint
+	ResponseBudget      *limits.ByteBudget // for the bodies of responses until the core has handed them on; nil: no limit
 	Clock               *clock.Clock
 	Log                 zerolog.Logger
 	Dial                func(ctx context.Context, network, addr string) (net.Conn, error) // nil: net.Dialer
@@ -71,6 +73,7 @@
 
 var (
 	errEndpointRemoved = errors.New("endpoint was removed from the endpoint list")
+	errResponseBudget  = errors.New("no memory for a response was released in time")
 	errClientCanceled  = errors.New("client canceled the request while it was being written")
 	errDeadlinePassed  = fmt.Errorf("%w: deadline passed before it was sent to the endpoint", errClientCanceled)
 )
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -18,6 +18,7 @@
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/fakestore"
+	"turnfork.dev/turnfork/limits"
 )
 
 // testPool is a pool with fake endpoints, and a record of its events.
@@ -304,7 +305,7 @@
 	f.Add([]byte("*4\r\n$1\r\na\r\n$3\r\nACK\r\n$1\r\n-\r\n$999999999\r\n"))
 	f.Add([]byte("*-1\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		a, err := readResponse(bufio.NewReader(bytes.NewReader(b)))
+		a, err := readResponse(bufio.NewReader(bytes.NewReader(b)), func(int) (*limits.Reservation, error) { return nil, nil })
 		if err == nil && (len(a.body) > len(b) || len(a.id) > len(b)) {
 			t.Errorf("response is longer than its input: %+v", a)
 		}
