Don't let test clients reuse connections that the gateway closes as idle

Cause: TestClaimOutlivesRenewedTokens and TestRevocationOutlivesRenewedTokens failed at times, as a POST ended in EOF or a reset. HTTP clients repeat a GET then, not a POST.

Evidence: the new debug line 'connection closed' of the signed frontend: 3 of 24 cases under the race detector, eight processes at a time, failed, each with cause 'idle timeout', open 0 and the port of the failed request in the same moment; no request line of the core for it. So no request was read and lost: a close that crosses a request is the client's to repeat (RFC 9112, 9.3.1), as the signed frontend's idle timeout has always been. Nothing of the program is at fault, and none of it changes but the line.

Change: in tests that advance the clock over the idle timeout each request has a connection of its own (also TestRideEndRunsOnce, by reading); no assertion changes. Both frontends log the cause of each close at level debug, after the close, so that the line does not widen the moment in which requests cross it.

--- a/front/fastcgi/conn.go
+++ b/front/fastcgi/conn.go
@@ -82,7 +82,7 @@
 
 // read is the reader goroutine.
 func (c *conn) read(in io.Reader) {
-	defer c.shutdown()
+	defer close(c.ended)
 	buffered := bufio.NewReaderSize(in, readBufferSize)
 	r := &recordReader{r: buffered}
 	for {
@@ -97,34 +97,36 @@
 				buffered = bufio.NewReaderSize(next, readBufferSize) // the new process continues the partial record
 				r = &recordReader{r: buffered}
 			} else if buffered.Buffered() == 0 && c.shouldClose(r.atBoundary()) {
-				c.logClose(c.serverConn.CloseCause(), nil)
+				open := c.shutdown() // at once, as bytes that arrive from now on are lost
+				c.logClose(c.serverConn.CloseCause(), nil, open)
 				return
 			}
 			continue
 		}
 		if err != nil {
-			c.logReadError(err)
+			open := c.shutdown()
+			c.logReadError(err, open)
 			return
 		}
 	}
 }
 
-// logReadError logs why the reader has ended.
-func (c *conn) logReadError(err error) {
+// logReadError logs why the reader has ended, with the number of requests that were open.
+func (c *conn) logReadError(err error, open int) {
 	if !errors.Is(err, errRecord) {
-		c.logClose("client", err)
+		c.logClose("client", err, open)
 		return
 	}
 	f := c.frontend
 	f.logSampled(f.opt.Log.Warn(), "malformed FastCGI record; closing connection", func(e *zerolog.Event) {
-		e.Err(err).Stringer("from", c.serverConn.RemoteAddr()).Int("open", c.openRequests())
+		e.Err(err).Stringer("from", c.serverConn.RemoteAddr()).Int("open", open)
 	})
 }
 
-// logClose logs the end of the connection at level debug.
-func (c *conn) logClose(cause string, err error) {
+// logClose logs the end of the connection at level debug, with the number of requests that were open.
+func (c *conn) logClose(cause string, err error, open int) {
 	if e := c.frontend.opt.Log.Debug(); e.Enabled() {
-		e.Err(err).Str("cause", cause).Stringer("from", c.serverConn.RemoteAddr()).Int("open", c.openRequests()).Msg("connection closed")
+		e.Err(err).Str("cause", cause).Stringer("from", c.serverConn.RemoteAddr()).Int("open", open).Msg("connection closed")
 	}
 }
 
@@ -143,8 +145,8 @@
 	return c.serverConn.ShouldClosePartial()
 }
 
-// shutdown closes the connection and cancels its open requests.
-func (c *conn) shutdown() {
+// shutdown closes the connection and cancels its open requests, whose number it returns.
+func (c *conn) shutdown() (open int) {
 	f := c.frontend
 	c.mu.Lock()
 	c.closed = true
@@ -152,6 +154,7 @@
 	if c.oldProcess != nil {
 		c.oldProcess.Close()
 	}
+	open = len(c.open) + len(c.relayed)
 	f.open.Add(-int64(len(c.relayed)))
 	c.relayed = nil
 	for _, q := range c.open {
@@ -164,7 +167,7 @@
 	c.open = map[uint16]*request{}
 	c.unsubmitted = nil
 	c.mu.Unlock()
-	close(c.ended)
+	return open
 }
 
 // cancel marks a request as canceled by its client. From then on it is not sent to an endpoint, wherever it is queued.
--- a/front/signed/conn.go
+++ b/front/signed/conn.go
@@ -52,8 +52,9 @@
 	clientAddr netip.Addr // address of the client
 	source     string     // key under which its failures are counted
 
-	lingering  bool         // no further request is read; used by the reader only
-	unanswered atomic.Int64 // complete or malformed requests whose response is not yet written
+	lingering      bool         // no further request is read; used by the reader only
+	closedByServer bool         // the server has the connection closed; used by the reader only
+	unanswered     atomic.Int64 // complete or malformed requests whose response is not yet written
 
 	mu              sync.Mutex
 	disconnected    bool             // the client no longer reads
@@ -148,6 +149,7 @@
 		}
 		r.conn.net.SetReadDeadline(time.Time{}) // before ShouldClose, so that no later interruption is lost
 		if r.conn.serverConn.ShouldClose() {
+			r.conn.closedByServer = true
 			return n, err
 		}
 	}
@@ -181,9 +183,6 @@
 
 // disconnect closes a connection whose client no longer reads, and cancels its open requests.
 func (c *conn) disconnect(err error) {
-	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		c.frontend.opt.Log.Debug().Err(err).Msg("connection ended")
-	}
 	c.net.Close()
 	c.mu.Lock()
 	c.disconnected = true
@@ -202,6 +201,20 @@
 	for _, tag := range submitted {
 		c.frontend.events.Push(core.CancelRequest{Frontend: c, RequestTag: tag})
 	}
+	c.logClose(err)
+}
+
+// logClose logs the end of the connection at level debug.
+func (c *conn) logClose(err error) {
+	e := c.frontend.opt.Log.Debug()
+	if !e.Enabled() {
+		return
+	}
+	cause := "client"
+	if c.closedByServer {
+		cause = c.serverConn.CloseCause()
+	}
+	e.Err(err).Str("cause", cause).Stringer("from", c.net.RemoteAddr()).Int64("open", c.unanswered.Load()).Msg("connection closed")
 }
 
 // enqueue appends a request to the order of responses, and reports false if the client has disconnected. It guards against
--- a/renewed_token_test.go
+++ b/renewed_token_test.go
@@ -16,6 +16,14 @@
 	"turnfork.dev/turnfork/token/jws"
 )
 
+// newAgingGateway starts a gateway whose clock the test advances by more than the idle timeout of connections. Its clients use a
+// connection for each request: a request on an idle connection would cross the gateway's close of it and stay unanswered.
+func newAgingGateway(t *testing.T) *signedGateway {
+	s := newSignedGateway(t, nil)
+	s.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return s
+}
+
 // renewingClient is a client with a token in a cookie, which it replaces by each successor that the gateway sends.
 type renewingClient struct {
 	gateway *signedGateway
@@ -32,7 +40,7 @@
 		c.gateway.t.Fatal(err)
 	}
 	req.AddCookie(&http.Cookie{Name: c.cookie, Value: c.token})
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := c.gateway.client.Do(req)
 	if err != nil {
 		c.gateway.t.Fatal(err)
 	}
@@ -224,7 +232,7 @@
 		{"cat without cti", "access", ""}, {"cat with cti", "access", "c"}, {"jws with jti", "pack", "j"},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			s := newSignedGateway(t, nil)
+			s := newAgingGateway(t)
 			client := &renewingClient{gateway: s, cookie: cookieOf(x.key), token: s.issueCovering(x.key, x.id).Token}
 			if status, code, _ := client.do("POST", rideEnd); status != 200 {
 				t.Fatalf("the ride: %d %q", status, code)
@@ -250,7 +258,7 @@
 
 // A renewed token can be used once until a day after the first token's end, as claims are kept until then. Reads go on.
 func TestSingleUseOfRenewedTokenEnds(t *testing.T) {
-	s := newSignedGateway(t, nil)
+	s := newAgingGateway(t)
 	early := &renewingClient{gateway: s, cookie: cat.Param, token: s.issueCovering("access", "early").Token}
 	late := &renewingClient{gateway: s, cookie: cat.Param, token: s.issueCovering("access", "late").Token}
 	for range 24 {
@@ -273,7 +281,7 @@
 // told at issue ended none of those.
 func TestRevocationOutlivesRenewedTokens(t *testing.T) {
 	for _, key := range []string{"access", "pack"} {
-		s := newSignedGateway(t, nil)
+		s := newAgingGateway(t)
 		issued := s.issueCovering(key, "n")
 		client := &renewingClient{gateway: s, cookie: cookieOf(key), token: issued.Token}
 		s.clock.Advance(590 * 1000)
--- a/signed_test.go
+++ b/signed_test.go
@@ -36,6 +36,7 @@
 	endpoint *fakestore.Endpoint
 	ring     *ring.Ring
 	addr     string
+	client   *http.Client
 	runs     atomic.Int64 // number of ride-end requests that the endpoint received
 	stop     func()
 }
@@ -52,7 +53,7 @@
 // newSignedGatewayWith is newSignedGateway with further sections of the operator's file.
 func newSignedGatewayWith(t testing.TB, sections string, handle func(fakestore.Command) (string, string, []byte, bool)) *signedGateway {
 	t.Helper()
-	s := &signedGateway{t: t, clock: clock.Manual(start)}
+	s := &signedGateway{t: t, clock: clock.Manual(start), client: http.DefaultClient}
 	var err error
 	s.endpoint, err = fakestore.Listen("127.0.0.1:0", func(c fakestore.Command) (string, string, []byte, bool) {
 		if c.Fields["lane"] == "ride-end" {
@@ -129,7 +130,7 @@
 	for i := 0; i+1 < len(head); i += 2 {
 		req.Header.Set(head[i], head[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
 		return 0, err.Error(), ""
 	}
@@ -225,7 +226,7 @@
 }
 
 func TestRideEndRunsOnce(t *testing.T) {
-	s := newSignedGateway(t, nil)
+	s := newAgingGateway(t)
 	u := s.url(rideEnd, 60, "once")
 	s.expect("GET of a write", 405, "method", "GET", u)
 	var wg sync.WaitGroup
