Reserve the signed frontend's heads, bodies and waiting responses as they come

Cause: heads were never counted; a body was allocated at its announced length and counted once it was whole; a response that waited behind an unread one was counted when it was written, so that five of 240 KB for each connection stood outside the budget.

Change: http1.Read reserves memory with the bytes that come (Options.Reserve) and grows a body's buffer with them; without memory it is answered 503 crowded. A response is reserved when the core answers, before its body is copied, and released when it is written or dropped. MaxRequestBytes, a share of the node's memory, takes the place of a constant of 8 MB. Two more log lines are sampled. readBody is split by job.

TestMemoryIsReservedWithTheBytes can't be run before (no hook).

--- a/adminapi/server.go
+++ b/adminapi/server.go
@@ -99,7 +99,9 @@
 	deadline := time.Now().Add(readTimeout)
 	nc.SetReadDeadline(deadline)
 	r := bufio.NewReaderSize(requestReader{nc, conn, deadline}, 1<<10)
-	message, err := http1.Read(r, maxBodyLen, func() { nc.Write([]byte(continueResponse)) })
+	message, err := http1.Read(r, http1.Options{
+		MaxBodyBytes: maxBodyLen, SendContinue: func() { nc.Write([]byte(continueResponse)) },
+	})
 	if malformed, ok := http1.AsBadMessage(err); ok {
 		s.opt.Log.Warn().Int("status", malformed.Status).Str("reason", malformed.Detail).Msg("admin request malformed")
 		return errorResponse(malformed.Status, "malformed", malformed.Detail, "")
--- a/front/signed/conn.go
+++ b/front/signed/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
@@ -34,12 +35,13 @@
 	renewable        *token.Grant    // nil: its token is not renewable
 	limitSubject     *limits.Subject // names under which it is counted in the limits; nil: it is not
 	owner            string          // owner of its claim; "": it is not claimed
-	bookedBytes      int             // bytes of its body that are booked in the frontend's budget
+	reservedBytes    int             // bytes of the request that are reserved in the frontend's request budget
 	submitted        bool            // it was submitted to the core
 	canceled         *atomic.Bool    // true once its client has disconnected
 	done             bool
 	ready            chan struct{} // closed once done
 	answer           []byte        // valid once done; nil: the client has disconnected
+	answerReserved   int           // bytes of the answer that are reserved in the frontend's response budget
 }
 
 type conn struct {
@@ -89,23 +91,23 @@
 			return
 		}
 		c.setRequestDeadline(c.frontend.opt.Clock.Now() + requestTimeout)
-		m, err := http1.Read(r, maxBodyBytes, c.sendContinue)
+		s := &slot{ready: make(chan struct{})}
+		var err error
+		s.msg, err = http1.Read(r, http1.Options{
+			MaxBodyBytes: maxBodyBytes, SendContinue: c.sendContinue, Reserve: func(n int) bool { return c.frontend.reserveRequest(s, n) },
+		})
 		c.unanswered.Add(1) // before the report by setRequestDeadline: an unanswered request keeps the connection open
 		c.setRequestDeadline(0)
-		s := &slot{msg: m, receivedAt: c.serverConn.ArrivedAt(), ready: make(chan struct{})}
+		s.receivedAt = c.serverConn.ArrivedAt()
 		if b, ok := http1.AsBadMessage(err); ok {
-			c.frontend.guard.Failed(c.source, c.frontend.opt.Clock.Now())
-			c.frontend.logSampled(c.frontend.opt.Log.Warn(), "request can't be read", func(e *zerolog.Event) {
-				e.Int("status", b.Status).Str("what", b.Detail).Str("from", c.source)
-			})
-			s.msg.Close = true
 			c.frontend.open.Add(1)
-			s.finish(c.frontend.errorResponse(s, b.Status, "malformed", b.Detail, ""))
+			c.rejectUnread(s, b)
 			c.enqueue(s)
 			c.linger(r)
 			return
 		}
 		if err != nil {
+			c.frontend.requestBudget.Release(s.reservedBytes)
 			c.disconnect(err)
 			return
 		}
@@ -126,6 +128,21 @@
 	}
 }
 
+// rejectUnread answers a request that can't be read, after which the connection is closed.
+func (c *conn) rejectUnread(s *slot, b *http1.BadMessage) {
+	f := c.frontend
+	s.msg.Close = true
+	if b.Status == http.StatusServiceUnavailable {
+		c.finish(s, f.errorResponse(s, b.Status, "crowded", b.Detail, "Retry-After: 1\r\n"))
+		return
+	}
+	f.guard.Failed(c.source, f.opt.Clock.Now())
+	f.logSampled(f.opt.Log.Warn(), "request can't be read", func(e *zerolog.Event) {
+		e.Int("status", b.Status).Str("what", b.Detail).Str("from", c.source)
+	})
+	c.finish(s, f.errorResponse(s, b.Status, "malformed", b.Detail, ""))
+}
+
 // setRequestDeadline reports to the server that an incomplete request must be complete by a time, or with 0 that there is none.
 func (c *conn) setRequestDeadline(until float64) {
 	c.mu.Lock()
@@ -188,7 +205,7 @@
 	c.disconnected = true
 	var submitted []uint64
 	for tag, s := range c.open {
-		s.finish(nil)
+		c.finish(s, nil)
 		s.canceled.Store(true)
 		if s.submitted {
 			submitted = append(submitted, tag)
@@ -232,25 +249,39 @@
 			}
 		case <-c.writerDone:
 		}
-		c.frontend.open.Add(-1)
+		c.frontend.release(s)
 		return false
 	}
 }
 
-// finish sets the response of a slot, unless it has one.
-func (s *slot) finish(b []byte) {
-	if !s.done {
-		s.done = true
-		s.answer = b
-		close(s.ready)
+// finish sets the response of a slot, unless it has one, and reserves its bytes in the response budget. nil: it gets none, as the
+// client has disconnected.
+func (c *conn) finish(s *slot, b []byte) {
+	if s.done {
+		return
 	}
+	if b != nil {
+		b = c.frontend.reserveResponse(s, b)
+	}
+	s.done = true
+	s.answer = b
+	close(s.ready)
 }
 
 // reply answers a request without the core.
 func (c *conn) reply(s *slot, b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.finish(b)
+	c.finish(s, b)
+}
+
+// release releases what a slot holds, once its response is written or dropped.
+func (f *Frontend) release(s *slot) {
+	f.releaseLimits(s)
+	f.requestBudget.Release(s.reservedBytes)
+	f.responseBudget.Release(s.answerReserved)
+	s.reservedBytes, s.answerReserved = 0, 0
+	f.open.Add(-1)
 }
 
 // write writes the responses in the order of the requests. It runs in the writer goroutine.
@@ -260,30 +291,19 @@
 		close(c.writerDone)
 		for s := range c.queue { // the reader cancels open requests, which completes these slots too
 			<-s.ready
-			c.frontend.releaseLimits(s)
-			c.frontend.bodyBudget.Release(s.bookedBytes)
-			c.frontend.open.Add(-1)
+			c.frontend.release(s)
 		}
 	}()
 	for s := range c.queue {
 		<-s.ready
-		c.frontend.bodyBudget.Release(s.bookedBytes)
 		c.frontend.releaseLimits(s)
-		if s.answer != nil && !c.frontend.responseBudget.TryReserve(len(s.answer)) {
-			// A client must not lose its connection because others leave too much unread, so it gets a small error response
-			// beyond the budget. Each connection has only one such response at a time.
-			c.frontend.opt.Log.Warn().Msg("response budget exhausted; responding 502 instead")
-			s.answer = c.frontend.errorResponse(s, 502, "crowded", "too much waits to be written", "Retry-After: 1\r\n")
-			c.frontend.responseBudget.ReserveBeyond(len(s.answer))
-		}
-		booked := len(s.answer)
 		c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 		_, err := c.net.Write(s.answer)
-		c.frontend.responseBudget.Release(booked)
-		c.frontend.open.Add(-1)
+		last := err != nil || s.msg.Close || s.answer == nil
+		c.frontend.release(s)
 		c.unanswered.Add(-1)
 		c.report(true)
-		if err != nil || s.msg.Close || s.answer == nil {
+		if last {
 			return
 		}
 	}
--- a/front/signed/request.go
+++ b/front/signed/request.go
@@ -160,11 +160,6 @@
 	if !c.enterLimits(s, &auth.grant) {
 		return request, false
 	}
-	if !f.bodyBudget.TryReserve(len(m.Body)) {
-		c.fail(s, 503, "crowded", "too many bytes of requests in hand", "Retry-After: 1\r\n")
-		return request, false
-	}
-	s.bookedBytes = len(m.Body)
 	return request, true
 }
 
@@ -224,7 +219,7 @@
 	s.submitted = !c.disconnected && !disconnected
 	if !s.submitted {
 		delete(c.open, s.tag)
-		s.finish(nil)
+		c.finish(s, nil)
 	}
 	owner, submitted := s.owner, s.submitted
 	c.mu.Unlock()
--- a/front/signed/response.go
+++ b/front/signed/response.go
@@ -1,9 +1,11 @@
 package signed
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 
+	"github.com/rs/zerolog"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/http1"
 	"turnfork.dev/turnfork/token"
@@ -22,10 +24,62 @@
 		c.frontend.recordOutcome(s.claimName, outcomeStep(s, a))
 	}
 	if !s.done {
-		s.finish(c.frontend.buildResponse(s, a))
+		c.answer(s, a)
 	}
 }
 
+// answer sets the response for a final answer. The body is not copied if the response budget has no room for it.
+func (c *conn) answer(s *slot, a core.Answer) {
+	f := c.frontend
+	if !f.responseBudget.TryReserve(len(a.Body)) {
+		c.finish(s, f.crowdedResponse(s))
+		return
+	}
+	response := f.buildResponse(s, a)
+	f.responseBudget.Release(len(a.Body))
+	c.finish(s, response)
+}
+
+// reserveResponse reserves the bytes of a response, or returns an error response in its stead. A client must not lose its
+// connection because others leave too much unread, so small responses are reserved beyond the budget; each connection has at
+// most maxPipelined and two of them at a time.
+func (f *Frontend) reserveResponse(s *slot, b []byte) []byte {
+	switch {
+	case f.responseBudget.TryReserve(len(b)):
+	case len(b) > smallResponse:
+		b = f.crowdedResponse(s)
+		fallthrough
+	default:
+		f.responseBudget.ReserveBeyond(len(b))
+	}
+	s.answerReserved = len(b)
+	return b
+}
+
+// crowdedResponse returns the response in place of one for which the response budget has no room.
+func (f *Frontend) crowdedResponse(s *slot) []byte {
+	f.logSampled(f.opt.Log.Warn(), "response budget exhausted; responding 502 instead", func(e *zerolog.Event) {
+		e.Str("path", s.msg.Path).Int64("all_bytes", f.responseBudget.Reserved())
+	})
+	return f.errorResponse(s, http.StatusBadGateway, "crowded", "too much waits to be written", "Retry-After: 1\r\n")
+}
+
+// reserveRequest reserves n more bytes of a request that is being read. It returns false if the request budget has no room.
+func (f *Frontend) reserveRequest(s *slot, n int) bool {
+	share := 1.0
+	if s.reservedBytes+n > smallRequest {
+		share = largeRequestShare
+	}
+	if !f.requestBudget.TryReserveShare(n, share) {
+		f.logSampled(f.opt.Log.Warn(), "request budget exhausted; responding 503", func(e *zerolog.Event) {
+			e.Int("bytes", s.reservedBytes+n).Int64("all_bytes", f.requestBudget.Reserved())
+		})
+		return false
+	}
+	s.reservedBytes += n
+	return true
+}
+
 // buildResponse maps a final answer to a response.
 func (f *Frontend) buildResponse(s *slot, a core.Answer) []byte {
 	head := ""
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -60,6 +60,7 @@
 	Guard            limits.GuardOptions // the zero value: limits.DefaultGuard
 	RetryAfter       float64             // retry delay, in ms, for requests that a drain rejects; 0: the minimum of 1 s
 	MaxResponseBytes int64               // limit of buffered responses, in bytes; 0: 24 MB
+	MaxRequestBytes  int64               // limit of the heads and bodies of unanswered requests, in bytes; 0: 8 MB
 	ClaimTimeout     float64             // timeout of a claim, in ms; 0: 1000
 	Tap              func(net.Conn) net.Conn
 }
@@ -74,7 +75,9 @@
 	writeTimeout           = 5 * time.Second
 	disconnectPollInterval = 20 * time.Millisecond // at which to check whether a client has disconnected whose requests are not being read
 	maxPipelined           = 4                     // requests of a connection queued behind the one that is being answered
-	maxTotalBodyBytes      = 8 << 20               // bytes of the bodies of unanswered requests, on all connections
+	smallRequest           = 4 << 10               // bytes; up to this size a request may use the whole of the request budget
+	largeRequestShare      = 0.75                  // of the request budget, for the larger ones: they must not keep out the small ones
+	smallResponse          = 1 << 10               // bytes; up to this size a response is kept even if the response budget is exhausted
 )
 
 // Frontend is the frontend of one listener.
@@ -82,7 +85,7 @@
 	opt            Options
 	server         front.Server
 	responseBudget *limits.ByteBudget
-	bodyBudget     *limits.ByteBudget
+	requestBudget  *limits.ByteBudget
 	classes        map[string]Class
 	ring           atomic.Pointer[ring.Ring]
 	policy         atomic.Pointer[Policy]
@@ -103,6 +106,9 @@
 	if opt.MaxResponseBytes <= 0 {
 		opt.MaxResponseBytes = 24 << 20
 	}
+	if opt.MaxRequestBytes <= 0 {
+		opt.MaxRequestBytes = 8 << 20
+	}
 	if opt.ClaimTimeout <= 0 {
 		opt.ClaimTimeout = 1000
 	}
@@ -118,7 +124,7 @@
 			Max: opt.MaxConns, FirstByteTimeout: firstByteTimeout, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, RequestTimeout: requestTimeout,
 			Clock: opt.Clock, Log: opt.Log, Tap: opt.Tap,
 		},
-		responseBudget: limits.NewByteBudget(opt.MaxResponseBytes), bodyBudget: limits.NewByteBudget(maxTotalBodyBytes),
+		responseBudget: limits.NewByteBudget(opt.MaxResponseBytes), requestBudget: limits.NewByteBudget(opt.MaxRequestBytes),
 		classes: map[string]Class{}, outcomeSlots: make(chan struct{}, maxPendingOutcomes),
 		guard: limits.NewGuard(guardOptions(opt.Guard)), limits: limits.New(opt.Limits),
 		logSampler: front.NewLogSampler(opt.Clock),
@@ -165,5 +171,5 @@
 func (f *Frontend) SetProcessShare(processes, conns int) {
 	f.server.SetMaxConns(conns)
 	f.responseBudget.SetLimit(f.opt.MaxResponseBytes / int64(processes))
-	f.bodyBudget.SetLimit(maxTotalBodyBytes / int64(processes))
+	f.requestBudget.SetLimit(f.opt.MaxRequestBytes / int64(processes))
 }
--- a/frontends.go
+++ b/frontends.go
@@ -108,6 +108,7 @@
 		CORS:             signed.CORS{Origins: operator.Cors.Origins, Headers: operator.Cors.Headers, MaxAge: operator.Cors.MaxAgeS},
 		RetryAfter:       retryAfter(gw.node),
 		MaxResponseBytes: gw.memory.responses,
+		MaxRequestBytes:  gw.memory.requests,
 	}
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -20,6 +20,32 @@
 	maxChunkLineBytes = 128 // of the line that states the size of a chunk
 )
 
+const (
+	headerOverhead = 96      // bytes reserved for each header beside its text
+	minBodyBuffer  = 4 << 10 // bytes, the first size of a body's buffer; it grows with the bytes that arrive
+)
+
+// Options determine how a request is read.
+type Options struct {
+	MaxBodyBytes int
+	SendContinue func() // called before a body is read that the client holds back until 100 Continue
+
+	// Reserve reserves memory for the request before its bytes are read, and reports false if there is none; then the request is
+	// rejected with the status 503. What was reserved stays so when Read returns. Nil: there is no limit.
+	Reserve func(bytes int) bool
+}
+
+// errNoMemory is the error of a request for which no memory could be reserved.
+var errNoMemory = badMessage(503, "too many bytes of requests in hand")
+
+// reserve reserves memory for the request.
+func (o *Options) reserve(bytes int) error {
+	if o.Reserve != nil && !o.Reserve(bytes) {
+		return errNoMemory
+	}
+	return nil
+}
+
 // Message is one HTTP/1.1 request.
 type Message struct {
 	Method, Path, Query, Host string
@@ -41,13 +67,16 @@
 
 // readLine reads a line of at most maxBytes and removes its CR LF. A longer line is rejected with the status tooLong. A line with
 // a bare CR or a NUL is rejected: parsers that treat it differently would see different requests.
-func readLine(r *bufio.Reader, maxBytes int, tooLong int) (string, error) {
+func readLine(r *bufio.Reader, opt *Options, maxBytes int, tooLong int) (string, error) {
 	var line []byte
 	for {
 		part, err := r.ReadSlice('\n')
 		if len(line)+len(part) > maxBytes {
 			return "", badMessage(tooLong, "a line is too long")
 		}
+		if err := opt.reserve(len(part)); err != nil {
+			return "", err
+		}
 		line = append(line, part...)
 		if err == bufio.ErrBufferFull {
 			continue
@@ -70,11 +99,11 @@
 	return text, nil
 }
 
-// Read reads one request. It calls sendContinue before it reads a body that the client holds back until 100 Continue.
-func Read(r *bufio.Reader, maxBodyBytes int, sendContinue func()) (m Message, err error) {
-	line, err := readLine(r, maxLineBytes, 414)
+// Read reads one request. It returns a BadMessage if the request is malformed or too large, or if no memory can be reserved for it.
+func Read(r *bufio.Reader, opt Options) (m Message, err error) {
+	line, err := readLine(r, &opt, maxLineBytes, 414)
 	if err == nil && line == "" { // one empty line before a request is skipped (RFC 9112, 2.2)
-		line, err = readLine(r, maxLineBytes, 414)
+		line, err = readLine(r, &opt, maxLineBytes, 414)
 	}
 	if err != nil {
 		return m, err
@@ -96,7 +125,7 @@
 	if err := m.parseTarget(parts[1]); err != nil {
 		return m, err
 	}
-	if err := m.readHeaders(r); err != nil {
+	if err := m.readHeaders(r, &opt); err != nil {
 		return m, unexpectedEOF(err)
 	}
 	if parts[2] == "HTTP/1.1" && m.Host == "" {
@@ -110,7 +139,7 @@
 			m.Close = m.Close && parts[2] != "HTTP/1.0"
 		}
 	}
-	return m, unexpectedEOF(m.readBody(r, maxBodyBytes, sendContinue))
+	return m, unexpectedEOF(m.readBody(r, &opt))
 }
 
 func unexpectedEOF(err error) error {
@@ -140,14 +169,17 @@
 	return nil
 }
 
-func (m *Message) readHeaders(r *bufio.Reader) error {
+func (m *Message) readHeaders(r *bufio.Reader, opt *Options) error {
 	m.Header = map[string]string{}
 	remaining := maxHeaderBytes
 	for n := 0; ; n++ {
-		line, err := readLine(r, min(maxLineBytes, remaining+2), 431)
+		line, err := readLine(r, opt, min(maxLineBytes, remaining+2), 431)
 		if err != nil || line == "" {
 			return err
 		}
+		if err := opt.reserve(headerOverhead); err != nil {
+			return err
+		}
 		if remaining -= len(line) + 2; remaining < 0 || n >= maxHeaders {
 			return badMessage(431, "the headers are too large")
 		}
@@ -178,38 +210,65 @@
 	}
 }
 
-func (m *Message) readBody(r *bufio.Reader, maxBodyBytes int, sendContinue func()) error {
+func (m *Message) readBody(r *bufio.Reader, opt *Options) error {
 	length, hasLength := m.Header["content-length"]
 	coding, hasCoding := m.Header["transfer-encoding"]
-	if hasLength && hasCoding { // request smuggling (RFC 9112, 11.2)
+	switch {
+	case hasLength && hasCoding: // request smuggling (RFC 9112, 11.2)
 		return badMessage(400, "both Content-Length and Transfer-Encoding")
-	}
-	if hasCoding && !strings.EqualFold(coding, "chunked") {
+	case hasCoding && !strings.EqualFold(coding, "chunked"):
 		return badMessage(501, "only chunked is understood")
-	}
-	if !hasLength && !hasCoding {
+	case hasCoding:
+		m.sendContinue(opt)
+		return m.readChunks(r, opt)
+	case !hasLength:
 		return nil
 	}
-	n := uint64(0)
-	if hasLength {
-		var err error
-		if n, err = strconv.ParseUint(length, 10, 63); err != nil || length[0] == '+' {
-			return badMessage(400, "the Content-Length can't be read")
-		}
-		if n > uint64(maxBodyBytes) {
-			return badMessage(413, "the body is too large")
-		}
+	n, err := strconv.ParseUint(length, 10, 63)
+	if err != nil || length[0] == '+' {
+		return badMessage(400, "the Content-Length can't be read")
+	}
+	if n > uint64(opt.MaxBodyBytes) {
+		return badMessage(413, "the body is too large")
+	}
+	if n > 0 {
+		m.sendContinue(opt)
 	}
-	if strings.EqualFold(m.Header["expect"], "100-continue") && (hasCoding || n > 0) {
-		sendContinue()
+	return m.appendBody(r, opt, int(n), int(n))
+}
+
+// sendContinue has the client send the body if it holds it back.
+func (m *Message) sendContinue(opt *Options) {
+	if strings.EqualFold(m.Header["expect"], "100-continue") {
+		opt.SendContinue()
 	}
-	if hasLength {
-		m.Body = make([]byte, n)
-		_, err := io.ReadFull(r, m.Body)
-		return err
+}
+
+// appendBody reads n bytes and appends them to the body, which has maxBytes at most. Its buffer grows with the bytes that arrive:
+// an announced body that does not come takes no memory.
+func (m *Message) appendBody(r *bufio.Reader, opt *Options, n, maxBytes int) error {
+	for n > 0 {
+		if len(m.Body) == cap(m.Body) {
+			size := min(max(minBodyBuffer, 2*cap(m.Body)), maxBytes)
+			if err := opt.reserve(size - cap(m.Body)); err != nil {
+				return err
+			}
+			m.Body = append(make([]byte, 0, size), m.Body...)
+		}
+		free := m.Body[len(m.Body):cap(m.Body)]
+		read, err := r.Read(free[:min(n, len(free))])
+		m.Body = m.Body[:len(m.Body)+read]
+		if n -= read; err != nil && n > 0 {
+			return err
+		}
 	}
+	return nil
+}
+
+// readChunks reads a chunked body and its trailers, which are ignored.
+func (m *Message) readChunks(r *bufio.Reader, opt *Options) error {
 	for {
-		line, err := readLine(r, maxChunkLineBytes, 400)
+		line, err := readLine(r, opt, maxChunkLineBytes, 400)
 		if err != nil {
 			return err
 		}
@@ -219,25 +278,28 @@
 			return badMessage(400, "a chunk's size can't be read")
 		}
 		if n == 0 {
-			break
+			return readTrailers(r, opt)
 		}
-		if n > uint64(maxBodyBytes-len(m.Body)) {
+		if n > uint64(opt.MaxBodyBytes-len(m.Body)) {
 			return badMessage(413, "the body is too large")
 		}
-		at := len(m.Body)
-		m.Body = append(m.Body, make([]byte, n)...)
-		if _, err := io.ReadFull(r, m.Body[at:]); err != nil {
+		if err := m.appendBody(r, opt, int(n), opt.MaxBodyBytes); err != nil {
 			return err
 		}
-		if end, err := readLine(r, maxChunkLineBytes, 400); err != nil || end != "" {
-			if err == nil {
-				err = badMessage(400, "a chunk does not end where it says")
-			}
+		end, err := readLine(r, opt, maxChunkLineBytes, 400)
+		if err == nil && end != "" {
+			err = badMessage(400, "a chunk does not end where it says")
+		}
+		if err != nil {
 			return err
 		}
 	}
-	for n := 0; ; n++ { // trailers are read and ignored
-		line, err := readLine(r, maxLineBytes, 431)
+}
+
+// readTrailers reads the trailers of a chunked body.
+func readTrailers(r *bufio.Reader, opt *Options) error {
+	for n := 0; ; n++ {
+		line, err := readLine(r, opt, maxLineBytes, 431)
 		if err != nil || line == "" {
 			return err
 		}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"strings"
 	"testing"
 )
@@ -16,9 +17,9 @@
 	f.Fuzz(func(t *testing.T, in string) {
 		const next = "NEXT"
 		smallBuffer := bufio.NewReaderSize(strings.NewReader(in+next), 16)
-		m, err := Read(smallBuffer, 100, func() {})
+		m, err := Read(smallBuffer, Options{MaxBodyBytes: 100, SendContinue: func() {}})
 		largeBuffer := bufio.NewReaderSize(strings.NewReader(in+next), 64<<10)
-		m2, err2 := Read(largeBuffer, 100, func() {})
+		m2, err2 := Read(largeBuffer, Options{MaxBodyBytes: 100, SendContinue: func() {}})
 		if (err == nil) != (err2 == nil) || string(m.Body) != string(m2.Body) || m.Path != m2.Path || m.Close != m2.Close {
 			t.Fatalf("small buffer: %+v, %v; large buffer: %+v, %v", m, err, m2, err2)
 		}
@@ -35,11 +36,68 @@
 	r := bufio.NewReader(strings.NewReader("POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nExpect: 100-continue\r\n\r\n" +
 		"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: v\r\n\r\nGET /next HTTP/1.1\r\nHost: a\r\n\r\n"))
 	continued := 0
-	m, err := Read(r, 5, func() { continued++ })
+	m, err := Read(r, Options{MaxBodyBytes: 5, SendContinue: func() { continued++ }})
 	if err != nil || string(m.Body) != "abcde" || continued != 1 {
 		t.Errorf("%q, %v, 100 Continue was sent %d times", m.Body, err, continued)
 	}
-	if m, err = Read(r, 5, func() {}); err != nil || m.Path != "/next" {
+	if m, err = Read(r, Options{MaxBodyBytes: 5, SendContinue: func() {}}); err != nil || m.Path != "/next" {
 		t.Errorf("%+v %v", m, err)
 	}
 }
+
+// Guards against memory for a request that is not reserved before its bytes come: what was reserved must cover what the request
+// holds at each of its bytes, and a request for which nothing can be reserved must be rejected at once.
+func TestMemoryIsReservedWithTheBytes(t *testing.T) {
+	long := strings.Repeat("x", 7000)
+	for name, text := range map[string]string{
+		"long target":  "GET /" + long + " HTTP/1.1\r\nHost: a\r\n\r\n",
+		"many headers": "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: b\r\n", 60) + "\r\n",
+		"long headers": "GET / HTTP/1.1\r\nHost: a\r\nA: " + long + "\r\nB: " + long + "\r\n\r\n",
+		"body":         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("x", 40000),
+		"chunks":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("3E8\r\n"+strings.Repeat("x", 1000)+"\r\n", 40) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := &countedReader{r: strings.NewReader(text)}
+			reserved, ahead := 0, 0
+			r := bufio.NewReaderSize(in, 512)
+			m, err := Read(r, Options{MaxBodyBytes: 48000, Reserve: func(n int) bool {
+				reserved += n
+				ahead = max(ahead, reserved-2*in.n)
+				return true
+			}})
+			if err != nil || reserved < in.n-512-len("GET / HTTP/1.1\r\n") || reserved < cap(m.Body) {
+				t.Errorf("%v, %d bytes are reserved for %d, the body's buffer has %d", err, reserved, in.n, cap(m.Body))
+			}
+			if ahead > minBodyBuffer+maxHeaders*headerOverhead {
+				t.Errorf("%d bytes are reserved beyond twice those that have come", ahead)
+			}
+			in = &countedReader{r: strings.NewReader(text)}
+			granted := 0
+			_, err = Read(bufio.NewReaderSize(in, 512), Options{MaxBodyBytes: 48000, Reserve: func(n int) bool {
+				if granted+n > len(text)/2 {
+					return false
+				}
+				granted += n
+				return true
+			}})
+			if b, ok := AsBadMessage(err); !ok || b.Status != 503 {
+				t.Errorf("no memory: %v", err)
+			}
+			if in.n > granted+2*512 {
+				t.Errorf("%d bytes were read with memory for %d", in.n, granted)
+			}
+		})
+	}
+}
+
+// countedReader counts the bytes that are read.
+type countedReader struct {
+	r io.Reader
+	n int
+}
+
+func (c *countedReader) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.n += n
+	return n, err
+}
