Remove the timers of requests that have ended, and bound a client's deadline by its class

Cause: a timer stayed in the heap until it was due, with its attempt and all of the request; X-Ttl-Ms was taken as it came, up to 1e12 ms. The longest deadline ever told also decided, in the controller, which requests of the class count as short of time.

Change: the core removes obsolete timers whenever their number has doubled; a request's time is bounded by the deadline of its class, as the signed frontend has it.

--- a/control/controller.go
+++ b/control/controller.go
@@ -187,6 +187,11 @@
 
 func timerToken(id RequestID, kind uint64) uint64 { return uint64(id)<<timerKindBits | kind }
 
+// RequestOfTimer returns the request that a timer's token belongs to. ok is false if it belongs to none.
+func RequestOfTimer(token uint64) (id RequestID, ok bool) {
+	return RequestID(token >> timerKindBits), token&timerKindMask != timerTick
+}
+
 // DeadlineReached returns the event that the deadline of a request is reached, which ends the request at
 // once.
 func DeadlineReached(id RequestID) TimerFired {
--- a/core/core.go
+++ b/core/core.go
@@ -62,10 +62,11 @@
 	adminEvents chan Event // handled before events
 	stopped     chan struct{}
 
-	timers        timerHeap
-	actions       []control.Action // buffer, reused for each call of the controller
-	pendingEvents []control.Event  // passed to the controller after the current actions are carried out
-	dispatching   bool             // notifyController is running
+	timers          timerHeap
+	compactedTimers int              // number of timers after the last removal of obsolete ones
+	actions         []control.Action // buffer, reused for each call of the controller
+	pendingEvents   []control.Event  // passed to the controller after the current actions are carried out
+	dispatching     bool             // notifyController is running
 
 	// A request is in requests and byTxn until it is answered, all its attempts have ended, and the end of the last one
 	// is confirmed or its grace period is over. It is in byTag until it is answered.
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -91,6 +91,9 @@
 	if !r.idempotentByKey {
 		r.IdempotencyKey = ""
 	}
+	if class.Deadline > 0 { // no client of the class waits longer, so a longer time is a client's fault
+		r.Remaining = min(r.Remaining, clock.Ms(class.Deadline))
+	}
 	c.requests[r.id] = r
 	c.byTag[tag] = r
 	c.byTxn[r.Txn] = r
--- a/core/timers.go
+++ b/core/timers.go
@@ -2,14 +2,19 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
 
-// Timers: a heap ordered by due time; the loop in core.go calls Tick to fire those that are due. Timers are not removed
-// before they are due; when one fires, its handler checks whether it still applies.
+// Timers: a heap ordered by due time; the loop in core.go calls Tick to fire those that are due. When one fires, its handler
+// checks whether it still applies. Timers of requests that have ended are removed whenever the heap has doubled: it would
+// otherwise grow with the rate of requests times the longest deadline, and hold all of them in memory.
+
+// minCompactTimers is the number of timers up to which none is removed before it is due.
+const minCompactTimers = 1024
 
 // timerKind is the purpose of a timer.
 type timerKind uint8
@@ -30,7 +35,32 @@
 }
 
 // schedule adds a timer.
-func (c *Core) schedule(t timer) { heap.Push(&c.timers, t) }
+func (c *Core) schedule(t timer) {
+	if len(c.timers) >= max(minCompactTimers, 2*c.compactedTimers) {
+		c.compactTimers()
+	}
+	heap.Push(&c.timers, t)
+}
+
+// compactTimers removes the timers that no longer apply.
+func (c *Core) compactTimers() {
+	c.timers = slices.DeleteFunc(c.timers, c.isObsolete)
+	heap.Init(&c.timers)
+	c.compactedTimers = len(c.timers)
+}
+
+// isObsolete reports whether a timer has no effect any more when it fires.
+func (c *Core) isObsolete(t timer) bool {
+	switch t.kind {
+	case controllerTimer:
+		id, ofRequest := control.RequestOfTimer(t.token)
+		return ofRequest && c.requests[id] == nil
+	case cancelGraceTimer:
+		return c.requests[t.attempt.key.ID] == nil
+	default:
+		return t.attempt.ended
+	}
+}
 
 // untilNextTimer returns the time until the next timer is due, or maxTimerWait if there is none.
 func (c *Core) untilNextTimer() time.Duration {
