Keep a request's ID in use while it may run, also at the other process of an upgrade

Cause: the core forgot an ID 40 ms after the end of its last attempt, whether or not the endpoint had confirmed that it had read the cancellation, and whether or not the request may run a second time. The processes of a gateway knew nothing of each other's IDs.

Change: an ID stays in use while an attempt of it may still be at an endpoint, until that confirms the end or the deadline that it was told has passed, and for 30 s where the request must not run twice and may have run; a request that comes with it is answered 503, or as failed where it may have run. The table is bounded; while it is full, no further request that must not run twice is accepted. Processes that share a listening socket share a table of claimed IDs: a file of 512 KB mapped by both, changed by atomic operations, with claims that expire by the system's monotonic clock, so that a killed process leaves none for long. Its space is allocated at once, so that a full disk is an error at the start, not a crash later. New debug line: duplicate request.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -22,6 +22,7 @@
 		endpoint:  uint32(action.To),
 		startedAt: c.now(),
 	}
+	a.deadline = attemptDeadline(a, action)
 	r.attempts = append(r.attempts, a)
 	r.openAttempts++
 	if r.Canceled.Load() || r.authorizationExpired(c.now()) {
@@ -63,7 +64,7 @@
 		CacheRank:      action.CacheRank,
 		JoinFill:       action.JoinFill,
 		CachedOnly:     action.CachedOnly,
-		Deadline:       attemptDeadline(a, action),
+		Deadline:       a.deadline,
 		MaxAge:         c.maxCopyAge(r, clock.Ms(action.MaxAge)),
 		ClientETag:     r.ClientETag,
 		Body:           r.Body,
--- a/core/cancellation.go
+++ b/core/cancellation.go
@@ -41,7 +41,7 @@
 // resumes, even if the key has expired there by then. A connection that the endpoint closed ended all the attempts on
 // it at the endpoint, and the grace period covers data that was still in transit.
 func (c *Core) recordUnconfirmedCancel(r *request, a *attempt, outcome control.Outcome) {
-	a.needsBarrier = true
+	a.needsBarrier, a.mayStillRun = true, true
 	r.unconfirmedCancel = unconfirmedCancel{
 		key:        a.key,
 		endedAt:    c.now(),
@@ -90,6 +90,9 @@
 func (c *Core) handleBarrierResult(ev BarrierResult) {
 	for _, key := range ev.Keys {
 		r := c.requests[key.ID]
+		if r == nil && !ev.NoResponse {
+			c.confirmRetired(key)
+		}
 		if r == nil || key.Number >= len(r.attempts) || !r.attempts[key.Number].needsBarrier {
 			continue
 		}
@@ -97,7 +100,7 @@
 		last := r.lastAttempt()
 		c.traceBarrier(r, key, ev.NoResponse)
 		if !ev.NoResponse {
-			canceled.needsBarrier = false
+			canceled.needsBarrier, canceled.mayStillRun = false, false
 			c.startDeferred(last)
 		} else if last.deferred != nil && last.endpoint == canceled.endpoint {
 			c.cancelDeferred(last)
@@ -109,10 +112,12 @@
 func (c *Core) handleCancelConfirmed(ev CancelConfirmed) {
 	r := c.requests[ev.ID]
 	if r == nil {
+		c.confirmRetired(ev.AttemptKey)
 		return
 	}
 	if ev.Number < len(r.attempts) {
-		r.attempts[ev.Number].needsBarrier = false
+		a := r.attempts[ev.Number]
+		a.needsBarrier, a.mayStillRun = false, false
 	}
 	if r.lastAttempt().deferred != nil && r.unconfirmedCancel.key == ev.AttemptKey {
 		c.stats.CancelConfirmed++
--- a/core/core.go
+++ b/core/core.go
@@ -44,6 +44,10 @@
 	// are selected by a hash of their ID, so gateways with the same share trace the same requests.
 	TraceShare float64
 
+	// SharedIDs holds the request IDs in use at the gateway's processes while one replaces the other. Nil: there is only this
+	// process.
+	SharedIDs SharedIDs
+
 	// MaxCopyAge returns the maximum age of copies that may be served, or 0 for no limit. The limit applies while purges
 	// may have been missed. It must be safe for concurrent use. Nil: there is never a limit.
 	MaxCopyAge func() time.Duration
@@ -74,6 +78,7 @@
 	byTxn    map[string]*request
 	byTag    map[frontendTag]*request
 	lastID   control.RequestID
+	retired  retiredIDs
 
 	healthChecks map[uint32]float64 // endpoint to the time at which its pending health check was sent, in ms
 	stats        Stats
@@ -118,6 +123,7 @@
 		byTxn:        map[string]*request{},
 		byTag:        map[frontendTag]*request{},
 		healthChecks: map[uint32]float64{},
+		retired:      newRetiredIDs(),
 	}
 	for i, name := range opt.Classes {
 		c.classes[name] = i
--- a/core/ingress.go
+++ b/core/ingress.go
@@ -40,9 +40,15 @@
 		c.respondDuplicate(req, other)
 		return
 	}
+	if id := c.retired.get(hashID(req.Txn), c.now()); id != nil {
+		c.answerDuplicate(req, id.mayHaveRun)
+		return
+	}
 	if answer, ok := c.validate(req); !ok {
-		c.countVerdict(answer.Verdict)
-		req.Frontend.Answer(req.RequestTag, answer)
+		c.answerUnaccepted(req, answer)
+		return
+	}
+	if !c.claimSharedID(req) {
 		return
 	}
 	r := c.register(req, tag)
@@ -67,7 +73,8 @@
 	if !ok {
 		return Answer{Verdict: Failed, Reason: UnknownClass}, false
 	}
-	if len(c.requests) >= c.opt.MaxOpen {
+	unsafe := c.opt.Settings.Classes[class].Idempotency != control.Idempotent
+	if len(c.requests) >= c.opt.MaxOpen || unsafe && c.retired.full() {
 		return Answer{Verdict: Rejected, Reason: Overloaded, RetryAfter: overloadedRetryAfterMs}, false
 	}
 	// Without a key, endpoints could not distinguish a retry of the request from a new request.
@@ -117,13 +124,24 @@
 	})
 }
 
-// respondDuplicate answers a request that has the same ID as an open one. A rejection guarantees that a retry is harmless,
-// which is not the case if the open request may have run and must not run twice: then the answer is a failure.
+// respondDuplicate answers a request that has the same ID as an open one.
 func (c *Core) respondDuplicate(req Request, open *request) {
+	c.answerDuplicate(req, open.nonIdempotent && !open.idempotentByKey && open.mayHaveRun())
+}
+
+// answerDuplicate answers a request whose ID is in use. A rejection guarantees that a retry is harmless, which is not the case if
+// the earlier request may have run and must not run twice: then the answer is a failure.
+func (c *Core) answerDuplicate(req Request, mayHaveRun bool) {
 	answer := Answer{Verdict: Rejected, Reason: DuplicateID, RetryAfter: duplicateRetryAfterMs}
-	if open.nonIdempotent && !open.idempotentByKey && open.mayHaveRun() {
+	if mayHaveRun {
 		answer = Answer{Verdict: Failed, Reason: DuplicateID, MayHaveRun: true}
 	}
+	c.traceDuplicate(req, answer)
+	c.answerUnaccepted(req, answer)
+}
+
+// answerUnaccepted answers a request that is not added to the table.
+func (c *Core) answerUnaccepted(req Request, answer Answer) {
 	c.countVerdict(answer.Verdict)
 	req.Frontend.Answer(req.RequestTag, answer)
 }
--- a/core/requests.go
+++ b/core/requests.go
@@ -24,6 +24,7 @@
 	nonIdempotent   bool // it must not run twice; also set for keyed requests
 	idempotentByKey bool // within the deduplication window, endpoints ignore a retry with the same idempotency key
 	answered        bool // the final answer was given, or the client has disconnected and gets none
+	rejected        bool // the final answer was that a retry is harmless
 	sampled         bool // it is traced at level info
 	attempts        []*attempt
 	openAttempts    int // attempts without a result
@@ -47,6 +48,9 @@
 	// needsBarrier is set when the attempt ended without confirmation from its endpoint, and cleared once that endpoint has
 	// answered a barrier ping or acknowledged the end. Until then no further attempt is sent to that endpoint.
 	needsBarrier bool
+
+	deadline    float64 // ms; the endpoint was told that nobody waits for the attempt after it
+	mayStillRun bool    // it ended without confirmation from its endpoint, which may still process it
 }
 
 // authorizationExpired reports whether the request may no longer be forwarded.
@@ -88,4 +92,5 @@
 	}
 	delete(c.requests, r.id)
 	delete(c.byTxn, r.Txn)
+	c.retire(r)
 }
--- a/core/respond.go
+++ b/core/respond.go
@@ -48,7 +48,7 @@
 
 // respond sends the final answer to a request. The caller has checked that the request is unanswered.
 func (c *Core) respond(r *request, answer Answer) {
-	answer.MayHaveRun = r.mayHaveRun()
+	answer.MayHaveRun, r.rejected = r.mayHaveRun(), answer.Verdict == Rejected
 	c.countVerdict(answer.Verdict)
 	c.traceResponse(r, answer)
 	r.Frontend.Answer(r.RequestTag, answer)
--- a/core/trace.go
+++ b/core/trace.go
@@ -75,6 +75,13 @@
 		Msg("request received")
 }
 
+// traceDuplicate logs a request that was not accepted because its ID is in use.
+func (c *Core) traceDuplicate(req Request, answer Answer) {
+	if c.tracesAll() {
+		c.opt.Log.Debug().Str("request_id", req.Txn).Str("class", req.Class).Stringer("verdict", answer.Verdict).Msg("duplicate request")
+	}
+}
+
 // traceAttemptStarted logs the start of an attempt, and whether it is deferred until the previous one's cancellation is
 // confirmed.
 func (c *Core) traceAttemptStarted(r *request, a *attempt, action control.Attempt) {
--- a/gateway.go
+++ b/gateway.go
@@ -36,8 +36,9 @@
 
 	upstreamBudget *limits.ByteBudget // for responses of endpoints; nil: no memory limit is set
 
-	registry *handover.Registry
-	admin    *adminState
+	registry   *handover.Registry
+	requestIDs *handover.RequestIDs // nil: not shared with other processes
+	admin      *adminState
 
 	frontends      []frontend
 	listeners      []net.Listener // of the frontends, in the same order
@@ -71,7 +72,7 @@
 	}
 	gw.logSettings()
 	for _, open := range []func(context.Context) error{
-		gw.openCore, gw.openSharedState, gw.openPlane, gw.openFastCGI, gw.openSigned, gw.openProcessLimits, gw.openAdminAPI,
+		gw.openSharedFolder, gw.openCore, gw.openSharedState, gw.openPlane, gw.openFastCGI, gw.openSigned, gw.openProcessLimits, gw.openAdminAPI,
 	} {
 		if err := open(ctx); err != nil {
 			gw.close()
@@ -154,6 +155,9 @@
 	if gw.Operator != nil {
 		options.TraceShare = gw.Operator.TraceShare
 	}
+	if gw.requestIDs != nil {
+		options.SharedIDs = gw.requestIDs
+	}
 	return options
 }
 
@@ -190,15 +194,35 @@
 	return httpUpstream
 }
 
-// openSharedState registers this process with its siblings, applies the stored overrides, and passes the events of the
-// configuration to the core.
-func (gw *gateway) openSharedState(context.Context) error {
+// openSharedFolder registers this process with its siblings in the folder that they share.
+func (gw *gateway) openSharedFolder(context.Context) error {
 	suffix := ""
 	if gw.Operator != nil {
 		suffix = "_" + gw.Operator.Listen
 	}
 	gw.registry = openRegistry(gw.SharedDir, gw.files, gw.node, suffix, gw.Log)
 	gw.addCloser(func() { gw.registry.Close() })
+	gw.openRequestIDs()
+	return nil
+}
+
+// openRequestIDs opens the table of the request IDs that this process shares with its siblings. Only processes that share an
+// inherited listening socket serve side by side.
+func (gw *gateway) openRequestIDs() {
+	if gw.registry == nil || gw.node.SocketFD == 0 {
+		return
+	}
+	ids, err := gw.registry.OpenRequestIDs()
+	if err != nil {
+		gw.Log.Error().Err(err).Msg("request IDs can't be shared")
+		return
+	}
+	gw.requestIDs = ids
+	gw.addCloser(func() { ids.Close() })
+}
+
+// openSharedState applies the stored overrides, and passes the events of the configuration to the core.
+func (gw *gateway) openSharedState(context.Context) error {
 	gw.admin = newAdminState(gw.core, gw.registry, gw.Log)
 	if gw.node.DiscoveryAddr != "" {
 		gw.admin.markNotReady(endpointsUnsynced)
