Bound the IDs that connections to endpoints keep, over all connections

Change: at most 16,384 on all connections; beyond that a connection takes no new attempts and needs no IDs. A connection that drains or has ended forgets its own.

TestRetiredIDsAreBounded; go test -race ./upstream/resp passes.

--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -52,6 +52,7 @@
 
 const (
 	maxRetiredIDs = 4096    // IDs that cannot be reused yet; a connection with more takes no new attempts
+	maxPoolIDs    = 16384   // the same, on all connections together
 	retiredIDTTL  = 10000.0 // ms until an ID can be reused, unless requests may last longer
 
 	maxBatch        = 16 << 10 // bytes after which no further chunk is added to a write
@@ -90,13 +91,33 @@
 	return c.pool.opt.IdleClose > 0 && c.pool.now()-c.lastUse > idleCloseFraction*c.pool.opt.IdleClose
 }
 
-// retireID keeps an ID from being reused on this connection until forgetExpiredIDs deletes it.
+// retireID keeps an ID from being reused on this connection until forgetExpiredIDs deletes it. If there are too many such IDs, the
+// connection takes no new attempts, which makes all of its IDs unnecessary.
 func (c *conn) retireID(wireID string) {
-	if len(c.retiredIDs) < maxRetiredIDs {
-		c.retiredIDs[wireID] = c.pool.now()
-	} else {
-		c.draining = true
+	p := c.pool
+	if c.draining || c.broken {
+		return
+	}
+	if _, retired := c.retiredIDs[wireID]; !retired {
+		if len(c.retiredIDs) >= maxRetiredIDs || p.retiredIDs >= maxPoolIDs {
+			c.drain()
+			return
+		}
+		p.retiredIDs++
 	}
+	c.retiredIDs[wireID] = p.now()
+}
+
+// drain has the connection take no new attempts. It is closed when its attempts have ended.
+func (c *conn) drain() {
+	c.draining = true
+	c.forgetIDs()
+}
+
+// forgetIDs deletes all retired IDs.
+func (c *conn) forgetIDs() {
+	c.pool.retiredIDs -= len(c.retiredIDs)
+	c.retiredIDs = map[string]float64{}
 }
 
 // forgetExpiredIDs deletes the retired IDs for which no response can arrive any more.
@@ -104,6 +125,7 @@
 	for id, since := range c.retiredIDs {
 		if now-since > max(retiredIDTTL, c.pool.opt.MaxRequestDuration) {
 			delete(c.retiredIDs, id)
+			c.pool.retiredIDs--
 		}
 	}
 }
@@ -172,7 +194,7 @@
 	}
 	for _, other := range c.peer.conns {
 		if other != c && other.lastResponse > a.writtenAt {
-			c.draining = true
+			c.drain()
 		}
 	}
 }
@@ -511,6 +533,7 @@
 	c.net.Close()
 	p.mu.Lock()
 	c.broken = true
+	c.forgetIDs()
 	p.conns--
 	for i, x := range c.peer.conns {
 		if x == c {
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -68,6 +68,7 @@
 	excluded    map[uint32]struct{} // endpoints that operators have excluded
 	lastProbeID uint64              // number of health checks and PINGs so far, for their IDs
 	conns       int
+	retiredIDs  int             // on all connections
 	asyncEvents chan core.Event // events of calls by the core, which must not post themselves
 }
 
@@ -252,7 +253,7 @@
 		// one endpoint could be sent to another.
 		if q.addr != e.Addr {
 			for _, c := range q.conns {
-				c.draining = true
+				c.drain()
 			}
 			q.addr = e.Addr
 		}
@@ -278,7 +279,7 @@
 	for id, q := range p.removed {
 		ended = append(ended, p.endUnsent(id)...)
 		for _, c := range q.conns {
-			c.draining = true
+			c.drain()
 			c.closeIfDone()
 		}
 		p.removeIfUnused(q)
@@ -592,7 +593,7 @@
 		}
 	} else {
 		c := newConn(p, q, nc)
-		c.draining = dedicated != nil || q.addr != addr
+		c.draining = dedicated != nil || q.addr != addr // a connection of its own carries no other attempt
 		q.conns = append(q.conns, c)
 		p.wg.Add(2)
 		go c.readLoop()
@@ -646,10 +647,10 @@
 				// A connection with canceled attempts and no response since may lead to a machine that has failed without
 				// closing it. New attempts then dial a new connection: a failed dial proves that they have not run.
 				if c.unresponsiveSince > 0 && now-c.unresponsiveSince > unresponsiveTTL {
-					c.draining = true
+					c.drain()
 				}
 				if c.idleExpired() {
-					c.draining = true
+					c.drain()
 				}
 				if c.draining && now-c.lastUse > barrierTimeout { // no response: the canceled attempts stay unconfirmed
 					ended = append(ended, c.failBarriers()...)
--- a/upstream/resp/unsent_test.go
+++ b/upstream/resp/unsent_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -160,6 +161,40 @@
 	}
 }
 
+// Guards against ever new IDs that fill the memory: each connection kept thousands of them for 10 s. Beyond a number on all
+// connections, a connection takes no new attempts and forgets its IDs.
+func TestRetiredIDsAreBounded(t *testing.T) {
+	b := newTestPool(t)
+	var conns []*conn
+	for range 40 {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		conns = append(conns, newConn(b.pool, &peer{}, near))
+	}
+	b.pool.mu.Lock()
+	defer b.pool.mu.Unlock()
+	for i := range 2 * maxPoolIDs {
+		conns[i%len(conns)].retireID(strconv.Itoa(i))
+	}
+	held, draining := 0, 0
+	for _, c := range conns {
+		held += len(c.retiredIDs)
+		if c.draining {
+			draining++
+		}
+	}
+	if held > maxPoolIDs || held != b.pool.retiredIDs || draining == 0 || draining == len(conns) {
+		t.Errorf("%d IDs are held and %d counted, %d of %d connections drain", held, b.pool.retiredIDs, draining, len(conns))
+	}
+	b.clock.Advance(retiredIDTTL + 1)
+	for _, c := range conns {
+		c.forgetExpiredIDs(b.clock.Now())
+	}
+	if b.pool.retiredIDs != 0 {
+		t.Errorf("%d IDs are counted after their expiry", b.pool.retiredIDs)
+	}
+}
+
 // A connection that its endpoint may be closing takes no new attempts, even before the next sweep.
 func TestIdleConnectionTakesNoAttempts(t *testing.T) {
 	conns := make(chan struct{}, 8)
