Take an endpoint's address for the process that was announced there last

Cause: the pool and the core went by an endpoint's ID alone. What was queued on a connection to a former address was still written there; an endpoint that the list had not yet called gone kept its address beside the one that had come up at it; a connection to a process that had ended silently, and a health check that was under way to it, stood for the process started there since; and an attempt at a new ID needed no confirmation that the earlier attempt, at the same address, had ended.

Change: a connection belongs to an ID at an address since a start. The core's barrier asks by address as well.

Looked for by reading, nothing found: a hand-over dials a socket with a random name of its own, HTTP endpoints are set in the configuration.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -20,6 +20,7 @@
 		request:   r,
 		key:       AttemptKey{r.id, len(r.attempts)},
 		endpoint:  uint32(action.To),
+		address:   c.addresses[uint32(action.To)],
 		startedAt: c.now(),
 	}
 	a.deadline = attemptDeadline(a, action)
--- a/core/cancellation.go
+++ b/core/cancellation.go
@@ -18,7 +18,8 @@
 //     period has passed. For a request that is idempotent by its key the grace period is not sufficient, see needsAck;
 //   - to the same endpoint: until that endpoint has answered a barrier ping written after the cancellation
 //     (BarrierResult) or has acknowledged the cancellation. No grace period is sufficient, because an endpoint that was
-//     suspended finds everything that was written to it when it resumes, and reads its connections in any order.
+//     suspended finds everything that was written to it when it resumes, and reads its connections in any order. An endpoint
+//     that has come up at the address of another one counts as the same: the earlier attempt may have reached it.
 //
 // attempts.go starts attempts through startOrDefer; results.go calls recordUnconfirmedCancel; Handle calls handleCancelConfirmed
 // and handleBarrierResult; the timer calls handleGraceExpired.
@@ -69,7 +70,7 @@
 // upstream cannot do this, the grace period alone has to suffice.
 func (c *Core) requestBarriers(r *request, endpoint uint32) {
 	for _, previous := range r.attempts {
-		if previous.needsBarrier && previous.endpoint == endpoint && !c.upstream.ConfirmCancel(previous.key, endpoint) {
+		if previous.needsBarrier && c.reachedProcessOf(previous, endpoint) && !c.upstream.ConfirmCancel(previous.key, endpoint) {
 			previous.needsBarrier = false
 		}
 	}
@@ -81,7 +82,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(r.attempts, func(previous *attempt) bool {
-		return previous.needsBarrier && previous.endpoint == endpoint
+		return previous.needsBarrier && c.reachedProcessOf(previous, endpoint)
 	})
 }
 
@@ -102,7 +103,7 @@
 		if !ev.NoResponse {
 			canceled.needsBarrier, canceled.mayStillRun = false, false
 			c.startDeferred(last)
-		} else if last.deferred != nil && last.endpoint == canceled.endpoint {
+		} else if last.deferred != nil && c.reachedProcessOf(canceled, last.endpoint) {
 			c.cancelDeferred(last)
 		}
 	}
--- a/core/core.go
+++ b/core/core.go
@@ -80,6 +80,7 @@
 	lastID   control.RequestID
 	retired  retiredIDs
 
+	addresses    map[uint32]string  // of the listed endpoints
 	healthChecks map[uint32]float64 // endpoint to the time at which its pending health check was sent, in ms
 	stats        Stats
 	idleWaiters  []chan<- struct{} // closed once every open request has its final answer
@@ -122,6 +123,7 @@
 		requests:     map[control.RequestID]*request{},
 		byTxn:        map[string]*request{},
 		byTag:        map[frontendTag]*request{},
+		addresses:    map[uint32]string{},
 		healthChecks: map[uint32]float64{},
 		retired:      newRetiredIDs(),
 	}
--- a/core/endpoints.go
+++ b/core/endpoints.go
@@ -12,6 +12,7 @@
 // updateEndpoints applies an update of the endpoint list.
 func (c *Core) updateEndpoints(list EndpointList) {
 	c.traceEndpoints(list)
+	c.recordAddresses(list)
 	c.upstream.UpdateEndpoints(list)
 	update := control.EndpointList{Snapshot: list.Snapshot}
 	for _, endpoint := range list.Endpoints {
@@ -21,6 +22,26 @@
 	c.reconsiderDeferred(list)
 }
 
+// recordAddresses records the addresses of the listed endpoints.
+func (c *Core) recordAddresses(list EndpointList) {
+	if list.Snapshot {
+		clear(c.addresses)
+	}
+	for _, endpoint := range list.Endpoints {
+		if endpoint.Info.State == control.Gone {
+			delete(c.addresses, uint32(endpoint.Info.ID))
+		} else {
+			c.addresses[uint32(endpoint.Info.ID)] = endpoint.Addr
+		}
+	}
+}
+
+// reachedProcessOf reports whether an attempt may have reached the process that an endpoint's ID means now: it was sent to that
+// endpoint, or to another one whose address that endpoint has now.
+func (c *Core) reachedProcessOf(previous *attempt, endpoint uint32) bool {
+	return previous.endpoint == endpoint || previous.address != "" && previous.address == c.addresses[endpoint]
+}
+
 // reconsiderDeferred cancels the deferred attempts whose endpoint or source has been removed from the list, no longer
 // accepts new requests, or has restarted since the controller chose it, so that the controller decides again.
 func (c *Core) reconsiderDeferred(list EndpointList) {
--- a/core/requests.go
+++ b/core/requests.go
@@ -39,6 +39,7 @@
 	request   *request
 	key       AttemptKey
 	endpoint  uint32
+	address   string          // of the endpoint at the start; "": unknown
 	startedAt float64         // when the controller decided on it, in ms
 	deferred  *AttemptRequest // non-nil until the previous attempt's cancellation is confirmed
 	canceling bool            // the upstream was asked to cancel it
@@ -46,7 +47,8 @@
 	neverSent bool            // it ended, and it is certain that nothing of it reached an endpoint
 
 	// needsBarrier is set when the attempt ended without confirmation from its endpoint, and cleared once that endpoint has
-	// answered a barrier ping or acknowledged the end. Until then no further attempt is sent to that endpoint.
+	// answered a barrier ping or acknowledged the end. Until then no further attempt is sent to that endpoint, or to another one
+	// at the same address.
 	needsBarrier bool
 
 	deadline    float64 // ms; the endpoint was told that nobody waits for the attempt after it
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -33,7 +33,8 @@
 	draining     bool // takes no new attempts, and is closed when its attempts have ended
 	closing      bool // Close has been called
 	broken       bool
-	writeErr     error   // why the writer closed the connection; nil: it did not
+	writeErr     error // why the writer closed the connection; nil: it did not
+	openedAt     float64
 	lastResponse float64 // time of the last response
 	lastUse      float64
 
@@ -73,7 +74,7 @@
 	}
 	return &conn{
 		raw: raw, pool: p, peer: q, net: nc, open: map[string]*attempt{}, retiredIDs: map[string]float64{}, barriers: map[string][]core.AttemptKey{},
-		wake: make(chan struct{}, 1), lastResponse: now, lastUse: now,
+		wake: make(chan struct{}, 1), openedAt: now, lastResponse: now, lastUse: now,
 	}
 }
 
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -226,66 +226,6 @@
 	return ended
 }
 
-// UpdateEndpoints applies an update of the endpoint list. The connections of a removed endpoint stay open until its attempts
-// in flight have ended.
-func (p *Pool) UpdateEndpoints(list core.EndpointList) {
-	var ended []core.Event
-	defer func() {
-		for _, ev := range ended {
-			p.postAsync(ev)
-		}
-	}()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if list.Snapshot {
-		for _, q := range p.peers {
-			q.removed, q.ready = true, false
-		}
-	}
-	for _, e := range list.Endpoints {
-		id := uint32(e.Info.ID)
-		q := p.peers[id]
-		if q == nil {
-			q = &peer{id: id}
-			p.peers[id] = q
-		}
-		// An address may be reused by another endpoint, so a connection belongs to an ID at an address. Otherwise attempts for
-		// one endpoint could be sent to another.
-		if q.addr != e.Addr {
-			for _, c := range q.conns {
-				c.drain()
-			}
-			q.addr = e.Addr
-		}
-		q.removed, q.ready = e.Info.State == control.Gone, e.Info.State == control.Ready
-		if q.removed {
-			p.removed[id] = q
-		} else {
-			delete(p.removed, id)
-		}
-		// Attempts that were routed before a restart became known are routed again: a cold cache takes less load.
-		if !q.ready || e.Info.StartedAt > q.startedAt {
-			ended = append(ended, p.endUnsent(id)...)
-		}
-		q.startedAt = e.Info.StartedAt
-	}
-	if list.Snapshot {
-		for id, q := range p.peers {
-			if q.removed {
-				p.removed[id] = q
-			}
-		}
-	}
-	for id, q := range p.removed {
-		ended = append(ended, p.endUnsent(id)...)
-		for _, c := range q.conns {
-			c.drain()
-			c.closeIfDone()
-		}
-		p.removeIfUnused(q)
-	}
-}
-
 // removeIfUnused deletes an endpoint that is no longer in the list once it has no connection and no dial in progress.
 func (p *Pool) removeIfUnused(q *peer) {
 	if q.removed && len(q.conns) == 0 && !q.dialing {
