Hand partial requests over without copies, and count them at the new process

Cause: the old process copied the partial requests of all connections twice, at once; the new one allocated up to 4 MB a connection before it counted anything.

Change: the old process writes from the requests' own buffers; the new one reserves the bytes in its request budget before it reads them, and releases them once they are parsed. Without room it declines the connection, which then stays at the old process and closes between requests, as after any failed handover.

--- a/cmd/turnfork/crowd_test.go
+++ b/cmd/turnfork/crowd_test.go
@@ -63,21 +63,26 @@
 // residentMB returns a figure of the process's status in MB: VmRSS or VmHWM.
 func (p *program) residentMB(t *testing.T, figure string) float64 {
 	t.Helper()
+	mb, err := p.statusMB(figure)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, lastLines(p.logs()))
+	}
+	return mb
+}
+
+// statusMB reads a figure of the process's status in MB.
+func (p *program) statusMB(figure string) (float64, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	if err != nil {
-		t.Fatalf("%v\n%s", err, p.logs())
+		return 0, err
 	}
 	for line := range strings.Lines(string(text)) {
 		if value, ok := strings.CutPrefix(line, figure+":"); ok {
 			kb, err := strconv.ParseFloat(strings.Fields(value)[0], 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kb / 1024
+			return kb / 1024, err
 		}
 	}
-	t.Fatalf("no %s", figure)
-	return 0
+	return 0, fmt.Errorf("no %s in the process's status", figure)
 }
 
 // clientBehavior is what one client of a crowd writes on its connection. It returns when it has written all, or when the gateway
--- a/front/fastcgi/conn.go
+++ b/front/fastcgi/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -46,7 +45,7 @@
 	if state != nil {
 		c.oldProcess, c.relayed, c.hadRequest = state.oldProcess, state.relayed, true
 		f.open.Add(int64(len(c.relayed)))
-		in = io.MultiReader(bytes.NewReader(state.unprocessed), in)
+		in = io.MultiReader(state.unprocessedReader(), in)
 		c.mu.Lock()
 		c.updateServer()
 		c.mu.Unlock()
--- a/front/fastcgi/handover.go
+++ b/front/fastcgi/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 
 	"golang.org/x/sys/unix"
 	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/limits"
 )
 
 // Handover of a client connection to the process that replaces this one. Each client connection uses a Unix connection of its
@@ -35,9 +37,10 @@
 
 // handoverState is the state of a connection that was handed over.
 type handoverState struct {
-	oldProcess  net.Conn        // the old process
-	relayed     map[uint16]bool // the requests that it still answers
-	unprocessed []byte          // bytes of partial requests
+	oldProcess  net.Conn            // the old process
+	relayed     map[uint16]bool     // the requests that it still answers
+	unprocessed []byte              // bytes of partial requests
+	reservation *limits.Reservation // of unprocessed
 }
 
 // interruptReader interrupts the reader, so that it hands the connection over.
@@ -96,7 +99,8 @@
 		return nil, false
 	}
 	c.writesPaused = true
-	var ids, unprocessed []byte
+	var ids []byte
+	var unprocessed net.Buffers
 	var partial []uint16
 	for id, q := range c.open {
 		if q.complete {
@@ -108,9 +112,9 @@
 	}
 	c.mu.Unlock()
 	// The bytes that were read after these records: a partial record and the content of the read buffer.
-	unprocessed = append(unprocessed, r.unprocessed()...)
+	unprocessed = append(unprocessed, r.unprocessed())
 	ahead, _ := buffered.Peek(buffered.Buffered())
-	unprocessed = append(unprocessed, ahead...)
+	unprocessed = append(unprocessed, ahead)
 	if err := sendState(to, tcp, ids, unprocessed); err != nil {
 		// The new process has not received the complete state and will not read from the client connection without it.
 		c.frontend.opt.Log.Warn().Err(err).Int("requests", len(ids)/2).Msg("handover failed: cannot send the connection's state; connection will be closed once idle")
@@ -176,32 +180,33 @@
 	return true
 }
 
-// appendPartial appends the records of a partial request, as they were received from the client.
-func appendPartial(b []byte, id uint16, q *request) []byte {
+// appendPartial appends the records of a partial request, as they were received from the client. It refers to the request's
+// buffers: all connections are handed over at once, and a copy of each would take as much memory again.
+func appendPartial(buffers net.Buffers, id uint16, q *request) net.Buffers {
 	keep := byte(0)
 	if q.keepConn {
 		keep = flagKeepConn
 	}
-	b = appendRecord(b, typeBegin, id, []byte{0, roleResponder, keep, 0, 0, 0, 0, 0})
+	buffers = append(buffers, appendRecord(nil, typeBegin, id, []byte{0, roleResponder, keep, 0, 0, 0, 0, 0}))
 	for _, part := range []struct {
 		kind byte
 		data []byte
 	}{{typeParams, q.params}, {typeStdin, q.body}} {
 		for data := part.data; len(data) > 0; {
 			n := min(len(data), maxContent)
-			b = appendRecord(b, part.kind, id, data[:n])
+			buffers = append(buffers, appendHeader(nil, part.kind, id, n), data[:n])
 			data = data[n:]
 		}
 		if part.kind == typeParams && q.paramsDone {
-			b = appendRecord(b, typeParams, id, nil)
+			buffers = append(buffers, appendRecord(nil, typeParams, id, nil))
 		}
 	}
-	return b
+	return buffers
 }
 
 // sendState sends a client connection and its state to the new process. After an error, the new process has not received all
 // of it, and will not once the caller has closed to.
-func sendState(to *net.UnixConn, tcp *net.TCPConn, ids, unprocessed []byte) error {
+func sendState(to *net.UnixConn, tcp *net.TCPConn, ids []byte, unprocessed net.Buffers) error {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return err
@@ -213,9 +218,14 @@
 	}); err != nil || sent != nil {
 		return errors.Join(err, sent)
 	}
-	b := binary.BigEndian.AppendUint32(nil, uint32(len(ids)))
-	b = binary.BigEndian.AppendUint32(append(b, ids...), uint32(len(unprocessed)))
-	if _, err := to.Write(append(b, unprocessed...)); err != nil {
+	size := 0
+	for _, b := range unprocessed {
+		size += len(b)
+	}
+	head := binary.BigEndian.AppendUint32(nil, uint32(len(ids)))
+	head = binary.BigEndian.AppendUint32(append(head, ids...), uint32(size))
+	buffers := append(net.Buffers{head}, unprocessed...)
+	if _, err := buffers.WriteTo(to); err != nil {
 		return err
 	}
 	to.SetDeadline(time.Time{}) // it fails only if the Unix connection has ended, which the next read reports
@@ -225,17 +235,18 @@
 // Adopt receives a client connection that another process of the gateway hands over, and serves it until it ends.
 func (f *Frontend) Adopt(from *net.UnixConn) {
 	defer from.Close()
-	nc, state, err := receiveState(from)
+	nc, state, err := f.receiveState(from)
 	if err != nil {
 		f.opt.Log.Warn().Err(err).Msg("cannot receive a connection that another process hands over")
 		return
 	}
 	defer nc.Close()
+	defer state.reservation.Release()
 	f.server.Adopt(nc, func(nc net.Conn, serverConn *front.Conn) { f.serve(nc, serverConn, state) })
 }
 
 // receiveState receives what sendState sends.
-func receiveState(from *net.UnixConn) (nc net.Conn, state *handoverState, err error) {
+func (f *Frontend) receiveState(from *net.UnixConn) (nc net.Conn, state *handoverState, err error) {
 	from.SetDeadline(time.Now().Add(handoverTimeout))
 	var b [1]byte
 	oob := make([]byte, syscall.CmsgSpace(4))
@@ -261,39 +272,83 @@
 			nc.Close()
 		}
 	}()
-	ids, err := readBlock(from, 2*maxConnRequests)
+	idBytes, err := readLength(from, 2*maxConnRequests)
 	if err != nil {
 		return nil, nil, err
 	}
-	unprocessed, err := readBlock(from, maxUnprocessed)
-	if err != nil {
+	ids := make([]byte, idBytes)
+	if _, err = io.ReadFull(from, ids); err != nil {
 		return nil, nil, err
 	}
-	if len(ids)%2 != 0 {
-		return nil, nil, fmt.Errorf("%w: %d bytes of request ids", errHandover, len(ids))
+	if idBytes%2 != 0 {
+		return nil, nil, fmt.Errorf("%w: %d bytes of request ids", errHandover, idBytes)
+	}
+	state, err = f.receiveUnprocessed(from)
+	if err != nil {
+		return nil, nil, err
 	}
-	state = &handoverState{oldProcess: from, unprocessed: unprocessed, relayed: map[uint16]bool{}}
 	for ; len(ids) > 0; ids = ids[2:] {
 		state.relayed[binary.BigEndian.Uint16(ids)] = false
 	}
 	return nc, state, from.SetDeadline(time.Time{})
 }
 
-// readBlock reads a length of 4 bytes and that number of bytes, at most maxBytes.
-func readBlock(from io.Reader, maxBytes uint32) ([]byte, error) {
+// receiveUnprocessed receives the bytes of partial requests, for which it reserves memory in the request budget.
+func (f *Frontend) receiveUnprocessed(from *net.UnixConn) (*handoverState, error) {
+	size, err := readLength(from, maxUnprocessed)
+	if err != nil {
+		return nil, err
+	}
+	share := 1.0
+	if size > smallRequest {
+		share = largeRequestShare
+	}
+	if !f.requestBudget.TryReserveShare(size, share) {
+		return nil, fmt.Errorf("%w: no memory for %d bytes of partial requests", errHandover, size)
+	}
+	state := &handoverState{
+		oldProcess: from, unprocessed: make([]byte, size), relayed: map[uint16]bool{},
+		reservation: limits.NewReservation(f.requestBudget, size),
+	}
+	if _, err := io.ReadFull(from, state.unprocessed); err != nil {
+		state.reservation.Release()
+		return nil, err
+	}
+	return state, nil
+}
+
+// readLength reads a length of 4 bytes, at most maxBytes.
+func readLength(from io.Reader, maxBytes uint32) (int, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(from, head[:]); err != nil {
-		return nil, err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n > maxBytes {
-		return nil, fmt.Errorf("%w: length of %d bytes", errHandover, n)
+		return 0, fmt.Errorf("%w: length of %d bytes", errHandover, n)
 	}
-	b := make([]byte, n)
-	_, err := io.ReadFull(from, b)
-	return b, err
+	return int(n), nil
 }
 
+// unprocessedReader reads the bytes of partial requests, and releases their reservation at the end of them.
+func (s *handoverState) unprocessedReader() io.Reader {
+	r := bytes.NewReader(s.unprocessed)
+	s.unprocessed = nil
+	return readerFunc(func(b []byte) (int, error) {
+		n, err := r.Read(b)
+		if r.Len() == 0 {
+			s.reservation.Release()
+		}
+		return n, err
+	})
+}
+
+// readerFunc is a function that implements io.Reader.
+type readerFunc func(b []byte) (int, error)
+
+// Read calls the function.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
 // sendWithinBudget queues bytes for the writer, with which a number of responses are complete. While the response budget is exhausted it waits, and the old process waits
 // with the rest of its response. The caller holds mu, which is released during the wait.
 func (c *conn) sendWithinBudget(b []byte, responses int) {
--- a/front/fastcgi/record.go
+++ b/front/fastcgi/record.go
@@ -196,9 +196,12 @@
 	return rest[:]
 }
 
+func appendHeader(b []byte, kind byte, id uint16, contentLength int) []byte {
+	return append(b, version, kind, byte(id>>8), byte(id), byte(contentLength>>8), byte(contentLength), 0, 0)
+}
+
 func appendRecord(b []byte, kind byte, id uint16, data []byte) []byte {
-	b = append(b, version, kind, byte(id>>8), byte(id), byte(len(data)>>8), byte(len(data)), 0, 0)
-	return append(b, data...)
+	return append(appendHeader(b, kind, id, len(data)), data...)
 }
 
 // appendStdout appends a response: its STDOUT stream, the end of the stream and END_REQUEST.
