Sample the admin API's line for malformed requests

Cause: the third place of the three that log a line for each unsound request; the frontends' are sampled since.

Change: adminapi uses front.LogSampler. Its memory was looked at and needs nothing: at most 24 connections, one request of up to 16 KB of head and 4 KB of body each.

Result: go test ./adminapi ./internal/citest passes.

--- a/adminapi/server.go
+++ b/adminapi/server.go
@@ -52,8 +52,9 @@
 
 // Server serves admin calls on one listener.
 type Server struct {
-	opt    Options
-	server front.Server
+	opt        Options
+	server     front.Server
+	logSampler *front.LogSampler
 }
 
 // New returns a Server.
@@ -62,8 +63,9 @@
 		opt.MaxConns = MaxConns
 	}
 	return &Server{
-		opt:    opt,
-		server: front.Server{Max: opt.MaxConns, FirstByteTimeout: firstByteTimeout, Clock: opt.Clock, Log: opt.Log},
+		opt:        opt,
+		logSampler: front.NewLogSampler(opt.Clock),
+		server:     front.Server{Max: opt.MaxConns, FirstByteTimeout: firstByteTimeout, Clock: opt.Clock, Log: opt.Log},
 	}
 }
 
@@ -103,7 +105,9 @@
 		MaxBodyBytes: maxBodyLen, SendContinue: func() { nc.Write([]byte(continueResponse)) },
 	})
 	if malformed, ok := http1.AsBadMessage(err); ok {
-		s.opt.Log.Warn().Int("status", malformed.Status).Str("reason", malformed.Detail).Msg("admin request malformed")
+		if e := s.opt.Log.Warn(); s.logSampler.Take(e, "admin request malformed") {
+			e.Int("status", malformed.Status).Str("reason", malformed.Detail).Msg("admin request malformed")
+		}
 		return errorResponse(malformed.Status, "malformed", malformed.Detail, "")
 	}
 	if err != nil {
