Yield the processor after each full buffer, on both frontends and to endpoints

Change: the yield that the FastCGI frontend has since moves to the reader that both frontends share, and to the reader of endpoints' responses. TestSignedFloodOnOneConnection (six kinds) and TestFloodByEndpoint hold answers to the class's objective.

--- a/cmd/turnfork/crowd_test.go
+++ b/cmd/turnfork/crowd_test.go
@@ -35,16 +35,19 @@
 	memoryMB int
 }
 
-// startPlatform starts a gateway with a memory limit and a number of sockets, and one endpoint.
-func startPlatform(t *testing.T, bin string, memoryMB, sockets int, endpoint string, env ...string) crowdPlatform {
+// startPlatform starts a gateway with a memory limit and a number of sockets, and caches at these addresses.
+func startPlatform(t *testing.T, bin string, memoryMB, sockets int, endpoints ...string) crowdPlatform {
 	t.Helper()
+	var servers []string
+	for i, addr := range endpoints {
+		servers = append(servers, fmt.Sprintf(`{"id":"s-%08x","addr":%q,"zone":"edge","kind":"box","cell":0,"state":"Ready","weight":100,"started_ms":0}`, i+7, addr))
+	}
 	text := fmt.Sprintf(platformConfig, "")
 	for _, change := range [][2]string{
 		{`"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, memoryMB)},
 		{`"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets)},
 		{`"changelog":"",`, ""},
-		{`"results":[]`, fmt.Sprintf(`"results":[{"seq":1,"fleet":{"version":1,"full":true,"servers":[
-{"id":"s-00000007","addr":%q,"zone":"edge","kind":"box","cell":0,"state":"Ready","weight":100,"started_ms":0}]}}]`, endpoint)},
+		{`"results":[]`, fmt.Sprintf(`"results":[{"seq":1,"fleet":{"version":1,"full":true,"servers":[%s]}}]`, strings.Join(servers, ","))},
 	} {
 		if !strings.Contains(text, change[0]) {
 			t.Fatalf("platformConfig lacks %s", change[0])
@@ -55,7 +58,7 @@
 	if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	env = append([]string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"}, env...)
+	env := []string{"NODE_CONFIG=" + conf, "NODE_LISTEN=127.0.0.1:0", "NODE_NAME=n1"}
 	p := launch(t, "/bin/sh", env, "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, bin))
 	return crowdPlatform{p, memoryMB}
 }
--- a/cmd/turnfork/flood_test.go
+++ b/cmd/turnfork/flood_test.go
@@ -81,9 +81,9 @@
 	return sent, nil
 }
 
-// honestClient sends a request each interval on a connection of its own until a time, and returns how long each took. A request
-// without a response counts as taking until then.
-func honestClient(t *testing.T, addr string, until time.Time, interval time.Duration) (times []time.Duration) {
+// honestClient sends a request for one of some objects each interval on a connection of its own until a time, and returns how long
+// each took. A request without a response counts as taking until then.
+func honestClient(t *testing.T, addr string, until time.Time, interval time.Duration, objects ...uint64) (times []time.Duration) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -117,7 +117,7 @@
 		mu.Lock()
 		sentAt[id] = time.Now()
 		mu.Unlock()
-		if _, err := c.Write(encodeObjectRequest(id, n<<48|n, 7, "firmware", "5000")); err != nil {
+		if _, err := c.Write(encodeObjectRequest(id, n<<48|n, objects[n%uint64(len(objects))], "firmware", "5000")); err != nil {
 			t.Error(err)
 			break
 		}
@@ -186,7 +186,7 @@
 					t.Error(err)
 				}
 			})
-			times := honestClient(t, p.addr, until, 20*time.Millisecond)
+			times := honestClient(t, p.addr, until, 20*time.Millisecond, 7)
 			flooding.Wait()
 			slices.Sort(times)
 			peak := p.residentMB(t, "VmHWM")
--- a/front/conn.go
+++ b/front/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 )
@@ -77,9 +78,13 @@
 	r    io.Reader
 }
 
-// Read counts the read and records its time if it returned any bytes.
+// Read counts the read and records its time if it returned any bytes. After a full buffer it yields the processor: a client that
+// sends without a pause must not keep it from the others' requests.
 func (m countedReader) Read(b []byte) (int, error) {
 	n, err := m.r.Read(b)
+	if n == len(b) {
+		runtime.Gosched()
+	}
 	if n > 0 {
 		m.conn.reads.Add(1)
 		m.conn.lastReadAt.Store(math.Float64bits(m.conn.server.Clock.Now()))
--- a/front/fastcgi/conn.go
+++ b/front/fastcgi/conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"runtime"
 	"slices"
 	"sync"
 	"time"
@@ -223,9 +222,7 @@
 		return 0, io.EOF
 	}
 	n, err := r.in.Read(b)
-	if r.hasMore = n == len(b); r.hasMore {
-		runtime.Gosched() // a client that sends without a pause must not keep the processor from the others' requests
-	}
+	r.hasMore = n == len(b)
 	return n, err
 }
 
--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime"
 	"strconv"
 	"syscall"
 	"time"
@@ -499,7 +500,11 @@
 		deadline = next
 	}
 	p.net.SetReadDeadline(deadline)
-	return p.net.Read(b)
+	n, err := p.net.Read(b)
+	if n == len(b) { // an endpoint that sends without a pause must not keep the processor from the others' responses
+		runtime.Gosched()
+	}
+	return n, err
 }
 
 // readLoop is the reader goroutine. When the connection has ended, it ends all attempts on it.
