--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Command is one received command.
@@ -18,6 +19,10 @@
 	Fields   map[string]string
 	Body     []byte
 	Address  string // the address that received it, for a SlowServer
+
+	// ArrivedBy is the time at which the last bytes that were read with the command had arrived at this machine, for a
+	// SlowServer. It does not depend on how late the endpoint reads them.
+	ArrivedBy time.Time
 }
 
 // Endpoint is a fake endpoint that responds to GETs with the result of HandleGet.
--- a/internal/fakestore/slow_server.go
+++ b/internal/fakestore/slow_server.go
@@ -6,6 +6,10 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Behavior is how a fake endpoint ends an attempt.
@@ -165,14 +169,15 @@
 	s.mu.Lock()
 	epoch := s.epoch
 	s.mu.Unlock()
-	r := bufio.NewReader(c)
+	in := &arrivalReader{conn: c}
+	r := bufio.NewReader(in)
 	for {
 		args, err := readCommand(r)
 		if err != nil || len(args) < 2 {
 			return
 		}
 		cmd := parseCommand(args)
-		cmd.Address = c.LocalAddr().String()
+		cmd.Address, cmd.ArrivedBy = c.LocalAddr().String(), in.arrivedBy
 		s.mu.Lock()
 		if s.epoch != epoch {
 			s.mu.Unlock()
@@ -271,3 +276,34 @@
 		resetConn(c)
 	}
 }
+
+// arrivalReader reads a connection and records by when the bytes that were read last had arrived.
+type arrivalReader struct {
+	conn      net.Conn
+	arrivedBy time.Time
+}
+
+// Read reads from the connection.
+func (a *arrivalReader) Read(b []byte) (int, error) {
+	n, err := a.conn.Read(b)
+	a.arrivedBy = time.Now().Add(-sinceLastData(a.conn))
+	return n, err
+}
+
+// sinceLastData returns how long ago data last arrived on a connection, or 0 if that is unknown.
+func sinceLastData(c net.Conn) (age time.Duration) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
