--- a/admin_test.go
+++ b/admin_test.go
@@ -18,11 +18,13 @@
 
 func (f *fakeFrontend) Serve(context.Context, net.Listener) error { return nil }
 func (f *fakeFrontend) OpenRequests() int                         { return 0 }
-func (f *fakeFrontend) Conns() int                                { return 0 }
-func (f *fakeFrontend) Drain(on bool)                             { f.draining = on }
-func (f *fakeFrontend) Stop()                                     {}
-func (f *fakeFrontend) HandOver(func() (*net.UnixConn, error))    {}
-func (f *fakeFrontend) SetProcessShare(int, int)                  {}
+
+func (*fakeFrontend) BufferedBytes() (requests, responses int64) { return 0, 0 }
+func (f *fakeFrontend) Conns() int                               { return 0 }
+func (f *fakeFrontend) Drain(on bool)                            { f.draining = on }
+func (f *fakeFrontend) Stop()                                    {}
+func (f *fakeFrontend) HandOver(func() (*net.UnixConn, error))   {}
+func (f *fakeFrontend) SetProcessShare(int, int)                 {}
 
 // An override is in force even while it can't be written, because a disk stalls or a sibling process holds the lock. Without a
 // sibling the caller gets no error; with a sibling, which can't read the override yet, it gets one. The override is written once
--- a/front/fastcgi/fastcgi.go
+++ b/front/fastcgi/fastcgi.go
@@ -98,6 +98,11 @@
 // Conns returns the number of open connections.
 func (f *Frontend) Conns() int { return f.server.Conns() }
 
+// BufferedBytes returns the bytes of open requests and of responses that wait to be written.
+func (f *Frontend) BufferedBytes() (requests, responses int64) {
+	return f.requestBudget.Reserved(), f.responseBudget.Reserved()
+}
+
 // SetProcessShare divides the limits on buffered bytes by the number of processes that share the memory, and sets the
 // connection limit.
 func (f *Frontend) SetProcessShare(processes, conns int) {
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -166,6 +166,11 @@
 // Conns counts the connections.
 func (f *Frontend) Conns() int { return f.server.Conns() }
 
+// BufferedBytes returns the bytes of open requests and of responses that wait to be written.
+func (f *Frontend) BufferedBytes() (requests, responses int64) {
+	return f.requestBudget.Reserved(), f.responseBudget.Reserved()
+}
+
 // SetProcessShare limits the frontend to conns connections and to its share of the memory, which is divided by the number of
 // processes.
 func (f *Frontend) SetProcessShare(processes, conns int) {
--- a/frontends.go
+++ b/frontends.go
@@ -27,6 +27,8 @@
 	Drain(on bool)
 	// HandOver hands the connections over to the process that successor dials, or closes each between requests.
 	HandOver(successor func() (*net.UnixConn, error))
+	// BufferedBytes returns the bytes of open requests and of responses that wait to be written.
+	BufferedBytes() (requests, responses int64)
 	// SetProcessShare limits the frontend to one of the given number of processes, and sets its connection limit.
 	SetProcessShare(processes, conns int)
 }
--- a/gateway.go
+++ b/gateway.go
@@ -306,7 +306,7 @@
 		group.Go(func() error { return watcher.Run(ctx) })
 	}
 	background := []func(context.Context){
-		gw.watchReloads, gw.admin.watchSiblings, gw.admin.runWriter, gw.admin.enterRegistry,
+		gw.watchReloads, gw.admin.watchSiblings, gw.admin.runWriter, gw.admin.enterRegistry, gw.watchMemory,
 	}
 	if l := gw.listenForHandover(); l != nil {
 		background = append(background, func(ctx context.Context) { acceptHandovers(ctx, l, gw.acceptHandover) })
--- a/internal/fakestore/slow_server.go
+++ b/internal/fakestore/slow_server.go
@@ -48,6 +48,7 @@
 	gets                   []Command         // all GETs, in order of arrival
 	epoch                  int               // input from connections that were opened in an earlier epoch is discarded
 	duplicates             int               // GETs for a request that had another open attempt
+	duplicateGets          []Command         // these GETs
 	sameEndpointDuplicates int               // duplicates at the endpoint that had the other open attempt
 	openAt                 map[[2]string]int // open attempts, by address and ID
 }
@@ -112,6 +113,13 @@
 	return s.duplicates
 }
 
+// AllDuplicateGets returns the GETs received for a request that had another open attempt.
+func (s *SlowServer) AllDuplicateGets() []Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.duplicateGets)
+}
+
 // DuplicateGetsAtSameEndpoint returns how many of those were received by the endpoint that had the other open attempt.
 func (s *SlowServer) DuplicateGetsAtSameEndpoint() int {
 	s.mu.Lock()
@@ -199,6 +207,7 @@
 		case "GET":
 			if s.open[cmd.ID] > 0 {
 				s.duplicates++
+				s.duplicateGets = append(s.duplicateGets, cmd)
 			}
 			if s.openAt[openAtKey(cmd.ID)] > 0 {
 				s.sameEndpointDuplicates++
