--- a/cmd/turnfork/soak_test.go
+++ b/cmd/turnfork/soak_test.go
@@ -88,7 +88,8 @@
 		random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(i)))
 		clients.Go(func() { s.client(random, end) })
 	}
-	clients.Go(func() { s.drainEndpoints(rand.New(rand.NewPCG(s.random.Uint64(), 99)), end) })
+	drains := rand.New(rand.NewPCG(s.random.Uint64(), 99))
+	clients.Go(func() { s.drainEndpoints(drains, end) })
 	s.misbehave(&clients, end)
 	s.pause(600, 900)
 	for range 1 + s.random.IntN(4) {
