Pass the tests' listening socket on without making it blocking

Evidence: /ready said 'the process ends', nothing open; it still had its listening socket, no client and no Unix socket, no signal pending. So it stood in closeListeners: Close waits for an accept that is blocked in the kernel. os.File.Fd, which starting a process calls, makes the socket blocking, for all processes that share it; the second process's start did so while the first one was about to accept. By reading from there on: its stack could not be had.

Change: inheritableSocket creates the file while the socket is blocking, so that passing it on changes nothing; TestHandover has had the same rig. The test has a time limit.

No program file changes.

--- a/cmd/turnfork/crowd_handover_test.go
+++ b/cmd/turnfork/crowd_handover_test.go
@@ -25,13 +25,15 @@
 				second := gateway.start()
 				awaitStatus(t, 200, second.awaitAdminAddr(t), "GET", "/ready", "")
 				first.cmd.Process.Signal(syscall.SIGTERM)
-				most := 0.0
+				most, limit := 0.0, time.After(30*time.Second)
 				for ended := false; !ended; {
 					select {
 					case err := <-first.done:
 						if ended = true; err != nil {
 							t.Errorf("exit: %v\n%s", err, lastLines(first.logs()))
 						}
+					case <-limit:
+						t.Fatalf("the first process has not ended:\n%s", lastLines(first.logs()))
 					default:
 						if rss, err := first.statusMB("VmRSS"); err == nil { // it may have ended
 							most = max(most, rss+second.residentMB(t, "VmRSS"))
--- a/cmd/turnfork/main_test.go
+++ b/cmd/turnfork/main_test.go
@@ -359,11 +359,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	socket, err := l.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
+	socket := inheritableSocket(t, l)
 	dir := t.TempDir()
 	conf := filepath.Join(dir, "config.json")
 	text := strings.Replace(fmt.Sprintf(platformConfig, ""), `"results":[]`, fmt.Sprintf(`"results":[{"seq":1,"fleet":{"full":true,"servers":[
--- a/cmd/turnfork/shared_socket_test.go
+++ b/cmd/turnfork/shared_socket_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -25,11 +26,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	socket, err := l.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { socket.Close() })
 	text := fmt.Sprintf(platformConfig, "")
 	changes = append(changes, [2]string{`"results":[]`, fmt.Sprintf(`"results":[{"seq":1,"fleet":{"full":true,"servers":[
 {"id":"s-00000007","addr":%q,"zone":"edge","kind":"box","state":"Ready","weight":10}]}}]`, endpoint)})
@@ -44,7 +40,26 @@
 	if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return &sharedSocket{t: t, bin: bin, addr: l.Addr().String(), dir: dir, conf: conf, socket: socket}
+	return &sharedSocket{t: t, bin: bin, addr: l.Addr().String(), dir: dir, conf: conf, socket: inheritableSocket(t, l)}
+}
+
+// inheritableSocket returns a listener's socket for processes to inherit. Passing a file to a process makes it blocking if it was not when
+// the file was created; the mode is that of all processes, and one that is in accept then can't close the socket. So the file is
+// created while the socket is blocking, and passing it changes nothing.
+func inheritableSocket(t *testing.T, l net.Listener) *os.File {
+	t.Helper()
+	file, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	fd, err := syscall.Dup(int(file.Fd())) // Fd makes it blocking
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket := os.NewFile(uintptr(fd), "listener")
+	t.Cleanup(func() { socket.Close() })
+	return socket
 }
 
 // start starts a process.
