Replace an expired ID whole, so that a late confirmation can't crash the core

Cause: found by reading again. An ID that is used again after its expiry and retired before the expired entry was swept (each second) overwrote that entry, but left its request in the second map: a leak, and once the new entry was gone a late confirmation for the former request dereferenced nil, which ends the process.

Change: add removes the entry that it replaces from both maps.

Result: TestExpiredIDIsReplacedWhole failed before the change and passes now; go test ./core passes. Not seen in any run.

--- a/core/retired_ids.go
+++ b/core/retired_ids.go
@@ -82,6 +82,9 @@
 	if t.full() {
 		return
 	}
+	if expired := t.byHash[hash]; expired != nil {
+		t.remove(hash, expired)
+	}
 	t.byHash[hash] = id
 	t.byRequest[id.request] = hash
 }
--- a/core/retired_ids_test.go
+++ b/core/retired_ids_test.go
@@ -180,3 +180,22 @@
 		t.Errorf("%d entries after the others have expired", n)
 	}
 }
+
+// Guards against a crash and a leak: an ID that was used again after its expiry, before the expired entry was swept, left that entry's
+// request behind, and a late confirmation for it found no ID.
+func TestExpiredIDIsReplacedWhole(t *testing.T) {
+	table := newRetiredIDs()
+	first, second := &retiredID{request: 1, until: 100, unconfirmed: []int{0}}, &retiredID{request: 2, until: 300, unconfirmed: []int{0}}
+	table.add(7, first, 0)
+	table.add(7, second, 200)
+	if _, free := table.confirm(AttemptKey{ID: 1}); free || len(second.unconfirmed) != 1 {
+		t.Errorf("a confirmation for the former request: free %t, unconfirmed %v", free, second.unconfirmed)
+	}
+	if _, free := table.confirm(AttemptKey{ID: 2}); !free {
+		t.Error("the ID is not free after the confirmation for its request")
+	}
+	table.confirm(AttemptKey{ID: 1})
+	if len(table.byHash)+len(table.byRequest) > 0 {
+		t.Errorf("%d and %d entries are left", len(table.byHash), len(table.byRequest))
+	}
+}
