--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -10,6 +10,7 @@
 )
 
 var cases = map[string]func(*rig2.Case){
+	"policy-lost":  policyLost,
 	"upgrade-ride": upgradeRide,
 	"array-length": arrayLength,
 	"http-purge":   httpPurge,
