Reject responses of endpoints that lack elements

Cause: readResponse took arrays of 2 to 8 elements, as the response to a probe may end after its status, and left the fields and the body of a shorter one at their zero values. handleResponse looked at the status alone, so a missing body was an empty body.

By the same way AGAIN, NOENT and STALE of such an array counted as proof that a request had not run, which lets a write be sent again.

Change: a response to a GET has four elements; any other number is malformed, which ends the connection and its attempts as every malformed response does. Arrays of more than four are refused before they are read. Probes may still end after their status.

--- a/upstream/resp/conn.go
+++ b/upstream/resp/conn.go
@@ -623,6 +623,9 @@
 		}
 		return ev, nil, nil
 	}
+	if err := a.checkComplete(); err != nil {
+		return nil, nil, err
+	}
 	res, ok := outcomes[a.status]
 	if !ok {
 		return p.endAttempt(t, control.ServerError), nil, fmt.Errorf("%w: unknown status %.20q", errMalformed, a.status)
--- a/upstream/resp/parse.go
+++ b/upstream/resp/parse.go
@@ -17,9 +17,8 @@
 	maxBodyBytes     = 256 << 10 // an object has at most 240,000 bytes
 	maxElementBytes  = 4 << 10   // bytes of any other element
 	maxLengthLine    = 32        // bytes of a length line
-	maxElements      = 8
-	minElements      = 2 // the ID and the status
-	elementsWithBody = 4 // elements up to the body
+	minElements      = 2         // the ID and the status, which the response to a probe may end with
+	responseElements = 4         // the ID, the status, the fields and the body, which every response to a GET has
 )
 
 // errMalformed is wrapped by the errors for all malformed responses.
@@ -31,13 +30,23 @@
 	fields      fields
 	body        []byte
 	reservation *limits.Reservation // of the body
+	elements    int                 // number of elements
+}
+
+// checkComplete returns an error unless the response has all elements. One without them is not an empty body or an absence of
+// fields: an endpoint sends these as empty elements.
+func (r *response) checkComplete() error {
+	if r.elements != responseElements {
+		return fmt.Errorf("%w: array of %d elements", errMalformed, r.elements)
+	}
+	return nil
 }
 
 // reserveFunc reserves the bytes of a body before it is read. It may wait.
 type reserveFunc func(bytes int) (*limits.Reservation, error)
 
-// readResponse reads one RESP array of bulk strings. It checks lengths before it allocates, and reserves the bytes of the body.
-// After an error, nothing stays reserved.
+// readResponse reads one RESP array of bulk strings, which may lack elements (response.checkComplete). It checks lengths before it
+// allocates, and reserves the bytes of the body. After an error, nothing stays reserved.
 func readResponse(r *bufio.Reader, reserve reserveFunc) (a response, err error) {
 	defer func() {
 		if err != nil {
@@ -48,11 +57,12 @@
 	if err != nil {
 		return a, err
 	}
-	if n < minElements || n > maxElements {
+	if n < minElements || n > responseElements {
 		return a, fmt.Errorf("%w: array of %d elements", errMalformed, n)
 	}
+	a.elements = n
 	for i := range n {
-		isBody := i == elementsWithBody-1
+		isBody := i == responseElements-1
 		limit := maxElementBytes
 		if isBody {
 			limit = maxBodyBytes
