Serve from HTTP endpoints only what is shown to be complete

What callers saw: nothing in the field yet. A read that an HTTP endpoint answered 204 or 201 was passed on as 200 with no body, and a body without a length or chunks was passed on as far as the connection brought it: where the endpoint closed it in the middle, the client got the first part with a Content-Length that fits.

Cause: httpstore took 200, 201 and 204 alike, for reads and writes, and net/http reports no error at the end of a body that only the connection delimits.

Change: 201 and 204 count for writes only, and a response counts as served if its end is marked by a length or by chunks; otherwise it is an error of the endpoint. An HTTP/1.0 endpoint has to state Content-Length.

--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -260,7 +260,7 @@
 	}
 	result.ETag = strings.Trim(resp.Header.Get("ETag"), `"`)
 	switch {
-	case resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated || resp.StatusCode == http.StatusNoContent:
+	case isServed(resp, s.Write):
 		result.Outcome, result.Note, result.Body, result.BodyReservation = control.OK, control.Hit, body, reservation
 	case resp.StatusCode == http.StatusNotModified && s.ClientETag != "": // it can only confirm a copy that the request named
 		result.Outcome, result.Note, result.NotModified = control.OK, control.Hit, true
@@ -282,6 +282,23 @@
 	return result
 }
 
+// isServed reports whether a response has what the request asked for: the complete representation, or the result of a write.
+func isServed(resp *http.Response, write bool) bool {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return hasMarkedEnd(resp)
+	case http.StatusCreated, http.StatusNoContent: // these carry no representation
+		return write && hasMarkedEnd(resp)
+	}
+	return false
+}
+
+// hasMarkedEnd reports whether the end of a response's body is marked, by its length or as the last chunk. A body that ends with the
+// connection can't be told from one that was cut off (RFC 9112, 8).
+func hasMarkedEnd(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1
+}
+
 // failureOutcome returns the outcome of a request without a response, given whether bytes of it may have been sent and whether it
 // was canceled. A failure local to this host or a client's cancellation is not counted against the endpoint.
 func failureOutcome(err error, mayBeSent, canceled bool) control.Outcome {
--- a/upstream/httpstore/response_form_test.go
+++ b/upstream/httpstore/response_form_test.go
@@ -48,3 +48,36 @@
 		}
 	}
 }
+
+// A response that carries no representation, or whose end can't be told from a connection that broke off, was served as if it
+// were complete.
+func TestReadNeedsACompleteRepresentation(t *testing.T) {
+	for _, x := range []struct {
+		response string
+		write    bool
+		want     control.Outcome
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes", false, control.OK},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n", false, control.OK},
+		{"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nbytes", false, control.OK},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, control.OK},
+
+		{"HTTP/1.1 204 No Content\r\n\r\n", false, control.ServerError},
+		{"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n", false, control.ServerError},
+		{"HTTP/1.1 206 Partial Content\r\nContent-Range: bytes 0-4/9\r\nContent-Length: 5\r\n\r\nbytes", false, control.ServerError},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbytes", false, control.ServerError},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbytes\r\n", false, control.ServerError},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbytes", false, control.ServerError},
+		{"HTTP/1.0 200 OK\r\n\r\nbytes", false, control.ServerError},
+
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbytes", true, control.OK},
+		{"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n", true, control.OK},
+		{"HTTP/1.1 204 No Content\r\n\r\n", true, control.OK},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbytes", true, control.ServerError},
+	} {
+		request := core.AttemptRequest{Endpoint: 1, Class: "firmware", ObjectName: "1", Write: x.write, NonIdempotent: x.write}
+		if e := scriptedOutcome(t, x.response, request); e.Outcome != x.want || len(e.Body) > 0 && e.Outcome != control.OK {
+			t.Errorf("write %v, %q: %+v, want %v", x.write, x.response, e, x.want)
+		}
+	}
+}
