--- a/front/signed/manage.go
+++ b/front/signed/manage.go
@@ -19,25 +19,6 @@
 // ConfigKeys is the name of the keys in the replicated store.
 const ConfigKeys = "keys"
 
-// ConfigPolicy is the name of the policy in the replicated store.
-const ConfigPolicy = "policy"
-
-// Policy holds the settings that an operator may change while the gateway runs.
-type Policy struct {
-	LeewayMs     float64 `json:"leeway_ms"`     // tolerated clock skew in either direction
-	TokenSeconds float64 `json:"token_seconds"` // maximum lifetime of an issued token
-}
-
-func (p Policy) validate() error {
-	switch {
-	case !(p.LeewayMs >= 0 && p.LeewayMs <= 300000):
-		return fmt.Errorf("leeway_ms: 0 to 300000")
-	case !(p.TokenSeconds > 0 && p.TokenSeconds <= 366*24*3600):
-		return fmt.Errorf("token_seconds: more than 0, a year at most")
-	}
-	return nil
-}
-
 // operatorCallTimeout limits the duration of an operator's call.
 const operatorCallTimeout = 3 * time.Second
 
@@ -144,33 +125,3 @@
 	}
 	return nil
 }
-
-// ApplyConfig applies configuration from the replicated store. A value that can't be used is logged and ignored: the previous
-// one stays in force.
-func (f *Frontend) ApplyConfig(name string, value json.RawMessage) {
-	var err error
-	switch name {
-	case ConfigKeys:
-		var keys []token.Key
-		var next *ring.Ring
-		if err = json.Unmarshal(value, &keys); err == nil {
-			if next, err = ring.New(keys); err == nil {
-				f.SetRing(next)
-			}
-		}
-	case ConfigPolicy:
-		var p Policy
-		if err = json.Unmarshal(value, &p); err == nil {
-			if err = p.validate(); err == nil {
-				f.policy.Store(&p)
-			}
-		}
-	default:
-		return
-	}
-	if err != nil {
-		f.opt.Log.Error().Err(err).Str("name", name).Msg("configuration from the replicated store rejected")
-		return
-	}
-	f.opt.Log.Info().Str("name", name).Msg("configuration changed")
-}
--- a/front/signed/operator_calls.go
+++ b/front/signed/operator_calls.go
@@ -94,17 +94,6 @@
 	return okResponse, asUnavailable(f.opt.Claims.Put(ctx, ConfigKeys, keys))
 }
 
-func (f *Frontend) changePolicy(ctx context.Context, body []byte) (any, error) {
-	p := *f.policy.Load()
-	if err := readJSON(body, &p); err != nil {
-		return nil, err
-	}
-	if err := p.validate(); err != nil {
-		return nil, err
-	}
-	return okResponse, asUnavailable(f.opt.Claims.Put(ctx, ConfigPolicy, p))
-}
-
 // purgeCopies invalidates the copies of one object, or of one group of objects, that are older than the call.
 func (f *Frontend) purgeCopies(ctx context.Context, body []byte) (any, error) {
 	var q struct {
