Merge a change of the policy into the group's value at the leader

Cause: the call filled the settings that it does not name from the answering gateway's copy and proposed the whole policy. That copy is behind after a restart, and it is behind whenever two calls come at once at different gateways, so one of two acknowledged changes was lost in a group without any fault as well.

Change: the call proposes what it names (replica.Merge). The leader completes it: under a semaphore that all changes of the configuration take there, it has a barrier committed, which shows that it leads and has applied every earlier change, merges, and appends a plain put of the whole value. A merge that reaches a leader of an earlier version becomes an entry which members of every version reject, and the call gets 503; a call that names both settings is proposed as a put, which such a leader accepts. The state machine could not do the merge: old and new members would come to different states by the same entry.

A change whose result is missing in the leader's answer is no longer taken for acknowledged (proposeChange).

--- a/claims_test.go
+++ b/claims_test.go
@@ -175,7 +175,8 @@
 func (c *gatewayGroup) newFrontend(member signed.Claims, deadline, claimTimeout float64) *signed.Frontend {
 	return signed.New(signed.Options{
 		Post: answeringCore(&c.runs), Clock: c.clock, Log: zerolog.Nop(), Ring: c.keys, Claims: member, MaxClockSkew: 10000,
-		Classes: []signed.Class{{Name: "ride-end", Deadline: deadline, Write: true}}, ClaimTimeout: claimTimeout,
+		OperatorSecret: operatorSecret,
+		Classes:        []signed.Class{{Name: "ride-end", Deadline: deadline, Write: true}}, ClaimTimeout: claimTimeout,
 	})
 }
 
--- a/front/signed/claim_test.go
+++ b/front/signed/claim_test.go
@@ -66,6 +66,7 @@
 func (b *claimStore) Revoke(context.Context, string, float64) error { return nil }
 func (b *claimStore) Revoked(string) bool                           { return false }
 func (b *claimStore) Put(context.Context, string, any) error        { return nil }
+func (b *claimStore) Merge(context.Context, string, any, any) error { return nil }
 
 // gatewayPair has two gateways with one claim store, and a core that answers requests as the test prescribes.
 type gatewayPair struct {
--- a/front/signed/signed.go
+++ b/front/signed/signed.go
@@ -28,6 +28,9 @@
 	Revoked(name string) bool
 	// Put replaces the value of a name in the operator's configuration.
 	Put(ctx context.Context, name string, value any) error
+	// Merge sets the members of a value, an object, that changes names, and keeps the others as they were agreed on. Where
+	// there is no value yet, it starts from initial.
+	Merge(ctx context.Context, name string, changes, initial any) error
 }
 
 // DefaultTokenSeconds is the maximum lifetime of an issued token, in seconds, where the operator sets none.
@@ -134,7 +137,8 @@
 		f.classes[c.Name] = c
 	}
 	f.ring.Store(opt.Ring)
-	f.policy.Store(&Policy{LeewayMs: opt.MaxClockSkew, TokenSeconds: opt.MaxTokenSeconds})
+	configured := f.configuredPolicy()
+	f.policy.Store(&configured)
 	return f
 }
 
--- a/replica/command.go
+++ b/replica/command.go
@@ -12,6 +12,10 @@
 	opRevoke = "revoke"
 	opPut    = "put"   // sets a value of the operator's configuration
 	opPurge  = "purge" // invalidates cached copies, by object or group
+
+	// opMerge is a proposal to change members of a configuration value. The leader turns it into opPut: in an entry of the log,
+	// it is an unknown operation to members of every version.
+	opMerge = "merge"
 )
 
 // Limits of commands and of the state.
@@ -31,6 +35,8 @@
 	Until float64         `json:"until,omitempty"` // ms, as At
 	Value json.RawMessage `json:"value,omitempty"`
 
+	Initial json.RawMessage `json:"initial,omitempty"` // of opMerge: the value to change if there is none
+
 	To      claims.Stage `json:"to,omitempty"`
 	Outcome string       `json:"outcome,omitempty"`
 
@@ -50,6 +56,9 @@
 	return false
 }
 
+// changesConfig reports whether a command changes the operator's configuration.
+func (c *command) changesConfig() bool { return c.Op == opPut || c.Op == opMerge }
+
 // result is the result of applying a command, or of a replacement.
 type result struct {
 	OK  bool   `json:"ok"`
--- a/replica/control.go
+++ b/replica/control.go
@@ -21,6 +21,9 @@
 	Revoke(ctx context.Context, name string, until float64) error
 	// Put sets a value of the operator's configuration.
 	Put(ctx context.Context, name string, value any) error
+	// Merge sets the members of a configuration value, an object, that changes names, and keeps the others as the group has
+	// them. Where the group has no value yet, it starts from initial.
+	Merge(ctx context.Context, name string, changes, initial any) error
 	// Purge invalidates the cached copies of an object, or with object 0 of a group, that are older than now.
 	Purge(ctx context.Context, object uint64, group uint16) error
 	// ReplaceMember replaces a member that is lost by a new one, and returns the voters afterwards.
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -10,7 +10,8 @@
 // configuration, except for the list of voters ([ConfigMembers]).
 //
 // The path of a change: [Store.Put] and the like make a proposal (proposer.go); a member that is not the leader forwards it
-// (leader_conns.go, forward.go); the leader gives it the agreed time and appends it to the log (leader.go, agreed_clock.go);
+// (leader_conns.go, forward.go); the leader completes a merge with the group's value (config_change.go), gives it the agreed time and
+// appends it to the log (leader.go, agreed_clock.go);
 // every member applies it (state.go) and passes it to its watches (feed.go, watch_server.go), whose subscribers apply it to
 // their copies (subscription.go).
 package replica
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -32,7 +32,7 @@
 	return s.executeCommand(ctx, p.body)
 }
 
-// executeCommand appends a command to the log, at the agreed time, and returns the result of applying it.
+// executeCommand executes a command and returns the result of applying it.
 func (s *Store) executeCommand(ctx context.Context, encoded []byte) (result, error) {
 	var c command
 	if err := json.Unmarshal(encoded, &c); err != nil {
@@ -41,6 +41,14 @@
 	if err := s.awaitEarlierTerms(ctx); err != nil {
 		return result{}, err
 	}
+	if c.changesConfig() {
+		return s.changeConfig(ctx, c)
+	}
+	return s.appendCommand(ctx, c)
+}
+
+// appendCommand appends a command to the log, at the agreed time, and returns the result of applying it.
+func (s *Store) appendCommand(ctx context.Context, c command) (result, error) {
 	proposedAt := c.At
 	agreed, ok := s.agreedClock.stamp(&c)
 	if !ok {
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -61,8 +61,7 @@
 
 // Revoke rejects a token's use from now on, until a time in Unix ms.
 func (p *proposer) Revoke(ctx context.Context, name string, until float64) error {
-	_, err := p.proposeCommand(ctx, command{Op: opRevoke, Name: name, Until: until})
-	return err
+	return p.proposeChange(ctx, command{Op: opRevoke, Name: name, Until: until})
 }
 
 // Put sets a value of the operator's configuration.
@@ -71,13 +70,35 @@
 	if err != nil {
 		return fmt.Errorf("replica: %s: %w", name, err)
 	}
-	_, err = p.proposeCommand(ctx, command{Op: opPut, Name: name, Value: encoded})
-	return err
+	return p.proposeChange(ctx, command{Op: opPut, Name: name, Value: encoded})
+}
+
+// Merge sets the members of a configuration value, an object, that changes names, and keeps the others as the group has them,
+// whatever this gateway knows of the value. Where the group has no value yet, it starts from initial. A leader of a version
+// without Merge rejects it.
+func (p *proposer) Merge(ctx context.Context, name string, changes, initial any) error {
+	encoded, err := json.Marshal(changes)
+	if err != nil {
+		return fmt.Errorf("replica: %s: %w", name, err)
+	}
+	encodedInitial, err := json.Marshal(initial)
+	if err != nil {
+		return fmt.Errorf("replica: %s: %w", name, err)
+	}
+	return p.proposeChange(ctx, command{Op: opMerge, Name: name, Value: encoded, Initial: encodedInitial})
 }
 
 // Purge invalidates the cached copies of an object, or with object 0 of a group, that are older than now.
 func (p *proposer) Purge(ctx context.Context, object uint64, group uint16) error {
-	_, err := p.proposeCommand(ctx, command{Op: opPurge, Object: object, Group: group})
+	return p.proposeChange(ctx, command{Op: opPurge, Object: object, Group: group})
+}
+
+// proposeChange proposes a command whose result says only that it is applied.
+func (p *proposer) proposeChange(ctx context.Context, c command) error {
+	res, err := p.proposeCommand(ctx, c)
+	if err == nil && !res.OK {
+		return fmt.Errorf("%w: %w", ErrNoQuorum, errNoResult)
+	}
 	return err
 }
 
@@ -124,7 +145,7 @@
 	if c.Op != opPurge && len(c.Name) == 0 || len(c.Name) > maxName {
 		return fmt.Errorf("replica: name: 1 to %d bytes", maxName)
 	}
-	if len(c.Value) > maxValue {
+	if len(c.Value)+len(c.Initial) > maxValue {
 		return fmt.Errorf("replica: value: %d bytes at most", maxValue)
 	}
 	return nil
--- a/replica/store.go
+++ b/replica/store.go
@@ -38,6 +38,7 @@
 	verifications chan struct{} // semaphore of verifyLeadership
 	caughtUpTerm  atomic.Uint64 // the term in which, as the leader, it has applied all entries of earlier terms
 	replacementMu sync.Mutex    // held during a replacement that this member leads
+	configChange  chan struct{} // semaphore of changeConfig
 }
 
 // Open starts a member.
@@ -45,7 +46,9 @@
 	if opt.Now == nil {
 		opt.Now = time.Now
 	}
-	s := &Store{opt: opt, state: newStateMachine(), agreedClock: &agreedClock{clock: opt.Clock}}
+	s := &Store{
+		opt: opt, state: newStateMachine(), agreedClock: &agreedClock{clock: opt.Clock}, configChange: make(chan struct{}, 1),
+	}
 	s.state.agreedClock = s.agreedClock
 	s.state.onPut = opt.Changed
 	s.state.onPurge = opt.Purged
