Have the leader keep a revocation for as long as the group's policy says

What callers saw: nothing in the field yet. POST /-/revocations at a gateway with an outdated policy was answered 200 and recorded an end by that policy: with token_seconds agreed on as 7 days, and 1 day in the operator's file, the revocation ended 6 days before the token's successors do, which are then served again.

Cause: revokeToken computes the end from the answering gateway's copy of the policy, as changePolicy did.

Change: the leader extends the end by the policy that it has applied (replica.Options.MinRevocation, set by the control plane from the signed frontend). It has applied every change acknowledged before, and it appends the same entry as before, a revocation with its end, so logs and members of earlier versions are not concerned. A leader of an earlier version takes the end as the proposer sends it.

--- a/claims_test.go
+++ b/claims_test.go
@@ -165,6 +165,7 @@
 	if c.stores[i], err = replica.Open(replica.Options{
 		ID: c.members[i].ID, Members: c.members, Listener: l, TLS: conf, Dir: c.dirs[i], Clock: c.clock, Log: zerolog.Nop(),
 		HeartbeatTimeout: 200 * time.Millisecond,
+		MinRevocation:    func() time.Duration { return c.frontends[i].MinRevocation() },
 	}); err != nil {
 		c.Fatal(err)
 	}
--- a/front/signed/operator_calls.go
+++ b/front/signed/operator_calls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/membership"
 	"turnfork.dev/turnfork/token"
 	"turnfork.dev/turnfork/token/ring"
@@ -64,7 +65,7 @@
 func (f *Frontend) revokeToken(ctx context.Context, body []byte) (any, error) {
 	var q struct {
 		Key, ID string
-		Until   float64 // Unix seconds; at least the maximum lifetime of a token from now on
+		Until   float64 // Unix seconds; at least MinRevocation from now on
 	}
 	if err := readJSON(body, &q); err != nil {
 		return nil, err
@@ -72,14 +73,13 @@
 	if q.Key == "" || q.ID == "" {
 		return nil, errors.New("key and id: missing")
 	}
-	policy := f.policy.Load()
-	// Tokens that were renewed from the revoked one may last for the maximum lifetime from now on.
-	q.Until = max(q.Until, f.opt.Clock.Unix()/1000+policy.TokenSeconds)
+	// A leader with a later policy extends it, and one of an earlier version takes it as it is.
+	until := max(q.Until*1000+f.policy.Load().LeewayMs, f.opt.Clock.Unix()+clock.Ms(f.MinRevocation()))
 	name := token.Grant{Key: q.Key, ID: q.ID}.UseKey()
-	if err := f.opt.Claims.Revoke(ctx, name, q.Until*1000+policy.LeewayMs); err != nil {
+	if err := f.opt.Claims.Revoke(ctx, name, until); err != nil {
 		return nil, asUnavailable(err)
 	}
-	f.opt.Log.Info().Str("claim", name).Float64("until_s", q.Until).Msg("token revoked")
+	f.opt.Log.Info().Str("claim", name).Float64("until_s", until/1000).Msg("token revoked")
 	return okResponse, nil
 }
 
--- a/front/signed/policy.go
+++ b/front/signed/policy.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"time"
+
+	"turnfork.dev/turnfork/clock"
 )
 
 // ConfigPolicy is the name of the policy in the replicated store.
@@ -24,6 +27,12 @@
 	return nil
 }
 
+// MinRevocation returns the least time for which a revocation has to be kept: as long as a token that is renewed now is accepted.
+func (f *Frontend) MinRevocation() time.Duration {
+	p := f.policy.Load()
+	return clock.Duration(p.TokenSeconds*1000 + p.LeewayMs)
+}
+
 // policyChange holds the settings that a call changes; nil: those that it leaves as they are.
 type policyChange struct {
 	LeewayMs     *float64 `json:"leeway_ms,omitempty"`
--- a/frontends.go
+++ b/frontends.go
@@ -81,6 +81,7 @@
 		fd = 0
 	}
 	f := signed.New(gw.signedOptions(keys))
+	gw.plane.SetMinRevocation(f.MinRevocation)
 	gw.plane.OnConfigChange(f.ApplyConfig, signed.ConfigKeys, signed.ConfigPolicy)
 	gw.addrs.Signed, err = gw.listen(ctx, "listen", operator.Listen, fd, f)
 	if err != nil {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -38,8 +38,9 @@
 	subscriber *replica.Subscriber          // nil: voter or standalone
 	store      *replica.Store               // nil: subscriber or standalone
 
-	mu       sync.Mutex
-	onConfig func(name string, value json.RawMessage)
+	mu            sync.Mutex
+	onConfig      func(name string, value json.RawMessage)
+	minRevocation func() time.Duration // nil: none
 }
 
 // New returns a Plane that Open starts. operator may be nil: the gateway is then standalone.
@@ -134,6 +135,7 @@
 func (p *Plane) storeOptions() replica.Options {
 	return replica.Options{
 		Clock: p.clock, Log: p.log, Changed: p.applyConfig, Purged: p.Purged, Missed: p.PurgesMissed, Timing: p.Timing,
+		MinRevocation: p.leastRevocation,
 	}
 }
 
@@ -151,6 +153,23 @@
 	}
 }
 
+// SetMinRevocation sets the function that returns the least time for which revocations are kept while this gateway leads.
+func (p *Plane) SetMinRevocation(least func() time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.minRevocation = least
+}
+
+// leastRevocation returns the least time for which revocations are kept.
+func (p *Plane) leastRevocation() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.minRevocation == nil {
+		return 0
+	}
+	return p.minRevocation()
+}
+
 // applyConfig passes a configuration value to the function set by OnConfigChange.
 func (p *Plane) applyConfig(name string, value json.RawMessage) {
 	p.mu.Lock()
--- a/policy_change_test.go
+++ b/policy_change_test.go
@@ -13,22 +13,22 @@
 	"turnfork.dev/turnfork/front/signed"
 )
 
-// operatorCall makes an operator's call at a gateway, repeated while there is no quorum, and returns an error unless it succeeds.
-func (c *gatewayGroup) operatorCall(gateway int, path, body string) error {
+// operatorCall makes an operator's call at a frontend, repeated while there is no quorum, and returns an error unless it succeeds.
+func operatorCall(f *signed.Frontend, path, body string) error {
 	for limit := time.Now().Add(40 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		status, text, err := c.tryOperatorCall(gateway, path, body)
+		status, text, err := tryOperatorCall(f, path, body)
 		if err != nil || status == 200 {
 			return err
 		}
 		if status != 503 || time.Now().After(limit) {
-			return fmt.Errorf("%s %s at gateway %d: %d %s", path, body, gateway, status, text)
+			return fmt.Errorf("%s %s: %d %s", path, body, status, text)
 		}
 	}
 }
 
-func (c *gatewayGroup) tryOperatorCall(gateway int, path, body string) (status int, text string, err error) {
+func tryOperatorCall(f *signed.Frontend, path, body string) (status int, text string, err error) {
 	client, server := net.Pipe()
-	go c.frontends[gateway].Handle(server)
+	go f.Handle(server)
 	defer client.Close()
 	fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
 		path, operatorSecret, len(body), body)
@@ -72,7 +72,7 @@
 		{`{"leeway_ms":8,"token_seconds":60}`, signed.Policy{LeewayMs: 8, TokenSeconds: 60}},
 		{`{"token_seconds":3601}`, signed.Policy{LeewayMs: 8, TokenSeconds: 3601}},
 	} {
-		if err := c.operatorCall(i%len(c.frontends), "/-/policy", x.call); err != nil {
+		if err := operatorCall(c.frontends[i%len(c.frontends)], "/-/policy", x.call); err != nil {
 			t.Fatal(err)
 		}
 		c.expectPolicy(x.want)
@@ -84,9 +84,11 @@
 	c := newGatewayGroup(t, 1000)
 	for round := range 20 {
 		var calls errgroup.Group
-		calls.Go(func() error { return c.operatorCall(round%3, "/-/policy", fmt.Sprintf(`{"leeway_ms":%d}`, round)) })
 		calls.Go(func() error {
-			return c.operatorCall((round+1)%3, "/-/policy", fmt.Sprintf(`{"token_seconds":%d}`, round+1))
+			return operatorCall(c.frontends[round%3], "/-/policy", fmt.Sprintf(`{"leeway_ms":%d}`, round))
+		})
+		calls.Go(func() error {
+			return operatorCall(c.frontends[(round+1)%3], "/-/policy", fmt.Sprintf(`{"token_seconds":%d}`, round+1))
 		})
 		if err := calls.Wait(); err != nil {
 			t.Fatal(err)
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+	"turnfork.dev/turnfork/clock"
 )
 
 // defaultEnqueueTimeout limits how long Raft may take to accept an entry where the context has no deadline.
@@ -44,6 +45,9 @@
 	if c.changesConfig() {
 		return s.changeConfig(ctx, c)
 	}
+	if c.Op == opRevoke && s.opt.MinRevocation != nil {
+		c.Until = max(c.Until, c.At+clock.Ms(s.opt.MinRevocation()))
+	}
 	return s.appendCommand(ctx, c)
 }
 
--- a/replica/options.go
+++ b/replica/options.go
@@ -33,6 +33,10 @@
 	// Missed is called when purges proposed before a Unix time in ms may be missing. It may be nil. It must not block.
 	Missed func(before int64)
 
+	// MinRevocation returns the least time for which a revocation is kept, by the configuration that this member has applied. The
+	// leader's counts, as the proposer's copy of the configuration may be outdated. It may be nil. It must not block.
+	MinRevocation func() time.Duration
+
 	HeartbeatTimeout time.Duration // of Raft; 0: 500 ms, standalone 50 ms
 	Join             bool          // the group exists already, and this member is added by ReplaceMember
 
--- a/replica/proposer.go
+++ b/replica/proposer.go
@@ -59,7 +59,8 @@
 	return res.Record, res.OK, err
 }
 
-// Revoke rejects a token's use from now on, until a time in Unix ms.
+// Revoke rejects a token's use from now on, until a time in Unix ms or for Options.MinRevocation, whichever
+// is longer.
 func (p *proposer) Revoke(ctx context.Context, name string, until float64) error {
 	return p.proposeChange(ctx, command{Op: opRevoke, Name: name, Until: until})
 }
