Start an update of operators' overrides from the latest copy known

What callers saw: nothing in the field yet. With orders.json missing, as after a cleaning of $TMPDIR, the next PUT /stores/disable was answered as durable and wrote that store alone, with a higher revision: every other store that operators had taken out was back at the next start, and within 50 ms at the other process of an upgrade. With it damaged, the update started from this process's copy, though the backup may have a ban that the other process has written since.

Cause: Registry.Update read the file alone; a missing one counted as no overrides, a damaged one as this process's.

Change: it starts from the file or its backup as a start does (Load), or from the overrides in force where they are of a later revision.

--- a/internal/handover/overrides.go
+++ b/internal/handover/overrides.go
@@ -120,7 +120,7 @@
 	return overrides, nil
 }
 
-// Update changes the overrides on disk, one process at a time. If the file is damaged, the update starts from inForce, the
+// Update changes the overrides on disk, one process at a time. It starts from the latest of the copies on disk and inForce, the
 // overrides in force in this process. The file is replaced atomically, so that a reader sees the old or the new one, also after
 // a crash. After an error the file may or may not have changed, and the caller has to repeat the update.
 func (r *Registry) Update(ctx context.Context, inForce Overrides, alter func(*Overrides)) (Overrides, error) {
@@ -141,19 +141,28 @@
 		return Overrides{}, err
 	}
 	defer lock.Close() // releases the lock
-	overrides, err = r.Read()
-	if errors.Is(err, ErrCorrupt) {
-		overrides, err = inForce, nil
-	}
+	overrides, err = r.latest(inForce)
 	if err != nil {
 		return overrides, err
 	}
 	alter(&overrides)
 	overrides.Format = format
-	overrides.Revision = max(overrides.Revision, inForce.Revision) + 1
+	overrides.Revision++
 	return overrides, r.writeCopies(overrides, placed)
 }
 
+// latest returns the stored overrides, or inForce if that is of a later revision: the files may be damaged, missing or outdated.
+func (r *Registry) latest(inForce Overrides) (Overrides, error) {
+	stored, _, err := r.Load()
+	if err != nil && !errors.Is(err, ErrCorrupt) {
+		return Overrides{}, err
+	}
+	if err != nil || stored.Revision < inForce.Revision {
+		return inForce, nil
+	}
+	return stored, nil
+}
+
 // lockFile acquires the lock for updates, which the process holds until it closes the returned file.
 func (r *Registry) lockFile(ctx context.Context) (*os.File, error) {
 	lock, err := os.OpenFile(r.path(lockName), os.O_CREATE|os.O_RDWR, 0o600)
