--- a/internal/fakestore/slow_server.go
+++ b/internal/fakestore/slow_server.go
@@ -23,6 +23,9 @@
 	Busy                       // AGAIN
 	Failing                    // EIO
 	Malformed                  // a malformed response
+	ShortArray                 // a response whose array states one element less than follow
+	UnknownStatus              // a response with a status that the protocol does not have
+	WrongNotModified           // NOMOD, although the request names no copy
 	CloseMidResponse           // the connection is closed in the middle of the response
 	ResetAfterRequest          // the connection is reset after the request is read
 	ResetMidResponse           // the connection is reset in the middle of the response
@@ -218,7 +221,7 @@
 			behavior := s.behaviorOf(cmd, s.received[cmd.ID])
 			s.received[cmd.ID]++
 			s.gets = append(s.gets, cmd)
-			if behavior <= Malformed { // the complete response is written below
+			if behavior < CloseMidResponse { // the complete response is written below
 				endAttempt(cmd.ID)
 			}
 			s.mu.Unlock()
@@ -257,10 +260,17 @@
 	}
 }
 
+// responseElements is the length of a response's array.
+const responseElements = 4
+
 // writeResponse writes a complete response with fixed fields and the body "ok".
-func writeResponse(c net.Conn, id, status string) {
+func writeResponse(c net.Conn, id, status string) { writeArray(c, responseElements, id, status) }
+
+// writeArray writes a response whose array states a length, which may be wrong.
+func writeArray(c net.Conn, length int, id, status string) {
 	fields := "tag=0a,minted=1,why=local"
-	fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$2\r\nok\r\n", len(id), id, len(status), status, len(fields), fields)
+	fmt.Fprintf(c, "*%d\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$2\r\nok\r\n",
+		length, len(id), id, len(status), status, len(fields), fields)
 }
 
 // respond writes a response, a part of one or nothing, and closes or resets the connection, as behavior says.
@@ -277,6 +287,12 @@
 		writeResponse(c, id, "AGAIN")
 	case Failing:
 		writeResponse(c, id, "EIO")
+	case ShortArray:
+		writeArray(c, responseElements-1, id, "ACK")
+	case UnknownStatus:
+		writeResponse(c, id, "READY")
+	case WrongNotModified:
+		writeResponse(c, id, "NOMOD")
 	case Malformed:
 		fmt.Fprint(c, "*4\r\n$70000\r\n")
 	case CloseMidResponse:
--- a/production_test.go
+++ b/production_test.go
@@ -45,6 +45,9 @@
 	{"truncated response", withBehavior(fakestore.CloseMidResponse)},
 	{"stalled response", withBehavior(fakestore.StallMidResponse)},
 	{"malformed response", withBehavior(fakestore.Malformed)},
+	{"response with too short an array", withBehavior(fakestore.ShortArray)},
+	{"unknown status", withBehavior(fakestore.UnknownStatus)},
+	{"copy confirmed that was not named", withBehavior(fakestore.WrongNotModified)},
 	{"connections forgotten and no response", func(r *productionRig) { r.setBehavior(fakestore.NoResponse); r.endpoints.DiscardInput() }},
 	{"first attempt fails", func(r *productionRig) {
 		r.setBehaviorFunc(func(_ fakestore.Command, n int) fakestore.Behavior {
