--- a/claims_test.go
+++ b/claims_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -39,6 +40,9 @@
 	victim    int // the killed member, valid once killed is closed
 
 	openLogs func(path string) (replica.LogDatabase, error) // opens the log of a gateway that is a member; nil: the default
+
+	// observe returns a function that is called with each configuration value that a member applies from its start on; nil: none is.
+	observe func() func(name string, value json.RawMessage)
 }
 
 // leaderFault kills the leader at one step of a claim: before the step is proposed, or after it is committed, in which case the
@@ -162,9 +166,14 @@
 	if err != nil {
 		c.Fatal(err)
 	}
+	var changed func(name string, value json.RawMessage)
+	if c.observe != nil {
+		changed = c.observe()
+	}
 	if c.stores[i], err = replica.Open(replica.Options{
 		ID: c.members[i].ID, Members: c.members, Listener: l, TLS: conf, Dir: c.dirs[i], Clock: c.clock, Log: zerolog.Nop(),
 		HeartbeatTimeout: 200 * time.Millisecond,
+		Changed:          changed,
 		MinRevocation:    func() time.Duration { return c.frontends[i].MinRevocation() },
 	}); err != nil {
 		c.Fatal(err)
