--- a/discovery/frames_test.go
+++ b/discovery/frames_test.go
@@ -61,3 +61,27 @@
 		}
 	})
 }
+
+// No part of a frame passes for a whole one, whether the connection ends in it or its length states too little.
+func TestIncompleteFrameIsRejected(t *testing.T) {
+	for kind, payload := range map[byte][]byte{
+		kindDelta:       endpointEntry,
+		kindPurgeObject: make([]byte, purgeObjectLen),
+		kindPurgeGroup:  make([]byte, purgeGroupLen),
+	} {
+		whole := frame(41, kind, payload)
+		if _, err := ReadFrame(bytes.NewReader(whole)); err != nil {
+			t.Fatal(err)
+		}
+		for n := range whole {
+			if got, err := ReadFrame(bytes.NewReader(whole[:n])); err == nil {
+				t.Errorf("kind %d, %d of %d bytes: %+v", kind, n, len(whole), got)
+			}
+		}
+		for n := 1; n < len(payload); n++ {
+			if got, err := ReadFrame(bytes.NewReader(frame(41, kind, payload[:n]))); err == nil {
+				t.Errorf("kind %d, payload of %d bytes: %+v", kind, n, got)
+			}
+		}
+	}
+}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -45,6 +45,21 @@
 	}
 }
 
+// No part of a request passes for a whole one.
+func TestIncompleteRequestIsRejected(t *testing.T) {
+	for _, whole := range []string{
+		"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde",
+		"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+	} {
+		for n := range len(whole) + 1 {
+			m, err := Read(bufio.NewReader(strings.NewReader(whole[:n])), Options{MaxBodyBytes: 5, SendContinue: func() {}})
+			if accepted := err == nil; accepted != (n == len(whole)) || accepted && string(m.Body) != "abcde" {
+				t.Errorf("%d of %d bytes: body %q, %v", n, len(whole), m.Body, err)
+			}
+		}
+	}
+}
+
 // Guards against memory for a request that is not reserved before its bytes come: what was reserved must cover what the request
 // holds at each of its bytes, and a request for which nothing can be reserved must be rejected at once.
 func TestMemoryIsReservedWithTheBytes(t *testing.T) {
--- a/replica/command_test.go
+++ b/replica/command_test.go
@@ -17,20 +17,21 @@
 	"turnfork.dev/turnfork/distribution"
 )
 
-// silentVoter is a voter that receives proposals and closes their connections without a response.
+// silentVoter is a voter that receives proposals and closes their connections, without a response or with a fixed one.
 type silentVoter struct {
 	listener net.Listener
+	response []byte // nil: none
 	mu       sync.Mutex
 	commands []string
 }
 
-func newSilentVoter(t *testing.T, conf *tls.Config) *silentVoter {
+func newSilentVoter(t *testing.T, conf *tls.Config, response []byte) *silentVoter {
 	t.Helper()
 	listener, err := tls.Listen("tcp", "127.0.0.1:0", serverConfig(conf))
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &silentVoter{listener: listener}
+	m := &silentVoter{listener: listener, response: response}
 	go m.accept()
 	t.Cleanup(func() { listener.Close() })
 	return m
@@ -60,6 +61,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commands = append(m.commands, string(block))
+	if m.response != nil {
+		writeBlock(conn, m.response)
+	}
 }
 
 func (m *silentVoter) count() int {
@@ -68,11 +72,11 @@
 	return len(m.commands)
 }
 
-// A command whose outcome is unknown is not proposed again, as it could be applied twice. Steps of a claim are: their owner may
-// repeat them.
-func TestSubscriberRetriesOnlyClaimSteps(t *testing.T) {
+// newSilentGroup starts a subscriber of a group whose only voter is silent.
+func newSilentGroup(t *testing.T, response []byte) (*silentVoter, *Subscriber) {
+	t.Helper()
 	certs := authority(t)
-	voter := newSilentVoter(t, certs())
+	voter := newSilentVoter(t, certs(), response)
 	s, err := OpenSubscriber(SubscriberOptions{
 		Name: "gateway", Voters: []Member{{ID: "silent", Addr: voter.listener.Addr().String()}}, TLS: certs(),
 		Clock: clock.System(), Log: zerolog.Nop(), Timing: testTiming,
@@ -80,7 +84,34 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer s.Close()
+	t.Cleanup(func() { s.Close() })
+	return voter, s
+}
+
+// A response without a result acknowledges nothing. That of a leader of a version without merges is an error at once.
+func TestResponseWithoutResultAcknowledgesNothing(t *testing.T) {
+	for _, response := range []string{`{}`, `{"sure":true}`, `{"result":{},"sure":true}`, `{"result":{"err":"unknown operation"},"sure":true}`} {
+		voter, s := newSilentGroup(t, []byte(response))
+		for i, do := range []func() error{
+			func() error { return s.Put(testContext(t), "policy", 1) },
+			func() error { return s.Merge(testContext(t), "policy", settings{}, settings{}) },
+			func() error { return s.Revoke(testContext(t), "use", 1) },
+			func() error { return s.Purge(testContext(t), 1, 1) },
+		} {
+			if err := do(); err == nil {
+				t.Errorf("%s: change %d counts as acknowledged", response, i)
+			}
+			if got := voter.count(); got != i+1 {
+				t.Errorf("%s: change %d: %d commands sent", response, i, got)
+			}
+		}
+	}
+}
+
+// A command whose outcome is unknown is not proposed again, as it could be applied twice. Steps of a claim are: their owner may
+// repeat them.
+func TestSubscriberRetriesOnlyClaimSteps(t *testing.T) {
+	voter, s := newSilentGroup(t, nil)
 	for i, do := range []func() error{
 		func() error { return s.Put(testContext(t), "policy", 1) },
 		func() error { return s.Revoke(testContext(t), "use", 1) },
