Soak: excuse a send to a draining endpoint only by a process started since

Trace: replayed three times with the times of starts and drains printed. The protocol counts an event as told to it no later than 7 s afterward; the check's own comment excuses it too ("a process that was started since learns of the drain with its first list"), but livedThrough knew of SIGKILLs only, and not of a process that ends by itself and is replaced.

Change: the rig records each start, and that alone excuses. The check is stricter than before: while a process shuts down, nothing was checked at all; now it is.

--- a/cmd/turnfork/soak_rig_test.go
+++ b/cmd/turnfork/soak_rig_test.go
@@ -147,13 +147,14 @@
 	crowd     string // the kind of misbehaving clients; "": none
 	stalls    rigStalls
 
-	mu         sync.Mutex
-	terminated time.Time            // of the last SIGTERM, while that process lives
-	killed     []time.Time          // of each SIGKILL
-	gone       map[string]time.Time // when the client of a request left, by the request's ID
-	gets       []soakGet
-	faults     []string
-	counts     map[string]int // answers by status, and other figures for the log
+	mu            sync.Mutex
+	terminated    time.Time            // of the last SIGTERM, while that process lives
+	processStarts []time.Time          // of each process
+	killed        []time.Time          // of each SIGKILL
+	gone          map[string]time.Time // when the client of a request left, by the request's ID
+	gets          []soakGet
+	faults        []string
+	counts        map[string]int // answers by status, and other figures for the log
 }
 
 // rigStalls records when the test itself got no processor time, by a ticker that comes late: what it sees then, it sees late.
@@ -262,6 +263,9 @@
 
 // start starts the gateway's next process.
 func (s *soak) start() {
+	s.mu.Lock()
+	s.processStarts = append(s.processStarts, time.Now())
+	s.mu.Unlock()
 	env := []string{"NODE_CONFIG=" + s.conf, "NODE_LISTEN=" + s.addr, "NODE_NAME=n1"}
 	s.program = launch(s.T, "/bin/sh", env, "-c", "ulimit -n 1024; exec "+s.bin)
 }
--- a/cmd/turnfork/soak_test.go
+++ b/cmd/turnfork/soak_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -173,7 +174,7 @@
 		s.mu.Lock()
 		for i := len(s.gets) - 1; i >= 0; i-- {
 			// A process that was started since learns of the drain with its first list.
-			if get := s.gets[i]; get.address == addr && get.at.Sub(told) > drainGrace && get.at.Before(back) && s.livedThrough(told, get.at) {
+			if get := s.gets[i]; get.address == addr && get.at.Sub(told) > drainGrace && get.at.Before(back) && !s.startedBetween(told, get.at) {
 				s.faults = append(s.faults, fmt.Sprintf("%s was sent to a draining endpoint %v after it was told", get.id, get.at.Sub(told)))
 			}
 		}
@@ -182,14 +183,9 @@
 	}
 }
 
-// livedThrough reports whether no process of the gateway was killed or ended between two times. The caller holds mu.
-func (s *soak) livedThrough(from, to time.Time) bool {
-	for _, at := range s.killed {
-		if at.After(from) && at.Before(to) {
-			return false
-		}
-	}
-	return s.terminated.IsZero()
+// startedBetween reports whether a process of the gateway was started between two times. The caller holds mu.
+func (s *soak) startedBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(s.processStarts, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
 func isClosed(c <-chan struct{}) bool {
