Let a failed try of a byte budget reserve nothing, not even for a moment

Trace: ByteBudget.TryReserveShare added the bytes, compared, and took them back. A response that waits tries every 2 ms, so whoever reads Reserved in between sees them; and any other try that comes in between is refused though it fits, which is a 503 or 502 for a client without a reason.

Change: compare and swap.

Measured: TestFailedTryReservesNothing failed before and holds, 5 of 5 and with the race detector; TestResponsesStayWithinBudget held 40 of 40 with the race detector, and so did the tests of limits and front.

--- a/limits/byte_budget.go
+++ b/limits/byte_budget.go
@@ -27,11 +27,16 @@
 
 // TryReserveShare reserves n bytes. It returns false if more than a share of the limit, from 0 to 1, would be reserved then.
 func (b *ByteBudget) TryReserveShare(n int, share float64) bool {
-	if float64(b.reserved.Add(int64(n))) > share*float64(b.limit.Load()) {
-		b.reserved.Add(-int64(n))
-		return false
+	for {
+		reserved := b.reserved.Load()
+		next := reserved + int64(n)
+		if float64(next) > share*float64(b.limit.Load()) {
+			return false
+		}
+		if b.reserved.CompareAndSwap(reserved, next) {
+			return true
+		}
 	}
-	return true
 }
 
 // Reserve reserves n bytes, and waits while the budget is exhausted. It returns the error of ctx if that is done before. More
--- a/limits/byte_budget_test.go
+++ b/limits/byte_budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 )
@@ -31,3 +32,42 @@
 	}
 	(*Reservation)(nil).Release()
 }
+
+// Guards against a try that fails but counts for a moment: others that fit were rejected meanwhile, and more than the limit seemed to
+// be reserved.
+func TestFailedTryReservesNothing(t *testing.T) {
+	const limit, attempts = 1000, 200_000
+	b := NewByteBudget(limit)
+	var tries sync.WaitGroup
+	done := make(chan struct{})
+	for range 4 {
+		tries.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					if b.TryReserve(limit + 1) {
+						t.Error("more than the limit was reserved")
+					}
+				}
+			}
+		})
+	}
+	rejected, exceeded := 0, 0
+	for range attempts {
+		if b.Reserved() > limit {
+			exceeded++
+		}
+		if !b.TryReserve(limit) {
+			rejected++
+			continue
+		}
+		b.Release(limit)
+	}
+	close(done)
+	tries.Wait()
+	if rejected+exceeded > 0 {
+		t.Errorf("of %d attempts %d were rejected; %d times more than the limit was reserved", attempts, rejected, exceeded)
+	}
+}
