--- a/upstream/resp/parse.go
+++ b/upstream/resp/parse.go
@@ -159,21 +159,6 @@
 	return b, nil
 }
 
-// appendCommand appends a command as an array of bulk strings.
-func appendCommand(b []byte, words ...string) []byte {
-	b = append(b, '*')
-	b = strconv.AppendInt(b, int64(len(words)), 10)
-	b = append(b, '\r', '\n')
-	for _, w := range words {
-		b = append(b, '$')
-		b = strconv.AppendInt(b, int64(len(w)), 10)
-		b = append(b, '\r', '\n')
-		b = append(b, w...)
-		b = append(b, '\r', '\n')
-	}
-	return b
-}
-
 // fields is a list of the form name=value,name=value, or "-" if it is empty.
 type fields string
 
--- a/upstream/resp/resp_test.go
+++ b/upstream/resp/resp_test.go
@@ -101,6 +101,38 @@
 	}
 }
 
+// scriptedEndpoint is an endpoint that sends the bytes that respond returns for each GET on a connection. Each GET must arrive in one
+// read.
+func scriptedEndpoint(t *testing.T, respond func(c net.Conn, id string) []byte) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for buf := make([]byte, 4096); ; {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					if words := strings.Split(string(buf[:n]), "\r\n"); words[2] == "GET" {
+						c.Write(respond(c, words[4]))
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
 func newRequest(id, n int, to uint32) core.AttemptRequest {
 	return core.AttemptRequest{
 		AttemptKey: core.AttemptKey{ID: control.RequestID(id), Number: n}, Endpoint: to, Source: to, Txn: strings.Repeat("0", 15) + string(rune('a'+id)),
@@ -451,34 +483,12 @@
 func TestNonIdempotentUsesDedicatedConnection(t *testing.T) {
 	var mu sync.Mutex
 	remotes := map[string]string{} // attempt ID to the remote address of its connection
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for buf := make([]byte, 4096); ; {
-					n, err := c.Read(buf)
-					if err != nil {
-						return
-					}
-					id := strings.Split(string(buf[:n]), "\r\n")[4]
-					mu.Lock()
-					remotes[id] = c.RemoteAddr().String()
-					mu.Unlock()
-					c.Write(appendCommand(nil, id, "ACK", "tag=0a,minted=1", ""))
-				}
-			}()
-		}
-	}()
-	b := newTestPool(t, l.Addr().String())
+	b := newTestPool(t, scriptedEndpoint(t, func(c net.Conn, id string) []byte {
+		mu.Lock()
+		defer mu.Unlock()
+		remotes[id] = c.RemoteAddr().String()
+		return appendCommand(nil, id, "ACK", "tag=0a,minted=1", "")
+	}))
 	used := map[string]bool{}
 	for i := range 6 {
 		a := newRequest(i, 0, 1)
--- a/upstream/resp/response_form_test.go
+++ b/upstream/resp/response_form_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"strings"
 	"testing"
 
 	"turnfork.dev/turnfork/control"
@@ -14,37 +13,6 @@
 
 const responseFields = "tag=0a,minted=1,why=local"
 
-// scriptedEndpoint is an endpoint that sends the bytes that respond returns for each GET.
-func scriptedEndpoint(t *testing.T, respond func(id string) []byte) (addr string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for buf := make([]byte, 4096); ; {
-					n, err := c.Read(buf)
-					if err != nil {
-						return
-					}
-					if words := strings.Split(string(buf[:n]), "\r\n"); words[2] == "GET" {
-						c.Write(respond(words[4]))
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // withArrayLength returns a response whose array states the given length, whatever follows.
 func withArrayLength(length int, elements ...string) []byte {
 	stated := fmt.Appendf(nil, "*%d", length)
@@ -58,7 +26,7 @@
 		for length := range 10 {
 			t.Run(fmt.Sprint(status, length), func(t *testing.T) {
 				t.Parallel()
-				addr := scriptedEndpoint(t, func(id string) []byte {
+				addr := scriptedEndpoint(t, func(_ net.Conn, id string) []byte {
 					return withArrayLength(length, id, status, responseFields, "body")
 				})
 				b := newTestPool(t, addr)
@@ -84,7 +52,7 @@
 	for count := 1; count <= len(elements); count++ {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			t.Parallel()
-			addr := scriptedEndpoint(t, func(id string) []byte {
+			addr := scriptedEndpoint(t, func(_ net.Conn, id string) []byte {
 				return appendCommand(nil, append([]string{id}, elements[1:count]...)...)
 			})
 			b := newTestPool(t, addr)
@@ -99,7 +67,7 @@
 
 // A response with an empty body is complete: an object may have no bytes.
 func TestEmptyBodyIsServed(t *testing.T) {
-	b := newTestPool(t, scriptedEndpoint(t, func(id string) []byte { return appendCommand(nil, id, "ACK", responseFields, "") }))
+	b := newTestPool(t, scriptedEndpoint(t, func(_ net.Conn, id string) []byte { return appendCommand(nil, id, "ACK", responseFields, "") }))
 	a := newRequest(1, 0, 1)
 	b.pool.Send(a)
 	if e := b.awaitResult(a.AttemptKey); e.Outcome != control.OK || len(e.Body) != 0 {
@@ -132,7 +100,7 @@
 		{"", responseFields, control.ConnectionLost},
 		{"", "-", control.ConnectionLost},
 	} {
-		b := newTestPool(t, scriptedEndpoint(t, func(id string) []byte { return appendCommand(nil, id, "NOMOD", x.fields, "") }))
+		b := newTestPool(t, scriptedEndpoint(t, func(_ net.Conn, id string) []byte { return appendCommand(nil, id, "NOMOD", x.fields, "") }))
 		a := newRequest(1, 0, 1)
 		a.ClientETag = x.clientETag
 		b.pool.Send(a)
