Log the policy known before a change is proposed; what the merge leaves open

`known` was read after the proposal, when the change may be in force already; the postmortem did not name the one order of events that a merge at the leader does not exclude.

Measured: the tests of front/signed and internal/citest hold, and TestPolicyChange* and TestRevocation* of the root package.

--- a/front/signed/policy.go
+++ b/front/signed/policy.go
@@ -64,8 +64,9 @@
 	if err := initial.validate(); err != nil {
 		return nil, err
 	}
+	known := f.policy.Load()
 	err := f.proposePolicy(ctx, change, initial)
-	f.opt.Log.Info().Err(err).Interface("known", f.policy.Load()).Interface("proposed", change).Msg("policy change proposed")
+	f.opt.Log.Info().Err(err).Interface("known", known).Interface("proposed", change).Msg("policy change proposed")
 	return okResponse, asUnavailable(err)
 }
 
