Send an attempt to an HTTP store once, on a pool of our own

Cause: http.Transport sends a request without a body again by itself if a connection that was used before ends under it without a byte of a response. One attempt of the core became two sends; the second took place without the checks that the core and Exclude had made since (the ban, the age of copies, the number of attempts, the grace period after a connection that was lost).

Evidence: the gateway's log of the case has one 'attempt started' and attempts=1, the cache has two GETs, so it is no retry of the controller and no ban that got lost on its way.

Change: connPool opens and keeps the connections (http.ClientConn); an attempt acquires one, is checked a last time, and makes one RoundTrip. A connection that ends under it is reported as lost, and the core decides. After such a loss the idle connections to the endpoint are closed, so that one that forgot them all costs one attempt (TestForgottenConnectionsCostOneAttempt). An attempt that fails the last check gives its connection back unharmed. What http.Client added is kept: the user of a base URL (TestBaseURLUserIsSent). TestFailedReads also sends reads now; it could not before, as they were sent again.

--- a/upstream/httpstore/health_check.go
+++ b/upstream/httpstore/health_check.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"turnfork.dev/turnfork/control"
@@ -20,50 +19,66 @@
 
 // CheckHealth checks whether an endpoint responds. The result has no load report.
 func (u *Upstream) CheckHealth(endpoint uint32) {
-	target, ok := u.opt.Endpoints[endpoint]
 	u.wg.Add(1)
 	go func() {
 		defer u.wg.Done()
-		ev := core.HealthCheckResult{Endpoint: endpoint, Outcome: control.ConnectFailed}
-		if n := u.healthChecks.Add(1); ok && n <= maxHealthChecks {
-			ev.Outcome = u.checkHealth(target)
-		} else if ok { // the limit of this upstream, which says nothing about the endpoint
-			ev.Outcome = control.NotSent
+		result := core.HealthCheckResult{Endpoint: endpoint, Outcome: control.ConnectFailed}
+		target := u.endpoints[endpoint]
+		if n := u.healthChecks.Add(1); target != nil && n <= maxHealthChecks {
+			result.Outcome = u.checkHealth(target)
+		} else if target != nil { // the limit of this upstream, which says nothing about the endpoint
+			result.Outcome = control.NotSent
 		}
 		u.healthChecks.Add(-1)
-		u.post(ev)
+		u.post(result)
 	}()
 }
 
-func (u *Upstream) checkHealth(endpoint Endpoint) control.Outcome {
+// checkHealth sends a health check, once, and returns its outcome.
+func (u *Upstream) checkHealth(target *endpoint) control.Outcome {
 	ctx, cancel := context.WithTimeout(u.ctx, healthCheckTimeout*time.Millisecond)
 	defer cancel()
-	var connecting atomic.Bool // it no longer waits for one of the limited connections
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		ConnectStart: func(string, string) { connecting.Store(true) },
-		GotConn:      func(httptrace.GotConnInfo) { connecting.Store(true) },
-	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodHead, strings.TrimSuffix(endpoint.Base, "/")+"/"+u.opt.HealthCheckPath, nil)
+	req, err := u.newHealthCheck(ctx, target.Endpoint)
 	if err != nil {
 		return control.ConnectFailed
 	}
-	if endpoint.Signer != nil {
-		endpoint.Signer.Sign(req, nil, time.UnixMilli(int64(u.opt.Clock.Unix())))
+	conn, err := target.conns.acquire(ctx)
+	if err != nil {
+		return failedHealthCheckOutcome(ctx, err)
+	}
+	defer target.conns.release(conn)
+	resp, err := conn.RoundTrip(req)
+	if err != nil {
+		return failedHealthCheckOutcome(ctx, err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return control.ServerError
 	}
-	resp, err := u.client.Do(req)
+	return control.OK
+}
+
+// newHealthCheck returns the HTTP request of a health check.
+func (u *Upstream) newHealthCheck(ctx context.Context, endpoint Endpoint) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, strings.TrimSuffix(endpoint.Base, "/")+"/"+u.opt.HealthCheckPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	endpoint.authorize(req, nil, u.opt.Clock)
+	return req, nil
+}
+
+// failedHealthCheckOutcome returns the outcome of a health check without a response. A failure local to this host and the limit
+// on connections say nothing about the endpoint.
+func failedHealthCheckOutcome(ctx context.Context, err error) control.Outcome {
 	switch {
-	case err != nil && neterr.IsLocal(err):
+	case neterr.IsLocal(err):
 		return control.LocalFailure
-	case err != nil && ctx.Err() != nil && !connecting.Load():
+	case errors.Is(err, errConnLimit):
 		return control.NotSent
-	case err != nil && ctx.Err() != nil:
+	case ctx.Err() != nil:
 		return control.TimedOut
-	case err != nil:
+	default:
 		return control.ConnectFailed
 	}
-	resp.Body.Close()
-	if resp.StatusCode >= 500 {
-		return control.ServerError
-	}
-	return control.OK
 }
--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -38,18 +38,22 @@
 }
 
 const (
-	maxBodyBytes  = 256 << 10
-	bodyChunkSize = 4 << 10 // bytes of a request's body between two checks for its cancellation
+	maxBodyBytes           = 256 << 10
+	maxResponseHeaderBytes = 16 << 10
+	bodyChunkSize          = 4 << 10 // bytes of a request's body between two checks for its cancellation
+	idleCloseFraction      = 0.8     // of IdleClose, so that this side closes first and no request is sent into the endpoint's close
 )
 
 // Upstream sends attempts as HTTP requests: GET for a part, POST for a write. The URL is BASE/CLASS/OBJECT/PART; the request
 // ID, the maximum age and the client's ETag are headers. The deadline is not sent: the core cancels an attempt at its
 // client's deadline, which closes the connection.
+//
+// An attempt is sent at most once. One whose connection ends is reported to the core, which decides whether the request is sent
+// again, and where.
 type Upstream struct {
 	opt          Options
 	post         func(core.Event)
-	client       *http.Client
-	singleUse    *http.Client // for requests that must not run twice: a new connection for each
+	endpoints    map[uint32]*endpoint
 	ctx          context.Context
 	stop         context.CancelFunc
 	wg           sync.WaitGroup
@@ -60,6 +64,13 @@
 	excluded map[uint32]struct{} // endpoints that operators have excluded
 }
 
+// endpoint is an endpoint with its connections.
+type endpoint struct {
+	Endpoint
+	conns          *connPool
+	singleUseConns *connPool // for requests that must not run twice: a new connection for each
+}
+
 type attempt struct {
 	endpoint        uint32
 	mayBeSent       bool // it has a connection, so bytes of it may have been sent
@@ -70,42 +81,61 @@
 
 // New returns an upstream that runs until Close.
 func New(opt Options, post func(core.Event)) *Upstream {
-	u := &Upstream{opt: opt, post: post, open: map[core.AttemptKey]*attempt{}, excluded: map[uint32]struct{}{}}
-	u.ctx, u.stop = context.WithCancel(context.Background())
-	if opt.Dial == nil {
-		opt.Dial = (&net.Dialer{}).DialContext
+	u := &Upstream{
+		opt: opt, post: post, endpoints: map[uint32]*endpoint{}, open: map[core.AttemptKey]*attempt{}, excluded: map[uint32]struct{}{},
 	}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, clock.Duration(opt.DialTimeout))
-		defer cancel()
-		return opt.Dial(ctx, network, addr)
-	}
-	client := func(singleUse bool) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{
-				DialContext: dial, MaxConnsPerHost: opt.MaxConns, MaxIdleConnsPerHost: max(1, opt.MaxConns/2),
-				IdleConnTimeout: clock.Duration(0.8 * opt.IdleClose), DisableCompression: true,
-				MaxResponseHeaderBytes: 16 << 10, DisableKeepAlives: singleUse,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	u.ctx, u.stop = context.WithCancel(context.Background())
+	transport := newTransport(opt)
+	idleTimeout := clock.Duration(idleCloseFraction * opt.IdleClose)
+	for id, configured := range opt.Endpoints {
+		base, err := url.Parse(configured.Base)
+		if err != nil {
+			continue // Check rejects it
+		}
+		u.endpoints[id] = &endpoint{
+			Endpoint:       configured,
+			conns:          newConnPool(u.ctx, transport, base, opt.MaxConns, max(1, opt.MaxConns/2), idleTimeout),
+			singleUseConns: newConnPool(u.ctx, transport, base, opt.MaxConns, 0, 0),
 		}
 	}
-	u.client, u.singleUse = client(false), client(true)
 	return u
 }
 
+// newTransport returns the transport that opens the connections of all pools.
+func newTransport(opt Options) *http.Transport {
+	dial := opt.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, clock.Duration(opt.DialTimeout))
+			defer cancel()
+			return dial(ctx, network, addr)
+		},
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		Protocols:              protocols,
+	}
+}
+
 // Close cancels all attempts and health checks, and waits until they have ended.
 func (u *Upstream) Close() {
 	u.stop()
 	u.wg.Wait()
-	u.client.CloseIdleConnections()
+	for _, e := range u.endpoints {
+		e.conns.close()
+		e.singleUseConns.close()
+	}
 }
 
 // UpdateEndpoints does nothing: the endpoints of this upstream are set in the configuration.
 func (u *Upstream) UpdateEndpoints(core.EndpointList) {}
 
 // Has reports whether this upstream reaches the endpoint.
-func (u *Upstream) Has(id uint32) bool { _, ok := u.opt.Endpoints[id]; return ok }
+func (u *Upstream) Has(id uint32) bool { return u.endpoints[id] != nil }
 
 // Send makes an attempt.
 func (u *Upstream) Send(s core.AttemptRequest) {
--- a/upstream/httpstore/local_failure_test.go
+++ b/upstream/httpstore/local_failure_test.go
@@ -88,29 +88,33 @@
 		syscall.ECONNRESET: control.ConnectionLost, syscall.ETIMEDOUT: control.ConnectionLost, syscall.EHOSTUNREACH: control.ConnectionLost,
 		syscall.ENOBUFS: control.Canceled, syscall.ENOMEM: control.Canceled, syscall.ENETUNREACH: control.Canceled,
 	} {
-		t.Run(errno.Error(), func(t *testing.T) {
-			arrived, hold := make(chan struct{}), make(chan struct{})
-			u, dialer, events := newFaultUpstream(t, 4, func(_ http.ResponseWriter, r *http.Request) {
-				io.Copy(io.Discard, r.Body)
-				close(arrived)
-				<-hold
-			})
-			defer close(hold)
-			var faulty atomic.Pointer[faultnet.Conn]
-			dialer.Wrap(func(c net.Conn) net.Conn {
-				f := &faultnet.Conn{Conn: c}
-				faulty.Store(f)
-				return f
-			})
-			s := get(1)
-			s.Write, s.Body = true, []byte("x") // a request without a body would be resent by the transport
-			u.Send(s)
-			<-arrived
-			faulty.Load().FailRead(faultnet.Error("read", errno))
-			if e := (<-events).(core.AttemptResult); e.Outcome != want || !e.Unconfirmed {
-				t.Errorf("ended as %+v, want %v and Unconfirmed true", e, want)
-			}
-		})
+		read, write := get(1), get(1)
+		write.Write, write.Body = true, []byte("x")
+		for name, s := range map[string]core.AttemptRequest{"read": read, "write": write} {
+			t.Run(errno.Error()+", "+name, func(t *testing.T) { testFailedRead(t, s, errno, want) })
+		}
+	}
+}
+
+func testFailedRead(t *testing.T, s core.AttemptRequest, errno syscall.Errno, want control.Outcome) {
+	arrived, hold := make(chan struct{}), make(chan struct{})
+	u, dialer, events := newFaultUpstream(t, 4, func(_ http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-hold
+	})
+	defer close(hold)
+	var faulty atomic.Pointer[faultnet.Conn]
+	dialer.Wrap(func(c net.Conn) net.Conn {
+		f := &faultnet.Conn{Conn: c}
+		faulty.Store(f)
+		return f
+	})
+	u.Send(s)
+	<-arrived
+	faulty.Load().FailRead(faultnet.Error("read", errno))
+	if e := (<-events).(core.AttemptResult); e.Outcome != want || !e.Unconfirmed {
+		t.Errorf("ended as %+v, want %v and Unconfirmed true", e, want)
 	}
 }
 
--- /dev/null
+++ b/upstream/httpstore/resend_test.go
@@ -0,0 +1,166 @@
+package httpstore
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"turnfork.dev/turnfork/clock"
+	"turnfork.dev/turnfork/control"
+	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/faultnet"
+)
+
+// connEnd is a way in which an endpoint ends a connection under a request, and the result that the attempt must have.
+type connEnd struct {
+	end         func(net.Conn)
+	want        control.Outcome
+	unconfirmed bool
+}
+
+var connEnds = map[string]connEnd{
+	"reset": {func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }, control.ConnectionLost, true},
+	"close": {func(c net.Conn) { c.Close() }, control.ConnectionLost, true},
+	"408": {func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		c.Close()
+	}, control.ServerError, false},
+}
+
+// endingStore is an endpoint that responds to requests, except that it leaves the first one after hold unanswered.
+type endingStore struct {
+	base    string
+	hold    atomic.Bool
+	held    atomic.Bool   // a request has been left unanswered
+	arrived chan net.Conn // the connection of each request after hold was set
+}
+
+func newEndingStore(t *testing.T) *endingStore {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	store := &endingStore{base: "http://" + listener.Addr().String(), arrived: make(chan net.Conn, 64)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go store.serve(conn)
+		}
+	}()
+	return store
+}
+
+func (s *endingStore) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		if s.hold.Load() {
+			s.arrived <- conn
+		}
+		if s.hold.Load() && s.held.CompareAndSwap(false, true) {
+			reader.Peek(1) // until the connection ends
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// A connection that ends under an attempt ends the attempt. The upstream must not send it again by itself: whether it is sent again,
+// where and when is decided by the core, which knows what has changed since, such as that the endpoint was excluded.
+func TestAttemptIsSentOnce(t *testing.T) {
+	requests := map[string]core.AttemptRequest{
+		"read":           {Class: "tile", ObjectName: "x"},
+		"revalidation":   {Class: "tile", ObjectName: "x", ClientETag: "0a", MaxAge: 5000},
+		"write":          {Class: "ride-end", ObjectName: "x", Write: true, Body: []byte("ride")},
+		"empty write":    {Class: "ride-end", ObjectName: "x", Write: true},
+		"non-idempotent": {Class: "ride-end", ObjectName: "x", Write: true, NonIdempotent: true},
+	}
+	for requestName, request := range requests {
+		for endName, end := range connEnds {
+			for _, excluded := range []bool{false, true} {
+				name := requestName + ", " + endName + map[bool]string{true: ", excluded"}[excluded]
+				t.Run(name, func(t *testing.T) { testAttemptIsSentOnce(t, request, end, excluded) })
+			}
+		}
+	}
+}
+
+func testAttemptIsSentOnce(t *testing.T, request core.AttemptRequest, end connEnd, excluded bool) {
+	store, dialer, events := newEndingStore(t), &faultnet.Dialer{}, make(chan core.Event, 8)
+	u := New(Options{
+		Endpoints: map[uint32]Endpoint{1: {Base: store.base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 4,
+		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(), Dial: dialer.DialContext,
+	}, func(ev core.Event) { events <- ev })
+	defer u.Close()
+	request.Endpoint = 1
+	send := func(id int) {
+		request.AttemptKey = core.AttemptKey{ID: control.RequestID(id)}
+		u.Send(request)
+	}
+	send(1) // leaves a connection that the next request may use
+	if e := (<-events).(core.AttemptResult); e.Outcome != control.OK {
+		t.Fatalf("first request: %+v", e)
+	}
+	store.hold.Store(true)
+	send(2)
+	conn := <-store.arrived
+	dials := dialer.DialCount()
+	if excluded {
+		u.Exclude(1, true)
+	}
+	end.end(conn)
+	if e := (<-events).(core.AttemptResult); e.Outcome != end.want || e.Unconfirmed != end.unconfirmed {
+		t.Errorf("ended as %+v, want %v, unconfirmed %t", e, end.want, end.unconfirmed)
+	}
+	select {
+	case <-store.arrived:
+		t.Error("it was sent again")
+	case <-time.After(20 * time.Millisecond):
+	}
+	if got := dialer.DialCount(); got != dials {
+		t.Errorf("%d more connections were opened", got-dials)
+	}
+}
+
+// A health check is sent once as well.
+func TestHealthCheckIsSentOnce(t *testing.T) {
+	for name, end := range connEnds {
+		t.Run(name, func(t *testing.T) {
+			store, events := newEndingStore(t), make(chan core.Event, 8)
+			u := New(Options{
+				Endpoints: map[uint32]Endpoint{1: {Base: store.base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 4,
+				Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
+			}, func(ev core.Event) { events <- ev })
+			defer u.Close()
+			u.CheckHealth(1)
+			if p := (<-events).(core.HealthCheckResult); p.Outcome != control.OK {
+				t.Fatalf("first check: %+v", p)
+			}
+			store.hold.Store(true)
+			u.CheckHealth(1)
+			end.end(<-store.arrived)
+			if p := (<-events).(core.HealthCheckResult); end.unconfirmed && p.Outcome != control.ConnectFailed {
+				t.Errorf("ended as %+v, want a failed connection", p)
+			}
+			select {
+			case <-store.arrived:
+				t.Error("it was sent again")
+			case <-time.After(20 * time.Millisecond):
+			}
+		})
+	}
+}
--- a/upstream/httpstore/round_trip.go
+++ b/upstream/httpstore/round_trip.go
@@ -6,13 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/neterr"
@@ -21,44 +21,50 @@
 // errClientCanceled is the error of a request that its client canceled while it was being written.
 var errClientCanceled = errors.New("httpstore: client canceled the request while it was being written")
 
-// roundTrip sends an attempt and returns its result.
+// roundTrip sends an attempt, once, and returns its result.
 func (u *Upstream) roundTrip(ctx context.Context, s core.AttemptRequest, a *attempt) core.AttemptResult {
 	result := core.AttemptResult{AttemptKey: s.AttemptKey, Outcome: control.NotSent}
-	endpoint, ok := u.opt.Endpoints[s.Endpoint]
-	if !ok {
+	target := u.endpoints[s.Endpoint]
+	if target == nil {
 		return result
 	}
-	var mayBeSent atomic.Bool // bytes of the request may have been sent
-	ctx = u.withLastCheck(ctx, s, a, &mayBeSent)
-	req, err := u.newRequest(ctx, endpoint, s)
+	req, err := u.newRequest(ctx, target.Endpoint, s)
 	if err != nil {
 		return result
 	}
-	resp, err := u.clientFor(s).Do(req)
+	pool := target.pool(s)
+	conn, err := pool.acquire(ctx)
 	if err != nil {
-		result.Unconfirmed = mayBeSent.Load()
-		result.Outcome = failureOutcome(err, mayBeSent.Load(), ctx.Err() != nil)
+		result.Outcome = unsentOutcome(err, ctx.Err() != nil)
+		return result
+	}
+	defer pool.release(conn)
+	if !u.beginSend(ctx, s, a) {
+		return result
+	}
+	resp, err := conn.RoundTrip(req)
+	if err != nil {
+		result.Outcome, result.Unconfirmed = lostOutcome(err, ctx.Err() != nil), true
+		if result.Outcome == control.ConnectionLost {
+			pool.closeIdle() // the endpoint may have lost these as well, as after a restart
+		}
 		return result
 	}
 	defer resp.Body.Close()
 	return u.readResult(ctx, s, resp)
 }
 
-// withLastCheck returns a context that has the attempt checked once more when it has a connection, before bytes are sent: nothing
-// is sent if the attempt or the request was canceled, a deadline has passed, or the endpoint was excluded. Otherwise it sets
-// mayBeSent.
-func (u *Upstream) withLastCheck(ctx context.Context, s core.AttemptRequest, a *attempt, mayBeSent *atomic.Bool) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(conn httptrace.GotConnInfo) {
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		if ctx.Err() != nil || s.Canceled != nil && s.Canceled.Load() || u.deadlinePassed(s) {
-			a.cancel()
-			conn.Conn.Close() // the transport writes to a connection that it has obtained even if the context is canceled
-			return
-		}
-		a.mayBeSent = true
-		mayBeSent.Store(true)
-	}})
+// beginSend is the last check of an attempt, which has a connection, before bytes of it are sent. It reports false if the attempt or
+// the request was canceled, a deadline has passed, or the endpoint was excluded; otherwise it records that the attempt may have
+// been sent.
+func (u *Upstream) beginSend(ctx context.Context, s core.AttemptRequest, a *attempt) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if ctx.Err() != nil || s.Canceled != nil && s.Canceled.Load() || u.deadlinePassed(s) {
+		return false
+	}
+	a.mayBeSent = true
+	return true
 }
 
 // deadlinePassed reports whether the client's deadline or the send deadline of the attempt's idempotency key has passed.
@@ -75,7 +81,6 @@
 	}
 	target := strings.TrimSuffix(endpoint.Base, "/") + "/" + s.Class + "/" + url.PathEscape(s.ObjectName) + "/" +
 		strconv.FormatUint(uint64(s.Part), 10)
-	// Without GetBody the transport cannot resend a write by itself.
 	req, err := http.NewRequestWithContext(ctx, method, target, cancelableBody{bytes.NewReader(s.Body), s.Canceled})
 	if err != nil {
 		return nil, err
@@ -84,6 +89,7 @@
 	if len(s.Body) == 0 {
 		req.Body = http.NoBody
 	}
+	req.Close = s.NonIdempotent // its connection carries no other request
 	req.Header.Set("X-Txn", s.Txn)
 	if s.MaxAge > 0 {
 		req.Header.Set("Cache-Control", "max-age="+strconv.Itoa(int(s.MaxAge/1000)))
@@ -91,36 +97,52 @@
 	if s.ClientETag != "" {
 		req.Header.Set("If-None-Match", `"`+s.ClientETag+`"`)
 	}
-	if endpoint.Signer != nil {
-		endpoint.Signer.Sign(req, s.Body, time.UnixMilli(int64(u.opt.Clock.Unix())))
-	}
+	endpoint.authorize(req, s.Body, u.opt.Clock)
 	return req, nil
 }
 
-// clientFor returns the HTTP client for an attempt. One that must not run twice would be lost on a kept-alive connection that the
+// authorize signs a request with the given body, or without a signer sets the user of the base URL, if that has one. The other
+// headers must be set before.
+func (s Endpoint) authorize(req *http.Request, body []byte, now *clock.Clock) {
+	if s.Signer != nil {
+		s.Signer.Sign(req, body, time.UnixMilli(int64(now.Unix())))
+		return
+	}
+	if user := req.URL.User; user != nil {
+		password, _ := user.Password()
+		req.SetBasicAuth(user.Username(), password)
+	}
+}
+
+// pool returns the connections for an attempt. One that must not run twice would be lost on a kept-alive connection that the
 // endpoint has closed meanwhile.
-func (u *Upstream) clientFor(s core.AttemptRequest) *http.Client {
+func (e *endpoint) pool(s core.AttemptRequest) *connPool {
 	if s.NonIdempotent {
-		return u.singleUse
+		return e.singleUseConns
 	}
-	return u.client
+	return e.conns
 }
 
-// failureOutcome returns the outcome of a request without a response, given whether bytes of it may have been sent and whether it
-// was canceled. A failure local to this host or a client's cancellation is not counted against the endpoint.
-func failureOutcome(err error, mayBeSent, canceled bool) control.Outcome {
+// unsentOutcome returns the outcome of an attempt that got no connection, given whether it was canceled, which it also is if its
+// endpoint was excluded. A failure local to this host is not counted against the endpoint.
+func unsentOutcome(err error, canceled bool) control.Outcome {
 	switch {
-	case !mayBeSent && canceled: // also if its endpoint was excluded
+	case canceled:
 		return control.NotSent
-	case !mayBeSent && neterr.IsLocal(err):
+	case neterr.IsLocal(err):
 		return control.LocalFailure
-	case !mayBeSent: // no connection was established, so it has not run
+	default:
 		return control.ConnectFailed
-	case canceled || neterr.IsLocal(err) || errors.Is(err, errClientCanceled):
+	}
+}
+
+// lostOutcome returns the outcome of an attempt that may have been sent and has no response, given whether it was canceled. A
+// failure local to this host or a client's cancellation is not counted against the endpoint.
+func lostOutcome(err error, canceled bool) control.Outcome {
+	if canceled || neterr.IsLocal(err) || errors.Is(err, errClientCanceled) {
 		return control.Canceled
-	default:
-		return control.ConnectionLost
 	}
+	return control.ConnectionLost
 }
 
 // cancelableBody is a request body that fails once the client has canceled the request, so that an endpoint that reads slowly
