Send no health check to an HTTP store that was taken out meanwhile

Callers saw: nothing was reported. docs/stores.md: from the 200 of /stores/disable on nothing new leaves for the store, 'no request, no probe, [...] also not one that was decided before and waits for a connection'.

Cause: Exclude canceled the attempts that had no connection yet and no health check, and CheckHealth did not look at the bans. A check that waited for one of the connections was sent once that became free, for up to 240 ms.

TestRefusingEndpointGetsNothingNew on: both health checks, the one that waited and a later one, reached the excluded endpoint (2 requests).

Change: an attempt and a health check are both an exchange, which registers with its endpoint, is canceled while it is unsent if the endpoint stops accepting requests, and passes one last check (beginSend). endpoints.go holds what concerns the endpoints. A health check that was canceled so ends NotSent, which says nothing about the endpoint.

--- a/upstream/httpstore/health_check.go
+++ b/upstream/httpstore/health_check.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	healthCheckTimeout = 240 // ms
-	maxHealthChecks    = 32  // health checks in flight
+	healthCheckTimeout = 240 * time.Millisecond
+	maxHealthChecks    = 32 // health checks in flight
 )
 
 // CheckHealth checks whether an endpoint responds. The result has no load report.
@@ -36,20 +36,23 @@
 
 // checkHealth sends a health check, once, and returns its outcome.
 func (u *Upstream) checkHealth(target *endpoint) control.Outcome {
-	ctx, cancel := context.WithTimeout(u.ctx, healthCheckTimeout*time.Millisecond)
-	defer cancel()
-	req, err := u.newHealthCheck(ctx, target.Endpoint)
+	x := u.newExchange(target, healthCheckTimeout)
+	defer u.endExchange(x)
+	req, err := u.newHealthCheck(x.ctx, target.Endpoint)
 	if err != nil {
 		return control.ConnectFailed
 	}
-	conn, err := target.conns.acquire(ctx)
+	conn, err := target.conns.acquire(x.ctx)
 	if err != nil {
-		return failedHealthCheckOutcome(ctx, err)
+		return failedHealthCheckOutcome(x.ctx, err)
 	}
 	defer target.conns.release(conn)
+	if !u.beginSend(x, nil) {
+		return control.NotSent
+	}
 	resp, err := conn.RoundTrip(req)
 	if err != nil {
-		return failedHealthCheckOutcome(ctx, err)
+		return failedHealthCheckOutcome(x.ctx, err)
 	}
 	resp.Body.Close()
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -68,13 +71,13 @@
 	return req, nil
 }
 
-// failedHealthCheckOutcome returns the outcome of a health check without a response. A failure local to this host and the limit
-// on connections say nothing about the endpoint.
+// failedHealthCheckOutcome returns the outcome of a health check without a response. A failure local to this host, the limit on
+// connections and a cancellation say nothing about the endpoint.
 func failedHealthCheckOutcome(ctx context.Context, err error) control.Outcome {
 	switch {
 	case neterr.IsLocal(err):
 		return control.LocalFailure
-	case errors.Is(err, errConnLimit):
+	case errors.Is(err, errConnLimit), errors.Is(ctx.Err(), context.Canceled):
 		return control.NotSent
 	case ctx.Err() != nil:
 		return control.TimedOut
--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -59,31 +59,19 @@
 	wg           sync.WaitGroup
 	healthChecks atomic.Int64 // health checks in flight
 
-	mu       sync.Mutex
-	open     map[core.AttemptKey]*attempt
-	excluded map[uint32]struct{} // endpoints that operators have excluded
-}
-
-// endpoint is an endpoint with its connections.
-type endpoint struct {
-	Endpoint
-	conns          *connPool
-	singleUseConns *connPool // for requests that must not run twice: a new connection for each
+	mu   sync.Mutex
+	open map[core.AttemptKey]*attempt
 }
 
 type attempt struct {
-	endpoint        uint32
-	mayBeSent       bool // it has a connection, so bytes of it may have been sent
-	cancel          context.CancelFunc
+	*exchange
 	cancelRequested bool
 	cancelOutcome   control.Outcome // the result of a canceled attempt
 }
 
 // New returns an upstream that runs until Close.
 func New(opt Options, post func(core.Event)) *Upstream {
-	u := &Upstream{
-		opt: opt, post: post, endpoints: map[uint32]*endpoint{}, open: map[core.AttemptKey]*attempt{}, excluded: map[uint32]struct{}{},
-	}
+	u := &Upstream{opt: opt, post: post, endpoints: map[uint32]*endpoint{}, open: map[core.AttemptKey]*attempt{}}
 	u.ctx, u.stop = context.WithCancel(context.Background())
 	transport := newTransport(opt)
 	idleTimeout := clock.Duration(idleCloseFraction * opt.IdleClose)
@@ -96,6 +84,7 @@
 			Endpoint:       configured,
 			conns:          newConnPool(u.ctx, transport, base, opt.MaxConns, max(1, opt.MaxConns/2), idleTimeout),
 			singleUseConns: newConnPool(u.ctx, transport, base, opt.MaxConns, 0, 0),
+			unsent:         map[*exchange]struct{}{},
 		}
 	}
 	return u
@@ -131,38 +120,42 @@
 	}
 }
 
-// UpdateEndpoints does nothing: the endpoints of this upstream are set in the configuration.
-func (u *Upstream) UpdateEndpoints(core.EndpointList) {}
-
-// Has reports whether this upstream reaches the endpoint.
-func (u *Upstream) Has(id uint32) bool { return u.endpoints[id] != nil }
-
 // Send makes an attempt.
 func (u *Upstream) Send(s core.AttemptRequest) {
-	ctx, cancel := context.WithCancel(u.ctx)
-	a := &attempt{cancel: cancel, endpoint: s.Endpoint}
+	target := u.endpoints[s.Endpoint]
+	u.wg.Add(1)
+	if target == nil {
+		go func() {
+			defer u.wg.Done()
+			u.post(core.AttemptResult{AttemptKey: s.AttemptKey, Outcome: control.NotSent})
+		}()
+		return
+	}
+	a := &attempt{exchange: u.newExchange(target, 0)}
 	u.mu.Lock()
 	u.open[s.AttemptKey] = a
-	if _, excluded := u.excluded[s.Endpoint]; excluded {
-		cancel()
-	}
 	u.mu.Unlock()
-	u.wg.Add(1)
 	go func() {
 		defer u.wg.Done()
-		defer cancel()
-		ev := u.roundTrip(ctx, s, a)
-		u.mu.Lock()
-		delete(u.open, s.AttemptKey)
-		// A canceled attempt ends here, once its connection is closed or its response has arrived.
-		if a.cancelRequested && ev.Outcome != control.OK && ev.Outcome != control.ConnectFailed && ev.Outcome != control.NotSent {
-			ev = core.AttemptResult{AttemptKey: s.AttemptKey, Outcome: a.cancelOutcome, Unconfirmed: ev.Unconfirmed}
-		}
-		u.mu.Unlock()
-		u.post(ev)
+		result := u.roundTrip(a.exchange, s)
+		u.endExchange(a.exchange)
+		u.post(u.endAttempt(a, result))
 	}()
 }
 
+// endAttempt removes an attempt, and returns its result. A canceled attempt ends here, once its connection is closed or its response
+// has arrived.
+func (u *Upstream) endAttempt(a *attempt, result core.AttemptResult) core.AttemptResult {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.open, result.AttemptKey)
+	switch {
+	case !a.cancelRequested, result.Outcome == control.OK, result.Outcome == control.ConnectFailed, result.Outcome == control.NotSent:
+		return result
+	}
+	return core.AttemptResult{AttemptKey: result.AttemptKey, Outcome: a.cancelOutcome, Unconfirmed: result.Unconfirmed}
+}
+
 // Cancel cancels an attempt by closing its connection.
 func (u *Upstream) Cancel(k core.AttemptKey, as control.Outcome) {
 	u.mu.Lock()
@@ -173,12 +166,15 @@
 	}
 }
 
-// LimitCopyAge cancels an attempt that has no connection yet, as its headers are already set: the core routes the request
-// again.
+// LimitCopyAge cancels an attempt that is not sent yet, as its headers are already set: the core routes the request again.
 func (u *Upstream) LimitCopyAge(k core.AttemptKey, _ float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if a := u.open[k]; a != nil && !a.mayBeSent {
+	a := u.open[k]
+	if a == nil {
+		return
+	}
+	if _, unsent := a.endpoint.unsent[a.exchange]; unsent {
 		a.cancel()
 	}
 }
@@ -186,22 +182,6 @@
 // ConfirmCancel returns false: HTTP has no way to confirm that an endpoint has read a cancellation.
 func (u *Upstream) ConfirmCancel(core.AttemptKey, uint32) bool { return false }
 
-// Exclude cancels the attempts to an endpoint that have no connection yet, and all later ones until it is called with excluded
-// false.
-func (u *Upstream) Exclude(endpoint uint32, excluded bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if delete(u.excluded, endpoint); !excluded {
-		return
-	}
-	u.excluded[endpoint] = struct{}{}
-	for _, a := range u.open {
-		if a.endpoint == endpoint && !a.mayBeSent {
-			a.cancel()
-		}
-	}
-}
-
 // Check returns an error if Base is not an absolute HTTP URL without a query.
 func (s Endpoint) Check() error {
 	u, err := url.Parse(s.Base)
--- a/upstream/httpstore/round_trip.go
+++ b/upstream/httpstore/round_trip.go
@@ -22,55 +22,39 @@
 var errClientCanceled = errors.New("httpstore: client canceled the request while it was being written")
 
 // roundTrip sends an attempt, once, and returns its result.
-func (u *Upstream) roundTrip(ctx context.Context, s core.AttemptRequest, a *attempt) core.AttemptResult {
+func (u *Upstream) roundTrip(x *exchange, s core.AttemptRequest) core.AttemptResult {
 	result := core.AttemptResult{AttemptKey: s.AttemptKey, Outcome: control.NotSent}
-	target := u.endpoints[s.Endpoint]
-	if target == nil {
-		return result
-	}
-	req, err := u.newRequest(ctx, target.Endpoint, s)
+	req, err := u.newRequest(x.ctx, x.endpoint.Endpoint, s)
 	if err != nil {
 		return result
 	}
-	pool := target.pool(s)
-	conn, err := pool.acquire(ctx)
+	pool := x.endpoint.pool(s)
+	conn, err := pool.acquire(x.ctx)
 	if err != nil {
-		result.Outcome = unsentOutcome(err, ctx.Err() != nil)
+		result.Outcome = unsentOutcome(err, x.ctx.Err() != nil)
 		return result
 	}
 	defer pool.release(conn)
-	if !u.beginSend(ctx, s, a) {
+	if !u.beginSend(x, func() bool { return u.mayBeSent(s) }) {
 		return result
 	}
 	resp, err := conn.RoundTrip(req)
 	if err != nil {
-		result.Outcome, result.Unconfirmed = lostOutcome(err, ctx.Err() != nil), true
+		result.Outcome, result.Unconfirmed = lostOutcome(err, x.ctx.Err() != nil), true
 		if result.Outcome == control.ConnectionLost {
 			pool.closeIdle() // the endpoint may have lost these as well, as after a restart
 		}
 		return result
 	}
 	defer resp.Body.Close()
-	return u.readResult(ctx, s, resp)
-}
-
-// beginSend is the last check of an attempt, which has a connection, before bytes of it are sent. It reports false if the attempt or
-// the request was canceled, a deadline has passed, or the endpoint was excluded; otherwise it records that the attempt may have
-// been sent.
-func (u *Upstream) beginSend(ctx context.Context, s core.AttemptRequest, a *attempt) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if ctx.Err() != nil || s.Canceled != nil && s.Canceled.Load() || u.deadlinePassed(s) {
-		return false
-	}
-	a.mayBeSent = true
-	return true
+	return u.readResult(x.ctx, s, resp)
 }
 
-// deadlinePassed reports whether the client's deadline or the send deadline of the attempt's idempotency key has passed.
-func (u *Upstream) deadlinePassed(s core.AttemptRequest) bool {
+// mayBeSent reports whether an attempt may still be sent now: its client has not canceled the request, and neither the client's
+// deadline nor the send deadline has passed.
+func (u *Upstream) mayBeSent(s core.AttemptRequest) bool {
 	now := u.opt.Clock.Now()
-	return s.Deadline > 0 && now >= s.Deadline || s.SendDeadline > 0 && now >= s.SendDeadline
+	return (s.Canceled == nil || !s.Canceled.Load()) && (s.Deadline <= 0 || now < s.Deadline) && (s.SendDeadline <= 0 || now < s.SendDeadline)
 }
 
 // newRequest returns the HTTP request of an attempt.
