Send nothing to an HTTP store that a reloaded list no longer names

Cause: the core passes each update of the endpoint list to the upstreams, which must not send what is unsent to an endpoint that drains or is gone (core.Upstream). The HTTP upstream ignored it; the controller took the removal over, so only what it had decided before was sent.

Evidence: TestRefusingEndpointGetsNothingNew for an endpoint that drains, is gone, or is missing in a complete list: 4 requests reached it in each case on, of attempts and health checks that waited and of later ones.

Change: UpdateEndpoints records which endpoints the list has ready; the last check of each exchange and its registration ask for that as for a ban. What is in flight goes on.

--- a/upstream/httpstore/endpoints.go
+++ b/upstream/httpstore/endpoints.go
@@ -4,15 +4,17 @@
 	"context"
 	"time"
 
+	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 )
 
-// endpoint is an endpoint with its connections. The upstream's lock guards excluded and unsent.
+// endpoint is an endpoint with its connections. The upstream's lock guards the other fields.
 type endpoint struct {
 	Endpoint
 	conns          *connPool
 	singleUseConns *connPool // for requests that must not run twice: a new connection for each
 	excluded       bool      // by operators
+	unavailable    bool      // by the endpoint list: it drains or is gone
 	unsent         map[*exchange]struct{}
 }
 
@@ -25,7 +27,7 @@
 }
 
 // acceptsRequests reports whether the endpoint may be sent new requests.
-func (e *endpoint) acceptsRequests() bool { return !e.excluded }
+func (e *endpoint) acceptsRequests() bool { return !e.excluded && !e.unavailable }
 
 // cancelUnsent cancels the exchanges that have not passed their last check. Without it, those that wait for a connection would reach
 // an endpoint that no longer accepts new requests, possibly after its grace period.
@@ -77,8 +79,28 @@
 // Has reports whether this upstream reaches the endpoint.
 func (u *Upstream) Has(id uint32) bool { return u.endpoints[id] != nil }
 
-// UpdateEndpoints does nothing: the endpoints of this upstream are set in the configuration.
-func (u *Upstream) UpdateEndpoints(core.EndpointList) {}
+// UpdateEndpoints applies an update of the endpoint list. Exchanges with an endpoint that drains or is gone are canceled if they
+// are not sent yet, and so are all later ones until the list has it ready again. The addresses of the endpoints are set in the
+// configuration and do not change.
+func (u *Upstream) UpdateEndpoints(list core.EndpointList) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if list.Snapshot {
+		for _, target := range u.endpoints {
+			target.unavailable = true
+		}
+	}
+	for _, listed := range list.Endpoints {
+		if target := u.endpoints[uint32(listed.Info.ID)]; target != nil {
+			target.unavailable = listed.Info.State != control.Ready
+		}
+	}
+	for _, target := range u.endpoints {
+		if target.unavailable {
+			target.cancelUnsent()
+		}
+	}
+}
 
 // Exclude cancels the exchanges with an endpoint that are not sent yet, and all later ones until it is called with excluded
 // false.
--- a/upstream/httpstore/refused_test.go
+++ b/upstream/httpstore/refused_test.go
@@ -19,6 +19,26 @@
 		func(u *Upstream) { u.Exclude(1, true) },
 		func(u *Upstream) { u.Exclude(1, false) },
 	},
+	"draining": {
+		func(u *Upstream) { u.UpdateEndpoints(core.EndpointList{Endpoints: listed(1, control.Draining)}) },
+		func(u *Upstream) { u.UpdateEndpoints(core.EndpointList{Endpoints: listed(1, control.Ready)}) },
+	},
+	"gone": {
+		func(u *Upstream) { u.UpdateEndpoints(core.EndpointList{Endpoints: listed(1, control.Gone)}) },
+		func(u *Upstream) { u.UpdateEndpoints(core.EndpointList{Endpoints: listed(1, control.Ready)}) },
+	},
+	"no longer in the list": {
+		func(u *Upstream) {
+			u.UpdateEndpoints(core.EndpointList{Snapshot: true, Endpoints: listed(2, control.Ready)})
+		},
+		func(u *Upstream) {
+			u.UpdateEndpoints(core.EndpointList{Snapshot: true, Endpoints: listed(1, control.Ready)})
+		},
+	},
+}
+
+func listed(id control.EndpointID, state control.State) []core.Endpoint {
+	return []core.Endpoint{{Info: control.Endpoint{ID: id, State: state}}}
 }
 
 // busyEndpoint is an upstream whose only connection to its endpoint is in use until the test releases it.
