Send no attempt whose token has ended while it waited for a connection

Callers saw: nothing was reported. README: 'no new attempt starts after expiry plus leeway'.

Cause: the core compares AuthorizedUntil when it decides on an attempt and never tells the upstream, which may send it much later. Both upstreams check SendDeadline last of all, but that was the end of the idempotency key's window only.

Evidence: TestAttemptIsNotSentAfterAuthorizationExpired before the change: the attempt carried no deadline of the authorization, for a read and for a keyed write, and after NotSent at its end a second attempt started.

Change: an attempt's SendDeadline is the earlier one of the two. AuthorizedUntil is now, like SendDeadline, the first moment at which nothing is sent (it was the last at which something was), so that an attempt that is given back at that moment is not decided again.

--- a/core/attempts.go
+++ b/core/attempts.go
@@ -72,7 +72,7 @@
 		Write:          r.isWrite,
 		NonIdempotent:  r.nonIdempotent,
 		IdempotencyKey: r.IdempotencyKey,
-		SendDeadline:   clock.Ms(action.SendDeadline),
+		SendDeadline:   sendDeadline(r, action),
 		Canceled:       r.Canceled,
 	}
 }
@@ -87,6 +87,16 @@
 	return deadline
 }
 
+// sendDeadline returns the time in ms from which an attempt must not be sent, however long it waits for a connection: endpoints may
+// have discarded its idempotency key, or the request's authorization has expired.
+func sendDeadline(r *request, action control.Attempt) float64 {
+	deadline := clock.Ms(action.SendDeadline)
+	if r.AuthorizedUntil > 0 {
+		deadline = min(deadline, r.AuthorizedUntil)
+	}
+	return deadline
+}
+
 // executeCancel cancels the attempt that the controller has chosen.
 func (c *Core) executeCancel(action control.Cancel) {
 	r := c.requests[action.ID]
--- a/core/attempts_test.go
+++ b/core/attempts_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 )
 
@@ -38,3 +39,30 @@
 		t.Errorf("%d attempts, %+v", len(h.sent), got)
 	}
 }
+
+// An attempt that waits in the upstream must not be sent once the authorization of its request has expired, nor once endpoints may
+// have discarded its idempotency key. The request is answered as soon as the upstream reports that.
+func TestAttemptIsNotSentAfterAuthorizationExpired(t *testing.T) {
+	// sendFirst returns the first attempt of a request that is authorized for this time in ms.
+	sendFirst := func(class string, authorizedFor float64) (*Core, *harness, *clock.Clock, AttemptRequest) {
+		c, h, clk := newCore(t)
+		r := newRequest(h, 1, class, clk.Now())
+		r.IdempotencyKey = "k"
+		r.AuthorizedUntil = clk.Now() + authorizedFor
+		c.Handle(r)
+		return c, h, clk, h.sent[0]
+	}
+	const forever, soon = 1e9, 100
+	for _, class := range []string{"tile", "mark"} {
+		_, _, _, unlimited := sendFirst(class, forever)
+		c, h, clk, limited := sendFirst(class, soon)
+		if want := clk.Now() + soon; limited.SendDeadline != want || unlimited.SendDeadline <= want {
+			t.Errorf("%s: may be sent until %v and %v, want %v and later", class, limited.SendDeadline, unlimited.SendDeadline, want)
+		}
+		clk.Advance(soon)
+		h.endAttempt(c, AttemptResult{AttemptKey: limited.AttemptKey, Outcome: control.NotSent})
+		if got := h.answers[1]; len(h.sent) != 1 || len(got) != 1 || got[0].Reason != AuthorizationExpired {
+			t.Errorf("%s: %d attempts, %+v", class, len(h.sent), got)
+		}
+	}
+}
--- a/core/events.go
+++ b/core/events.go
@@ -33,7 +33,7 @@
 	ClientETag            string  // of the client's copy
 	IdempotencyKey        string  // the client's key
 	Body                  []byte
-	AuthorizedUntil       float64 // no attempt is started later; 0: no limit
+	AuthorizedUntil       float64 // clock time from which no attempt is sent; 0: no limit
 
 	// Canceled is set by the frontend as soon as the client disconnects, before it posts the CancelRequest: in whatever
 	// state the request is, it is not forwarded any more. The core sets it with the final answer. Nil: the core allocates it.
--- a/core/requests.go
+++ b/core/requests.go
@@ -57,7 +57,7 @@
 
 // authorizationExpired reports whether the request may no longer be forwarded.
 func (r *request) authorizationExpired(now float64) bool {
-	return r.AuthorizedUntil > 0 && now > r.AuthorizedUntil
+	return r.AuthorizedUntil > 0 && now >= r.AuthorizedUntil
 }
 
 // mayHaveRun reports whether an attempt of the request may have reached an endpoint.
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -58,7 +58,7 @@
 	Write            bool         // it runs at the origin and is not cached
 	NonIdempotent    bool         // it must not run twice, so a broken connection ends the attempt
 	IdempotencyKey   string       // the client's key, if the class is idempotent by key
-	SendDeadline     float64      // it must not be sent later, because endpoints may have discarded its key; 0: none
+	SendDeadline     float64      // clock time from which it must not be sent: endpoints may have discarded its key, or its authorization has expired; 0: none
 	Canceled         *atomic.Bool // true once the request is answered or its client has disconnected: it must not be sent
 }
 
