--- a/cmd/turnfork/soak_test.go
+++ b/cmd/turnfork/soak_test.go
@@ -9,7 +9,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,27 +18,9 @@
 	"time"
 
 	"turnfork.dev/turnfork/front"
+	"turnfork.dev/turnfork/internal/soaktest"
 )
 
-// soakSeeds returns the seeds to run: those of $SOAK_SEEDS, such as 1-60, else a few.
-func soakSeeds(t *testing.T) (seeds []uint64) {
-	first, last := uint64(1), uint64(8)
-	if text := os.Getenv("SOAK_SEEDS"); text != "" {
-		from, to, _ := strings.Cut(text, "-")
-		var err, err2 error
-		if first, err = strconv.ParseUint(from, 10, 64); to == "" {
-			to = from
-		}
-		if last, err2 = strconv.ParseUint(to, 10, 64); err != nil || err2 != nil {
-			t.Fatalf("SOAK_SEEDS: %q", text)
-		}
-	}
-	for seed := first; seed <= last; seed++ {
-		seeds = append(seeds, seed)
-	}
-	return seeds
-}
-
 // crowdNames returns the kinds of misbehaving clients: crowds, and floods on one connection.
 func crowdNames() iter.Seq[string] {
 	names := map[string]bool{}
@@ -60,7 +41,7 @@
 	const parallelSoaks = 3
 	bin := build(t)
 	slots := make(chan struct{}, parallelSoaks)
-	for _, seed := range soakSeeds(t) {
+	for _, seed := range soaktest.Seeds(t, 8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
--- a/policy_soak_test.go
+++ b/policy_soak_test.go
@@ -4,44 +4,21 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"turnfork.dev/turnfork/front/signed"
+	"turnfork.dev/turnfork/internal/soaktest"
 )
 
-// policySoakSeeds returns the seeds to run: those of $SOAK_SEEDS, such as 1-60, else a few.
-func policySoakSeeds(t *testing.T) (first, last uint64) {
-	text := os.Getenv("SOAK_SEEDS")
-	if text == "" {
-		return 1, 4
-	}
-	from, to, isRange := strings.Cut(text, "-")
-	if !isRange {
-		to = from
-	}
-	var err error
-	if first, err = strconv.ParseUint(from, 10, 64); err != nil {
-		t.Fatalf("SOAK_SEEDS: %q", text)
-	}
-	if last, err = strconv.ParseUint(to, 10, 64); err != nil {
-		t.Fatalf("SOAK_SEEDS: %q", text)
-	}
-	return first, last
-}
-
 // TestPolicySoak has operators change the settings of the policy at random gateways while gateways are closed and started again. The
 // gateways never learn of a change, so their own copies are as outdated as they can be. No acknowledged change may be lost, and no
 // member may see a setting return to a value that it has left.
 func TestPolicySoak(t *testing.T) {
 	const parallelSoaks = 2
 	slots := make(chan struct{}, parallelSoaks)
-	first, last := policySoakSeeds(t)
-	for seed := first; seed <= last; seed++ {
+	for _, seed := range soaktest.Seeds(t, 4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
