--- a/internal/citest/source_test.go
+++ b/internal/citest/source_test.go
@@ -61,3 +61,29 @@
 	}
 	return packages
 }
+
+// The clients of net/http send some requests a second time by themselves, and follow redirects. What leaves for an endpoint is
+// decided by the core, so no package may use them; upstream/httpstore sends on a connection of its own.
+func TestNoPackageUsesAnHTTPClient(t *testing.T) {
+	clients := map[string]bool{
+		"Client": true, "DefaultClient": true, "DefaultTransport": true, "Get": true, "Head": true, "Post": true, "PostForm": true,
+		"RoundTripper": true,
+	}
+	for _, p := range parsePackages(t) {
+		if p.dir == "review" || strings.HasPrefix(p.dir, "review/") { // a module of its own
+			continue
+		}
+		for _, file := range p.files {
+			ast.Inspect(file, func(node ast.Node) bool {
+				selector, ok := node.(*ast.SelectorExpr)
+				if !ok {
+					return true
+				}
+				if left, ok := selector.X.(*ast.Ident); ok && left.Name == "http" && clients[selector.Sel.Name] {
+					t.Errorf("%s uses http.%s", p.dir, selector.Sel.Name)
+				}
+				return true
+			})
+		}
+	}
+}
--- a/upstream/httpstore/resend_test.go
+++ b/upstream/httpstore/resend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -164,3 +165,26 @@
 		})
 	}
 }
+
+// A redirect is not followed: the request would go to an address that the core has not chosen.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	defer other.Close()
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusFound, http.StatusTemporaryRedirect} {
+		u, _, events := newFaultUpstream(t, 4, func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, other.URL, status)
+		})
+		u.Send(get(1))
+		if e := (<-events).(core.AttemptResult); e.Outcome != control.ServerError {
+			t.Errorf("%d: ended as %+v", status, e)
+		}
+		u.CheckHealth(1)
+		if p := (<-events).(core.HealthCheckResult); p.Outcome != control.OK {
+			t.Errorf("%d: health check ended as %+v", status, p)
+		}
+	}
+	if reached.Load() != 0 {
+		t.Errorf("%d requests were redirected", reached.Load())
+	}
+}
