Test the default ports and certificates of HTTP stores

Need: since the upstream opens its connections itself it derives their address from the base URL. Change: TestDefaultPorts, TestUntrustedCertificateIsAFailedConnect.

--- a/upstream/httpstore/pool_test.go
+++ b/upstream/httpstore/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -350,3 +351,46 @@
 		t.Errorf("%v", got)
 	}
 }
+
+// A base URL without a port means the port of its scheme.
+func TestDefaultPorts(t *testing.T) {
+	for base, want := range map[string]string{
+		"http://127.0.0.1/rides": "127.0.0.1:80", "https://127.0.0.1": "127.0.0.1:443", "http://[::1]": "[::1]:80", "http://127.0.0.1:8080": "127.0.0.1:8080",
+	} {
+		dialed := make(chan string, 1)
+		events := make(chan core.Event, 1)
+		u := New(Options{
+			Endpoints: map[uint32]Endpoint{1: {Base: base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
+			Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
+			Dial: func(_ context.Context, _, addr string) (net.Conn, error) {
+				dialed <- addr
+				return nil, io.ErrUnexpectedEOF
+			},
+		}, func(ev core.Event) { events <- ev })
+		u.Send(get(1))
+		if got := <-dialed; got != want {
+			t.Errorf("%s: dialed %s, want %s", base, got, want)
+		}
+		<-events
+		u.Close()
+	}
+}
+
+// An endpoint whose certificate isn't trusted gets no request, which counts as a failed connect.
+func TestUntrustedCertificateIsAFailedConnect(t *testing.T) {
+	var reached atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	defer server.Close()
+	events := make(chan core.Event, 1)
+	u := New(Options{
+		Endpoints: map[uint32]Endpoint{1: {Base: server.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
+		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
+	}, func(ev core.Event) { events <- ev })
+	defer u.Close()
+	u.Send(get(1))
+	if e := (<-events).(core.AttemptResult); e.Outcome != control.ConnectFailed || e.Unconfirmed || reached.Load() != 0 {
+		t.Errorf("ended as %+v, %d requests", e, reached.Load())
+	}
+}
