--- a/cmd/turnfork/soak_test.go
+++ b/cmd/turnfork/soak_test.go
@@ -38,26 +38,20 @@
 // time; no request may be at two endpoints at once, run twice if it must not, or be sent after its client has gone; the memory must
 // stay within its limit, and the process must end by signals only.
 func TestSoak(t *testing.T) {
-	const parallelSoaks = 3
+	const seeds, parallelSoaks, shownFaults = 8, 3, 10
 	bin := build(t)
-	slots := make(chan struct{}, parallelSoaks)
-	for _, seed := range soaktest.Seeds(t, 8) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			s := newSoak(t, bin, seed)
-			s.run()
-			t.Logf("%d MB, crowd %q: %v", s.memoryMB, s.crowd, s.counts)
-			for i, fault := range s.faults {
-				if i == 10 {
-					t.Errorf("and %d faults more", len(s.faults)-i)
-					break
-				}
-				t.Error(fault)
+	soaktest.Run(t, seeds, parallelSoaks, func(t *testing.T, seed uint64) {
+		s := newSoak(t, bin, seed)
+		s.run()
+		t.Logf("%d MB, crowd %q: %v", s.memoryMB, s.crowd, s.counts)
+		for i, fault := range s.faults {
+			if i == shownFaults {
+				t.Errorf("and %d faults more", len(s.faults)-i)
+				break
 			}
-		})
-	}
+			t.Error(fault)
+		}
+	})
 }
 
 // run plays the run.
--- a/http_store_soak_test.go
+++ b/http_store_soak_test.go
@@ -41,18 +41,12 @@
 // it is answered once and in time, an endpoint that is out gets nothing new, an attempt is sent once, two attempts are never at the
 // stores at once, what may have run and is unsafe is not repeated, and nothing is sent after the token's end.
 func TestHTTPStoreSoak(t *testing.T) {
-	const parallelSoaks = 2
-	slots := make(chan struct{}, parallelSoaks)
-	for _, seed := range soaktest.Seeds(t, 4) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			s := newHTTPSoak(t, seed)
-			s.run()
-			s.check()
-		})
-	}
+	const seeds, parallelSoaks = 4, 2
+	soaktest.Run(t, seeds, parallelSoaks, func(t *testing.T, seed uint64) {
+		s := newHTTPSoak(t, seed)
+		s.run()
+		s.check()
+	})
 }
 
 // httpSoak is one seeded run.
--- a/internal/soaktest/seeds.go
+++ b/internal/soaktest/seeds.go
@@ -2,6 +2,7 @@
 package soaktest
 
 import (
+	"fmt"
 	"os"
 	"strconv"
 	"strings"
@@ -11,8 +12,8 @@
 // seedsVariable names the environment variable that selects other seeds than a test's own, such as 7 or 1-60.
 const seedsVariable = "SOAK_SEEDS"
 
-// Seeds returns the seeds to run: those of $SOAK_SEEDS, or else 1 to count.
-func Seeds(t *testing.T, count uint64) (seeds []uint64) {
+// seeds returns the seeds to run: those of $SOAK_SEEDS, or else 1 to count.
+func seeds(t *testing.T, count uint64) (list []uint64) {
 	t.Helper()
 	first, last := uint64(1), count
 	if text := os.Getenv(seedsVariable); text != "" {
@@ -23,9 +24,9 @@
 		first, last = parseSeed(t, from), parseSeed(t, to)
 	}
 	for seed := first; seed <= last; seed++ {
-		seeds = append(seeds, seed)
+		list = append(list, seed)
 	}
-	return seeds
+	return list
 }
 
 func parseSeed(t *testing.T, text string) uint64 {
@@ -36,3 +37,17 @@
 	}
 	return seed
 }
+
+// Run plays a soak with each seed as a subtest, and at most this number of them at once.
+func Run(t *testing.T, count uint64, parallel int, play func(t *testing.T, seed uint64)) {
+	t.Helper()
+	slots := make(chan struct{}, parallel)
+	for _, seed := range seeds(t, count) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, seed)
+		})
+	}
+}
--- a/policy_soak_test.go
+++ b/policy_soak_test.go
@@ -16,18 +16,12 @@
 // gateways never learn of a change, so their own copies are as outdated as they can be. No acknowledged change may be lost, and no
 // member may see a setting return to a value that it has left.
 func TestPolicySoak(t *testing.T) {
-	const parallelSoaks = 2
-	slots := make(chan struct{}, parallelSoaks)
-	for _, seed := range soaktest.Seeds(t, 4) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			slots <- struct{}{}
-			defer func() { <-slots }()
-			s := &policySoak{gatewayGroup: newGatewayGroup(t, 1000), end: time.Now().Add(5 * time.Second)}
-			s.observe = s.newPolicyObserver // of the members that are started again from now on
-			s.run(seed)
-		})
-	}
+	const seeds, parallelSoaks = 4, 2
+	soaktest.Run(t, seeds, parallelSoaks, func(t *testing.T, seed uint64) {
+		s := &policySoak{gatewayGroup: newGatewayGroup(t, 1000), end: time.Now().Add(5 * time.Second)}
+		s.observe = s.newPolicyObserver // of the members that are started again from now on
+		s.run(seed)
+	})
 }
 
 // policySoak is one seeded run.
--- a/upstream/httpstore/bench_test.go
+++ b/upstream/httpstore/bench_test.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"testing"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 )
@@ -36,12 +34,7 @@
 }
 
 func benchmarkAttempts(b *testing.B, inFlight int, request core.AttemptRequest) {
-	ended := make(chan control.Outcome, inFlight)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: startBenchStore(b)}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: benchConns,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { ended <- ev.(core.AttemptResult).Outcome })
-	defer u.Close()
+	u, events := startUpstream(b, Endpoint{Base: startBenchStore(b)}, Options{MaxConns: benchConns})
 	request.Endpoint, request.Txn = 1, "00000000000000aa"
 	sent := 0
 	send := func() {
@@ -54,7 +47,7 @@
 		send()
 	}
 	for range b.N {
-		if outcome := <-ended; outcome != control.OK {
+		if outcome := (<-events).(core.AttemptResult).Outcome; outcome != control.OK {
 			b.Fatal(outcome)
 		}
 		if sent < b.N {
@@ -65,13 +58,8 @@
 
 // startBenchStore starts an endpoint that responds to each request with the same bytes, and returns its base.
 func startBenchStore(b *testing.B) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { listener.Close() })
 	response := append([]byte("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: 16384\r\n\r\n"), bytes.Repeat([]byte("x"), benchBodySize)...)
-	serve := func(conn net.Conn) {
+	return serveConns(b, func(conn net.Conn) {
 		defer conn.Close()
 		reader := bufio.NewReader(conn)
 		for {
@@ -84,15 +72,5 @@
 				return
 			}
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	})
 }
--- a/upstream/httpstore/httpstore_test.go
+++ b/upstream/httpstore/httpstore_test.go
@@ -153,12 +153,7 @@
 	remotes := make(chan string, 8)
 	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { remotes <- r.RemoteAddr }))
 	defer srv.Close()
-	results := make(chan core.Event, 8)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: srv.URL}}, DialTimeout: 5000, IdleClose: 5000, MaxConns: 4,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { results <- ev })
-	defer u.Close()
+	u, results := startUpstream(t, Endpoint{Base: srv.URL}, Options{})
 	var got []string
 	for i, nonIdempotent := range []bool{false, false, true, true} {
 		u.Send(core.AttemptRequest{AttemptKey: core.AttemptKey{ID: control.RequestID(i)}, Endpoint: 1, Class: "c", ObjectName: "n", Write: nonIdempotent, NonIdempotent: nonIdempotent})
@@ -182,12 +177,7 @@
 		w.Write([]byte("ok"))
 	}))
 	defer srv.Close()
-	got := make(chan core.Event, 4)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {srv.URL, nil}}, DialTimeout: 5000, IdleClose: 15000, MaxConns: 1,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { got <- ev })
-	defer u.Close()
+	u, got := startUpstream(t, Endpoint{Base: srv.URL}, Options{MaxConns: 1})
 	send := func(id int) {
 		u.Send(core.AttemptRequest{AttemptKey: core.AttemptKey{ID: control.RequestID(id)}, Endpoint: 1, Class: "firmware", ObjectName: "x"})
 	}
--- a/upstream/httpstore/local_failure_test.go
+++ b/upstream/httpstore/local_failure_test.go
@@ -9,8 +9,6 @@
 	"syscall"
 	"testing"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/faultnet"
@@ -20,12 +18,8 @@
 func newFaultUpstream(t *testing.T, conns int, handle http.HandlerFunc) (*Upstream, *faultnet.Dialer, chan core.Event) {
 	server := httptest.NewServer(handle)
 	t.Cleanup(server.Close)
-	dialer, events := &faultnet.Dialer{}, make(chan core.Event, 64)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: server.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: conns,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(), Dial: dialer.DialContext,
-	}, func(ev core.Event) { events <- ev })
-	t.Cleanup(u.Close)
+	dialer := &faultnet.Dialer{}
+	u, events := startUpstream(t, Endpoint{Base: server.URL}, Options{MaxConns: conns, Dial: dialer.DialContext})
 	return u, dialer, events
 }
 
--- a/upstream/httpstore/pool_test.go
+++ b/upstream/httpstore/pool_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/faultnet"
@@ -335,12 +333,7 @@
 		t.Fatal(err)
 	}
 	base.User = url.UserPassword("gateway", "s")
-	events := make(chan core.Event, 4)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: base.String()}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { events <- ev })
-	defer u.Close()
+	u, events := startUpstream(t, Endpoint{Base: base.String()}, Options{MaxConns: 1})
 	u.Send(get(1))
 	u.CheckHealth(1)
 	for range 2 {
@@ -358,21 +351,15 @@
 		"http://127.0.0.1/rides": "127.0.0.1:80", "https://127.0.0.1": "127.0.0.1:443", "http://[::1]": "[::1]:80", "http://127.0.0.1:8080": "127.0.0.1:8080",
 	} {
 		dialed := make(chan string, 1)
-		events := make(chan core.Event, 1)
-		u := New(Options{
-			Endpoints: map[uint32]Endpoint{1: {Base: base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
-			Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-			Dial: func(_ context.Context, _, addr string) (net.Conn, error) {
-				dialed <- addr
-				return nil, io.ErrUnexpectedEOF
-			},
-		}, func(ev core.Event) { events <- ev })
+		u, events := startUpstream(t, Endpoint{Base: base}, Options{Dial: func(_ context.Context, _, addr string) (net.Conn, error) {
+			dialed <- addr
+			return nil, io.ErrUnexpectedEOF
+		}})
 		u.Send(get(1))
 		if got := <-dialed; got != want {
 			t.Errorf("%s: dialed %s, want %s", base, got, want)
 		}
 		<-events
-		u.Close()
 	}
 }
 
@@ -383,12 +370,7 @@
 	server.Config.ErrorLog = log.New(io.Discard, "", 0)
 	server.StartTLS()
 	defer server.Close()
-	events := make(chan core.Event, 1)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: server.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { events <- ev })
-	defer u.Close()
+	u, events := startUpstream(t, Endpoint{Base: server.URL}, Options{MaxConns: 1})
 	u.Send(get(1))
 	if e := (<-events).(core.AttemptResult); e.Outcome != control.ConnectFailed || e.Unconfirmed || reached.Load() != 0 {
 		t.Errorf("ended as %+v, %d requests", e, reached.Load())
--- a/upstream/httpstore/refused_test.go
+++ b/upstream/httpstore/refused_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 )
@@ -50,7 +48,7 @@
 }
 
 func newBusyEndpoint(t *testing.T) *busyEndpoint {
-	b := &busyEndpoint{events: make(chan core.Event, 16), release: make(chan struct{})}
+	b := &busyEndpoint{release: make(chan struct{})}
 	arrived := make(chan struct{})
 	var first atomic.Bool
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -62,11 +60,7 @@
 		<-b.release
 	}))
 	t.Cleanup(server.Close)
-	b.Upstream = New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: server.URL}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 1,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { b.events <- ev })
-	t.Cleanup(b.Close)
+	b.Upstream, b.events = startUpstream(t, Endpoint{Base: server.URL}, Options{MaxConns: 1})
 	b.Send(get(1))
 	<-arrived
 	return b
--- a/upstream/httpstore/resend_test.go
+++ b/upstream/httpstore/resend_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 	"turnfork.dev/turnfork/internal/faultnet"
@@ -42,21 +40,8 @@
 }
 
 func newEndingStore(t *testing.T) *endingStore {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	store := &endingStore{base: "http://" + listener.Addr().String(), arrived: make(chan net.Conn, 64)}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go store.serve(conn)
-		}
-	}()
+	store := &endingStore{arrived: make(chan net.Conn, 64)}
+	store.base = serveConns(t, store.serve)
 	return store
 }
 
@@ -101,12 +86,8 @@
 }
 
 func testAttemptIsSentOnce(t *testing.T, request core.AttemptRequest, end connEnd, excluded bool) {
-	store, dialer, events := newEndingStore(t), &faultnet.Dialer{}, make(chan core.Event, 8)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: store.base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 4,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(), Dial: dialer.DialContext,
-	}, func(ev core.Event) { events <- ev })
-	defer u.Close()
+	store, dialer := newEndingStore(t), &faultnet.Dialer{}
+	u, events := startUpstream(t, Endpoint{Base: store.base}, Options{Dial: dialer.DialContext})
 	request.Endpoint = 1
 	send := func(id int) {
 		request.AttemptKey = core.AttemptKey{ID: control.RequestID(id)}
@@ -141,12 +122,8 @@
 func TestHealthCheckIsSentOnce(t *testing.T) {
 	for name, end := range connEnds {
 		t.Run(name, func(t *testing.T) {
-			store, events := newEndingStore(t), make(chan core.Event, 8)
-			u := New(Options{
-				Endpoints: map[uint32]Endpoint{1: {Base: store.base}}, DialTimeout: 5000, IdleClose: 60000, MaxConns: 4,
-				Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-			}, func(ev core.Event) { events <- ev })
-			defer u.Close()
+			store := newEndingStore(t)
+			u, events := startUpstream(t, Endpoint{Base: store.base}, Options{})
 			u.CheckHealth(1)
 			if p := (<-events).(core.HealthCheckResult); p.Outcome != control.OK {
 				t.Fatalf("first check: %+v", p)
--- a/upstream/httpstore/response_form_test.go
+++ b/upstream/httpstore/response_form_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"testing"
 
-	"github.com/rs/zerolog"
-	"turnfork.dev/turnfork/clock"
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
 )
@@ -14,26 +12,12 @@
 // scriptedOutcome returns the result of a request to an endpoint that sends the given bytes and then closes the connection.
 func scriptedOutcome(t *testing.T, response string, request core.AttemptRequest) core.AttemptResult {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		c.Read(make([]byte, 4096))
-		io.WriteString(c, response)
-		c.Close()
-	}()
-	got := make(chan core.Event, 1)
-	u := New(Options{
-		Endpoints: map[uint32]Endpoint{1: {Base: "http://" + l.Addr().String()}}, DialTimeout: 5000, IdleClose: 15000, MaxConns: 1,
-		Clock: clock.Manual(1.8e12), Log: zerolog.Nop(),
-	}, func(ev core.Event) { got <- ev })
-	defer u.Close()
+	base := serveConns(t, func(conn net.Conn) {
+		conn.Read(make([]byte, 4096))
+		io.WriteString(conn, response)
+		conn.Close()
+	})
+	u, got := startUpstream(t, Endpoint{Base: base}, Options{MaxConns: 1})
 	u.Send(request)
 	return (<-got).(core.AttemptResult)
 }
