Close Raft's pipelines at a member's shutdown, which could wait for a full one

Cause: hashicorp/raft 1.7.3: pipelineDecode ends on a newer term while pipelineSend is blocked in the full pipeline, which is closed by pipelineReplicate alone. Shutdown waits for that goroutine. Change: raftTransport tracks the pipelines; shutDownRaft closes them after raft.Shutdown.

--- a/replica/raft_setup.go
+++ b/replica/raft_setup.go
@@ -73,9 +73,10 @@
 	}
 	s.transport = newTransport(s.opt, s, s.newWatchServer())
 	s.leaderConns = &leaderConns{dialer: s.transport.dialer}
-	parts.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+	s.raftTransport = newRaftTransport(&raft.NetworkTransportConfig{
 		Stream: s.transport, MaxPool: maxPooledRaftConns, Timeout: raftIOTimeout, Logger: parts.conf.Logger,
 	})
+	parts.transport = s.raftTransport
 	return parts, nil
 }
 
--- /dev/null
+++ b/replica/raft_transport.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/hashicorp/raft"
+)
+
+// raftTransport carries Raft's messages. It can close the library's pipelines of entries: the goroutine that replicates to a
+// follower blocks in one that is full if the lead is lost in the meantime, and Raft then never ends its shutdown.
+type raftTransport struct {
+	*raft.NetworkTransport
+
+	mu     sync.Mutex
+	open   map[*trackedPipeline]struct{}
+	closed bool // closePipelines has been called
+}
+
+// trackedPipeline is a pipeline that its transport can close.
+type trackedPipeline struct {
+	raft.AppendPipeline
+	transport *raftTransport
+}
+
+func newRaftTransport(config *raft.NetworkTransportConfig) *raftTransport {
+	return &raftTransport{NetworkTransport: raft.NewNetworkTransportWithConfig(config), open: map[*trackedPipeline]struct{}{}}
+}
+
+// AppendEntriesPipeline implements raft.Transport.
+func (t *raftTransport) AppendEntriesPipeline(id raft.ServerID, target raft.ServerAddress) (raft.AppendPipeline, error) {
+	pipeline, err := t.NetworkTransport.AppendEntriesPipeline(id, target)
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedPipeline{AppendPipeline: pipeline, transport: t}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		pipeline.Close()
+		return nil, raft.ErrPipelineShutdown
+	}
+	t.open[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// Close implements raft.AppendPipeline.
+func (p *trackedPipeline) Close() error {
+	p.transport.mu.Lock()
+	delete(p.transport.open, p)
+	p.transport.mu.Unlock()
+	return p.AppendPipeline.Close()
+}
+
+// closePipelines closes all pipelines, and lets no new one open. A replication goroutine that is blocked in one goes on.
+func (t *raftTransport) closePipelines() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	for p := range t.open {
+		p.AppendPipeline.Close()
+	}
+	clear(t.open)
+}
--- a/replica/store.go
+++ b/replica/store.go
@@ -22,12 +22,13 @@
 
 // Store is a member of the group that votes. Without other members it is standalone.
 type Store struct {
-	opt         Options
-	raft        *raft.Raft
-	state       *stateMachine
-	agreedClock *agreedClock
-	transport   *transport // nil: standalone
-	storage     *storage   // nil: standalone
+	opt           Options
+	raft          *raft.Raft
+	state         *stateMachine
+	agreedClock   *agreedClock
+	transport     *transport     // nil: standalone
+	storage       *storage       // nil: standalone
+	raftTransport *raftTransport // nil: standalone
 
 	proposer
 	leaderConns   *leaderConns // nil: standalone
@@ -98,6 +99,7 @@
 		return shutdown.Error()
 	}
 	s.storage.stop() // after raft.Shutdown: a write that this unblocks must find Raft shutting down
+	s.raftTransport.closePipelines()
 	done := make(chan error, 1)
 	go func() { done <- shutdown.Error() }()
 	select {
