Scale rig: restarts at random times no longer share the scenario's random numbers

Cause: restartAtRate runs beside the scenario and took its seed from the generator that restartTenth uses. Locks that both take hid it. Evidence: the printed stack ends in restartAtRate's goroutine (run.go:129). The two alone, without processes, are reported in 5 of 5 runs, in scenario.go:176 and 191.

--- a/scale/scenario.go
+++ b/scale/scenario.go
@@ -20,9 +20,10 @@
 
 // faults executes the steps of a scenario.
 type faults struct {
-	cluster *cluster
-	random  *rand.Rand
-	down    []int // indices of the voters that are killed or paused
+	cluster      *cluster
+	random       *rand.Rand // of the scenario's steps
+	restartTimes *rand.Rand // of restartAtRate, which runs beside the scenario
+	down         []int      // indices of the voters that are killed or paused
 }
 
 // Extent of the faults.
@@ -98,7 +99,8 @@
 }
 
 func newFaults(c *cluster, seed uint64) *faults {
-	return &faults{cluster: c, random: rand.New(rand.NewPCG(seed, 2))}
+	random := rand.New(rand.NewPCG(seed, 2))
+	return &faults{cluster: c, random: random, restartTimes: rand.New(rand.NewPCG(random.Uint64(), 3))}
 }
 
 func (f *faults) topology() Topology { return f.cluster.options.topology }
@@ -188,21 +190,20 @@
 // full deployment, and is scaled to the number of gateways of the run.
 func (f *faults) restartAtRate(ctx context.Context, perDay float64, duration time.Duration) (restarts int, err error) {
 	begin := time.Now()
-	random := rand.New(rand.NewPCG(f.random.Uint64(), 3))
 	rate := perDay / day.Seconds() * float64(f.topology().Gateways) / FullGateways
 	if rate <= 0 {
 		return 0, nil
 	}
 	at := time.Duration(0)
 	for {
-		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(f.restartTimes.ExpFloat64() / rate * float64(time.Second))
 		if at >= duration {
 			return restarts, nil
 		}
 		if !sleep(ctx, time.Until(begin.Add(at))) {
 			return restarts, ctx.Err()
 		}
-		if err := f.cluster.restartGateways(ctx, []int{random.IntN(f.topology().Gateways)}); err != nil {
+		if err := f.cluster.restartGateways(ctx, []int{f.restartTimes.IntN(f.topology().Gateways)}); err != nil {
 			return restarts, err
 		}
 		restarts++
