Await the first attempt's response in TestQueuedAttemptDoesNotReachFormerAddress

Cause: the test lets a held write go and counts at once what the former address has read; nothing waited for that read. Change: it awaits that attempt's response, which must be OK, before it counts. The count comes later than before, so it sees no less. The pool is unchanged.

--- a/upstream/resp/address_test.go
+++ b/upstream/resp/address_test.go
@@ -77,6 +77,10 @@
 	if outcome := b.send(3, 1); outcome != control.OK {
 		t.Errorf("a later attempt: %v", outcome)
 	}
+	// Its response shows that the former address has read what was written to it: nothing of the attempt that waited may be there.
+	if outcome := b.awaitResult(core.AttemptKey{ID: 1}).Outcome; outcome != control.OK {
+		t.Errorf("the attempt that was being written: %v", outcome)
+	}
 	if n := len(first.Commands("GET")); n != 1 {
 		t.Errorf("%d attempts reached the former address, want the one that was being written", n)
 	}
