Scale rig: a voter counts as down until its process has answered the start

Seen: no failure; a voter's process printed a data race (read in propose, write in start) in 1 of 24 runs of TestHundredGatewaysThroughVoterDeath, 8 at once. Cause: startVoter made the process known before it sent the start, so a proposal could overtake it. Change: the process is made known after the start's answer; after a failed start it is stopped and stays unknown. TestVoterThatDoesNotStartIsDown.

--- a/scale/cluster.go
+++ b/scale/cluster.go
@@ -154,17 +154,21 @@
 	return err
 }
 
-// startVoter starts a voter for the first time, or restarts it with its existing files.
+// startVoter starts a voter for the first time, or restarts it with its existing files. The voter counts as down until its
+// process has answered the start, since other requests must not come before that.
 func (c *cluster) startVoter(ctx context.Context, voter int) error {
 	process, err := StartProcess(RoleVoters, c.options.log)
 	if err != nil {
 		return err
 	}
+	if err := process.Call(ctx, methodStart, c.voters[voter].setup, nil); err != nil {
+		process.Stop()
+		return err
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.voters[voter].process = process
-	setup := c.voters[voter].setup
-	c.mu.Unlock()
-	return process.Call(ctx, methodStart, setup, nil)
+	return nil
 }
 
 // killVoter kills a voter's process, as in a crash.
--- a/scale/scenario_test.go
+++ b/scale/scenario_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"golang.org/x/sync/errgroup"
+	"turnfork.dev/turnfork/replica"
 )
 
 // Guards against a data race between a scenario and the restarts at random times, which run at the same time: each draws from
@@ -21,3 +22,27 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against requests to a voter's process that has not started its voter yet: until it has, the voter counts as down.
+func TestVoterThatDoesNotStartIsDown(t *testing.T) {
+	checkNoLeaks(t)
+	authority, err := NewAuthority(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	identity, err := authority.Issue(voterID(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	voters := &cluster{options: clusterOptions{log: testLog{t}}, voters: []*voterProcess{{id: voterID(0), setup: voterSetup{
+		LocalIDs: []string{voterID(0)}, Members: []replica.Member{{ID: voterID(0), Addr: "not an address"}}, Dir: t.TempDir(),
+		Identity: identity,
+	}}}}
+	defer voters.stop()
+	if err := voters.startVoter(t.Context(), 0); err == nil {
+		t.Fatal("the voter started")
+	}
+	if voters.voterProcess(0) != nil {
+		t.Error("the voter does not count as down")
+	}
+}
