Await the voter after each put in TestWatchThatNeverReads

Cause: the test counts what it has put through the leader; the voter sends a subscriber only what it has applied itself, and a slow disk of its own lets it lag. Inferred for that run; its positions were not printed. Evidence (trial): with the voter's next log write delayed by 8 s or 10 s the test fails with this message, the voter at revision 13 or 0, the leader at 131 or 139, and both subscribers connected. Change: after each put the test waits until the voter has it. The limit of 20 MiB stays, and now counts what the voter has. Measured: 10 of 10 alone (-race). With the delays of the trial that message is gone, in 4 of 4 runs; they fail on the lease of the other subscriber, which rightly ends after 5 s. So a disk that stands still for longer can still fail this test.

--- a/replica/subscriber_faults_test.go
+++ b/replica/subscriber_faults_test.go
@@ -276,6 +276,7 @@
 	})
 	for i := 0; ; i++ {
 		c.put("large", fmt.Sprint(i, strings.Repeat("x", 1<<19)))
+		c.awaitVoter(voter) // it sends only what it has applied
 		if subscribers, _ := c.stores[voter].Subscribers(); subscribers == 1 {
 			break
 		}
