Close a Raft pipeline that does not accept entries within two I/O time-outs

Callers saw nothing. A member that lost the lead while a pipeline was full kept a goroutine and a connection for each time, until shutdown. Cause: the library's goroutine that takes the responses ends on a newer term; the one that sends waits for it without a deadline. Change: trackedPipeline.AppendEntries closes the pipeline after twice the time-out: the write has one, the response that a full pipeline waits for has another.

--- a/replica/raft_transport.go
+++ b/replica/raft_transport.go
@@ -2,14 +2,21 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hashicorp/raft"
 )
 
-// raftTransport carries Raft's messages. It can close the library's pipelines of entries: the goroutine that replicates to a
-// follower blocks in one that is full if the lead is lost in the meantime, and Raft then never ends its shutdown.
+// handOffTimeouts is how many I/O time-outs an entry may take until its pipeline has accepted it: one for the write, and one for
+// the response to the entry before it, which a full pipeline waits for.
+const handOffTimeouts = 2
+
+// raftTransport carries Raft's messages. It closes the library's pipelines of entries that nobody reads any more: the goroutine
+// that replicates to a follower blocks in one that is full if the lead is lost in the meantime, and Raft then never ends its
+// shutdown.
 type raftTransport struct {
 	*raft.NetworkTransport
+	handOffTimeout time.Duration
 
 	mu     sync.Mutex
 	open   map[*trackedPipeline]struct{}
@@ -23,7 +30,10 @@
 }
 
 func newRaftTransport(config *raft.NetworkTransportConfig) *raftTransport {
-	return &raftTransport{NetworkTransport: raft.NewNetworkTransportWithConfig(config), open: map[*trackedPipeline]struct{}{}}
+	return &raftTransport{
+		NetworkTransport: raft.NewNetworkTransportWithConfig(config), handOffTimeout: handOffTimeouts * config.Timeout,
+		open: map[*trackedPipeline]struct{}{},
+	}
 }
 
 // AppendEntriesPipeline implements raft.Transport.
@@ -43,6 +53,13 @@
 	return tracked, nil
 }
 
+// AppendEntries implements raft.AppendPipeline. A pipeline that does not accept the entries in time is closed.
+func (p *trackedPipeline) AppendEntries(args *raft.AppendEntriesRequest, resp *raft.AppendEntriesResponse) (raft.AppendFuture, error) {
+	timeout := time.AfterFunc(p.transport.handOffTimeout, func() { p.Close() })
+	defer timeout.Stop()
+	return p.AppendPipeline.AppendEntries(args, resp)
+}
+
 // Close implements raft.AppendPipeline.
 func (p *trackedPipeline) Close() error {
 	p.transport.mu.Lock()
