HTTP pool: a request whose connection went to another one takes over its dial

Callers would have seen a request wait for its whole deadline while the pool has free places. Cause: a new connection goes to the request that waits longest; the one on whose behalf it was opened stayed marked as having one on the way, relied on the other's dial, and got no error when that failed. Change: the two exchange their dials (assignToFirst). The tests end each held dial on its own. TestFailedDialEndsRequestThatDependsOnIt.

--- a/upstream/httpstore/pool.go
+++ b/upstream/httpstore/pool.go
@@ -38,8 +38,14 @@
 // waiter is a request that waits for a connection: for the one that is opened on its behalf, or another one that is released
 // earlier.
 type waiter struct {
-	result     chan acquired      // has room for one
-	cancelDial context.CancelFunc // nil: no connection is opened on its behalf
+	result chan acquired // has room for one
+	dial   *dial         // nil: no connection is opened on its behalf
+}
+
+// dial is a connection that is being opened.
+type dial struct {
+	waiter *waiter // on whose behalf; it may have got another connection meanwhile
+	cancel context.CancelFunc
 }
 
 // acquired is what a waiter gets: a reserved connection, or why none could be opened.
@@ -113,19 +119,20 @@
 		if p.conns >= p.maxConns {
 			return
 		}
-		if w.cancelDial != nil {
+		if w.dial != nil {
 			continue
 		}
 		p.conns++
-		var ctx context.Context
-		ctx, w.cancelDial = context.WithCancel(p.ctx)
-		p.dials.Go(func() { p.dial(ctx, w) })
+		ctx, cancel := context.WithCancel(p.ctx)
+		opening := &dial{waiter: w, cancel: cancel}
+		w.dial = opening
+		p.dials.Go(func() { p.open(ctx, opening) })
 	}
 }
 
-// dial opens a connection on behalf of a waiter.
-func (p *connPool) dial(ctx context.Context, w *waiter) {
-	defer w.cancelDial()
+// open opens a connection.
+func (p *connPool) open(ctx context.Context, d *dial) {
+	defer d.cancel()
 	conn, err := p.transport.NewClientConn(ctx, p.scheme, p.address)
 	if err == nil {
 		err = conn.Reserve()
@@ -133,17 +140,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
+		p.assignToFirst(d)
 		p.handOver(conn)
 		return
 	}
 	p.conns--
-	if i := slices.Index(p.waiting, w); i >= 0 {
+	if i := slices.Index(p.waiting, d.waiter); i >= 0 {
 		p.waiting = slices.Delete(p.waiting, i, i+1)
-		w.result <- acquired{err: err}
+		d.waiter.result <- acquired{err: err}
 	}
 	p.dialForWaiters()
 }
 
+// assignToFirst prepares that the connection of a dial goes to the request that waits longest. If the dial was made on behalf of
+// another request, the two exchange their dials, so that the other one does not wait for a dial that has ended.
+func (p *connPool) assignToFirst(d *dial) {
+	other := d.waiter
+	if !slices.Contains(p.waiting, other) {
+		return
+	}
+	first := p.waiting[0]
+	first.dial, other.dial = d, first.dial
+	d.waiter = first
+	if other.dial != nil {
+		other.dial.waiter = other
+	}
+}
+
 // stopWaiting removes a canceled request from the waiters, and returns the error to report. A connection that it was handed in the
 // meantime is passed on.
 func (p *connPool) stopWaiting(w *waiter) error {
@@ -154,10 +177,10 @@
 	} else if got := <-w.result; got.conn != nil {
 		p.handOver(got.conn)
 	}
-	if w.cancelDial == nil {
+	if w.dial == nil {
 		return errConnLimit
 	}
-	w.cancelDial()
+	w.dial.cancel()
 	return errDialCanceled
 }
 
--- a/upstream/httpstore/pool_test.go
+++ b/upstream/httpstore/pool_test.go
@@ -23,16 +23,19 @@
 // testPool is a pool of connections to an endpoint that responds to each request.
 type testPool struct {
 	*connPool
-	t       *testing.T
-	dialer  *faultnet.Dialer
-	server  *httptest.Server
-	release chan struct{} // when holdDials is set, a dial takes one from it
-	hold    atomic.Bool
-	open    atomic.Int64 // connections that are open at the endpoint
+	t         *testing.T
+	dialer    *faultnet.Dialer
+	server    *httptest.Server
+	hold      atomic.Bool
+	heldDials chan heldDial // while hold is set
+	open      atomic.Int64  // connections that are open at the endpoint
 }
 
+// heldDial is a dial that waits for the error with which it fails, or for nil, with which it goes on.
+type heldDial chan error
+
 func newTestPool(t *testing.T, maxConns, maxIdle int, idleTimeout time.Duration) *testPool {
-	p := &testPool{t: t, dialer: &faultnet.Dialer{}, release: make(chan struct{})}
+	p := &testPool{t: t, dialer: &faultnet.Dialer{}, heldDials: make(chan heldDial)}
 	p.server = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	p.server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
@@ -51,10 +54,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	transport := newTransport(Options{DialTimeout: 5000, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if p.hold.Load() {
-			select {
-			case <-p.release:
-			case <-ctx.Done():
-				return nil, ctx.Err()
+			if err := p.holdDial(ctx); err != nil {
+				return nil, err
 			}
 		}
 		return p.dialer.DialContext(ctx, network, addr)
@@ -64,6 +65,34 @@
 	return p
 }
 
+// holdDial waits until the test lets a dial go on, and returns the error with which it fails.
+func (p *testPool) holdDial(ctx context.Context) error {
+	held := make(heldDial, 1)
+	select {
+	case p.heldDials <- held:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-held:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// nextDial waits for the next dial, and returns it.
+func (p *testPool) nextDial() heldDial {
+	p.t.Helper()
+	select {
+	case held := <-p.heldDials:
+		return held
+	case <-time.After(10 * time.Second):
+		p.t.Fatal("no dial within 10 s")
+		return nil
+	}
+}
+
 // acquired starts to acquire a connection, and returns the channel of the result.
 func (p *testPool) acquired(ctx context.Context) <-chan acquired {
 	result := make(chan acquired, 1)
@@ -183,7 +212,7 @@
 	if got := <-waiting; got.conn != first || got.err != nil {
 		t.Errorf("%+v", got)
 	}
-	p.release <- struct{}{} // the connection that was opened for it is kept
+	p.nextDial() <- nil // the connection that was opened for it is kept
 	p.await("both connections are open", func() bool { n, idle := p.counts(); return n == 2 && idle == 1 })
 }
 
@@ -195,17 +224,40 @@
 	first := p.acquired(context.Background())
 	second := p.acquired(context.Background())
 	refused := errors.New("refused")
-	p.dialer.Fail(refused, 1)
-	p.release <- struct{}{}
+	p.nextDial() <- refused
 	if got := <-first; !errors.Is(got.err, refused) {
 		t.Errorf("first: %+v", got)
 	}
-	p.release <- struct{}{}
+	p.nextDial() <- nil
 	if got := <-second; got.err != nil || p.use(got.conn) != nil {
 		t.Errorf("second: %+v", got)
 	}
 }
 
+// Guards against a request that waits until its deadline while nothing is opened for it: the connection that was opened on its
+// behalf went to a request that waited longer, and the dial of that one fails.
+func TestFailedDialEndsRequestThatDependsOnIt(t *testing.T) {
+	p := newTestPool(t, 2, 2, time.Minute)
+	p.hold.Store(true)
+	first := p.acquired(context.Background())
+	firstDial := p.nextDial()
+	second := p.acquired(context.Background())
+	p.nextDial() <- nil
+	if got := <-first; got.err != nil || p.use(got.conn) != nil {
+		t.Errorf("first: %+v", got)
+	}
+	refused := errors.New("refused")
+	firstDial <- refused
+	select {
+	case got := <-second:
+		if !errors.Is(got.err, refused) {
+			t.Errorf("second: %+v", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the second request still waits")
+	}
+}
+
 // A request that is canceled while it waits takes no connection with it.
 func TestCanceledWaiterLeavesPool(t *testing.T) {
 	p := newTestPool(t, 1, 1, time.Minute)
