--- a/http_store_rig_test.go
+++ b/http_store_rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 // httpBehavior is what an HTTP store does with a request. Those that end the connection without a response leave it open whether
@@ -62,21 +63,13 @@
 
 // newHTTPStore starts a stand-in on loopback.
 func newHTTPStore(t testing.TB, name string, choose behaviorChooser) *httpStore {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s := &httpStore{name: name, choose: choose}
+	server, err := fakestore.ListenHTTP(s.handle)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { listener.Close() })
-	s := &httpStore{name: name, base: "http://" + listener.Addr().String(), choose: choose}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	t.Cleanup(server.Close)
+	s.base = server.BaseURL()
 	return s
 }
 
@@ -96,28 +89,27 @@
 	}
 }
 
-func (s *httpStore) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		arrivedAt := time.Now()
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
-		a, after := s.record(request, arrivedAt)
-		if !s.respond(conn, reader, a, after) || request.Close {
-			return
-		}
+// handle records a request and responds to it. It reports whether the connection can take another one.
+func (s *httpStore) handle(request fakestore.HTTPRequest) (usable bool) {
+	a, after := s.record(request)
+	if a.behavior == httpSilent {
+		request.Reader.Peek(1) // until the gateway closes it
+		return false
+	}
+	if after > 0 && !waitUnlessClosed(request.Conn, request.Reader, after) {
+		return false
 	}
+	s.mu.Lock()
+	a.endedAt = time.Now()
+	s.mu.Unlock()
+	return respond(request.Conn, a)
 }
 
 // record records a request and chooses what happens to it.
-func (s *httpStore) record(request *http.Request, at time.Time) (a *httpArrival, after time.Duration) {
-	a = &httpArrival{store: s.name, method: request.Method, path: request.URL.Path, txn: request.Header.Get("X-Txn"), at: at}
+func (s *httpStore) record(request fakestore.HTTPRequest) (a *httpArrival, after time.Duration) {
+	a = &httpArrival{
+		store: s.name, method: request.Method, path: request.URL.Path, txn: request.Header.Get("X-Txn"), at: request.ArrivedAt,
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !a.isProbe() {
@@ -127,18 +119,8 @@
 	return a, after
 }
 
-// respond waits and responds to a request. It reports whether the connection can take another one.
-func (s *httpStore) respond(conn net.Conn, reader *bufio.Reader, a *httpArrival, after time.Duration) (usable bool) {
-	if a.behavior == httpSilent {
-		reader.Peek(1) // until the gateway closes it
-		return false
-	}
-	if after > 0 && !waitUnlessClosed(conn, reader, after) {
-		return false
-	}
-	s.mu.Lock()
-	a.endedAt = time.Now()
-	s.mu.Unlock()
+// respond responds to a request. It reports whether the connection can take another one.
+func respond(conn net.Conn, a *httpArrival) (usable bool) {
 	status := http.StatusOK
 	switch a.behavior {
 	case httpReset:
--- a/upstream/httpstore/bench_test.go
+++ b/upstream/httpstore/bench_test.go
@@ -1,15 +1,12 @@
 package httpstore
 
 import (
-	"bufio"
 	"bytes"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/fakestore"
 )
 
 const (
@@ -59,18 +56,13 @@
 // startBenchStore starts an endpoint that responds to each request with the same bytes, and returns its base.
 func startBenchStore(b *testing.B) string {
 	response := append([]byte("HTTP/1.1 200 OK\r\nETag: \"1\"\r\nContent-Length: 16384\r\n\r\n"), bytes.Repeat([]byte("x"), benchBodySize)...)
-	return serveConns(b, func(conn net.Conn) {
-		defer conn.Close()
-		reader := bufio.NewReader(conn)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, request.Body)
-			if _, err := conn.Write(response); err != nil || request.Close {
-				return
-			}
-		}
+	store, err := fakestore.ListenHTTP(func(request fakestore.HTTPRequest) (usable bool) {
+		_, err := request.Conn.Write(response)
+		return err == nil
 	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(store.Close)
+	return store.BaseURL()
 }
--- a/upstream/httpstore/resend_test.go
+++ b/upstream/httpstore/resend_test.go
@@ -1,7 +1,6 @@
 package httpstore
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,9 +8,9 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
 	"turnfork.dev/turnfork/control"
 	"turnfork.dev/turnfork/core"
+	"turnfork.dev/turnfork/internal/fakestore"
 	"turnfork.dev/turnfork/internal/faultnet"
 )
 
@@ -41,28 +40,25 @@
 
 func newEndingStore(t *testing.T) *endingStore {
 	store := &endingStore{arrived: make(chan net.Conn, 64)}
-	store.base = serveConns(t, store.serve)
+	server, err := fakestore.ListenHTTP(store.handle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	store.base = server.BaseURL()
 	return store
 }
 
-func (s *endingStore) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, request.Body)
-		if s.hold.Load() {
-			s.arrived <- conn
-		}
-		if s.hold.Load() && s.held.CompareAndSwap(false, true) {
-			reader.Peek(1) // until the connection ends
-			return
-		}
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+func (s *endingStore) handle(request fakestore.HTTPRequest) (usable bool) {
+	if s.hold.Load() {
+		s.arrived <- request.Conn
+	}
+	if s.hold.Load() && s.held.CompareAndSwap(false, true) {
+		request.Reader.Peek(1) // until the connection ends
+		return false
 	}
+	io.WriteString(request.Conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	return true
 }
 
 // A connection that ends under an attempt ends the attempt. The upstream must not send it again by itself: whether it is sent again,
