HTTP stores: limit the TLS handshake by the dial time-out

Callers saw nothing reported: a request to an HTTPS store that accepts and says nothing waited until its attempt was given up, and with the new pool its place could stay taken until a restart. Cause: DialTimeout covered the TCP connection only. Evidence: with a time-out of 50 ms the request still waits after 5 s. Change: the transport's TLSHandshakeTimeout. TestSilentTLSHandshakeIsAFailedConnect.

--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -27,7 +27,7 @@
 // Options configure an upstream.
 type Options struct {
 	Endpoints       map[uint32]Endpoint
-	DialTimeout     float64            // ms
+	DialTimeout     float64            // ms, and as much for a TLS handshake
 	IdleClose       float64            // ms
 	HealthCheckPath string             // path of health checks, below Base; "": Base itself
 	MaxConns        int                // to one endpoint
@@ -98,12 +98,14 @@
 	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
+	timeout := clock.Duration(opt.DialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, clock.Duration(opt.DialTimeout))
+			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
 			return dial(ctx, network, addr)
 		},
+		TLSHandshakeTimeout:    timeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		Protocols:              protocols,
--- a/upstream/httpstore/pool_test.go
+++ b/upstream/httpstore/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -415,6 +416,28 @@
 	}
 }
 
+// Guards against a connection that stays half open for ever and takes a place in the pool: the endpoint accepts it, but never
+// answers the TLS handshake. The request that waits for it may have been served by another one, so that nobody cancels it.
+func TestSilentTLSHandshakeIsAFailedConnect(t *testing.T) {
+	base := serveConns(t, func(conn net.Conn) {
+		defer conn.Close()
+		io.Copy(io.Discard, conn)
+	})
+	u, events := startUpstream(t, Endpoint{Base: "https" + strings.TrimPrefix(base, "http")}, Options{MaxConns: 1, DialTimeout: 50})
+	u.Send(get(1))
+	select {
+	case e := <-events:
+		if outcome := e.(core.AttemptResult).Outcome; outcome != control.ConnectFailed {
+			t.Errorf("ended as %v", outcome)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("it still waits")
+	}
+	if conns := u.endpoints[1].conns; conns.conns != 0 {
+		t.Errorf("%d connections", conns.conns)
+	}
+}
+
 // An endpoint whose certificate isn't trusted gets no request, which counts as a failed connect.
 func TestUntrustedCertificateIsAFailedConnect(t *testing.T) {
 	var reached atomic.Int64
--- a/upstream/httpstore/upstream_test.go
+++ b/upstream/httpstore/upstream_test.go
@@ -13,7 +13,10 @@
 // values that do not matter to the test.
 func startUpstream(t testing.TB, endpoint Endpoint, opt Options) (*Upstream, chan core.Event) {
 	opt.Endpoints = map[uint32]Endpoint{1: endpoint}
-	opt.DialTimeout, opt.IdleClose, opt.Log = 5000, 60000, zerolog.Nop()
+	opt.IdleClose, opt.Log = 60000, zerolog.Nop()
+	if opt.DialTimeout == 0 {
+		opt.DialTimeout = 5000
+	}
 	if opt.MaxConns == 0 {
 		opt.MaxConns = 4
 	}
