Answer a request at its send deadline if its attempt still waits for a connection

Callers saw a 403 late: a request whose token ended while it waited was answered when it got a connection or another attempt ended. Cause: the upstreams look at SendDeadline only once they have a connection; the core's timer for it served only the attempts with a key that it deferred itself. Change: the timer runs for each attempt whose send deadline comes before its own; Upstream.CancelUnsent ends the attempt unless it may have been sent.

--- a/capacity/gateway_test.go
+++ b/capacity/gateway_test.go
@@ -40,6 +40,7 @@
 func (p *ports) Answer(uint64, core.Answer)                 {}
 func (p *ports) Send(s core.AttemptRequest)                 { p.sent = append(p.sent, s) }
 func (p *ports) Cancel(core.AttemptKey, control.Outcome)    {}
+func (p *ports) CancelUnsent(core.AttemptKey)               {}
 func (p *ports) LimitCopyAge(core.AttemptKey, float64)      {}
 func (p *ports) ConfirmCancel(core.AttemptKey, uint32) bool { return false }
 func (p *ports) CheckHealth(uint32)                         { p.probes++ }
--- a/core/attempts_test.go
+++ b/core/attempts_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"testing"
 
 	"turnfork.dev/turnfork/clock"
@@ -59,7 +60,16 @@
 		if want := clk.Now() + soon; limited.SendDeadline != want || unlimited.SendDeadline <= want {
 			t.Errorf("%s: may be sent until %v and %v, want %v and later", class, limited.SendDeadline, unlimited.SendDeadline, want)
 		}
-		clk.Advance(soon)
+		clk.Advance(soon - 1)
+		c.Tick()
+		if len(h.canceledUnsent) != 0 {
+			t.Errorf("%s: %v canceled before", class, h.canceledUnsent)
+		}
+		clk.Advance(1)
+		c.Tick()
+		if !slices.Equal(h.canceledUnsent, []AttemptKey{limited.AttemptKey}) { // without it, the request would wait for a connection in vain
+			t.Errorf("%s: %v canceled at the end of the authorization, want the attempt", class, h.canceledUnsent)
+		}
 		h.endAttempt(c, AttemptResult{AttemptKey: limited.AttemptKey, Outcome: control.NotSent})
 		if got := h.answers[1]; len(h.sent) != 1 || len(got) != 1 || got[0].Reason != AuthorizationExpired {
 			t.Errorf("%s: %d attempts, %+v", class, len(h.sent), got)
--- a/core/cancellation.go
+++ b/core/cancellation.go
@@ -54,6 +54,9 @@
 
 // startOrDefer sends an attempt now, or defers it until the previous one's cancellation is confirmed.
 func (c *Core) startOrDefer(a *attempt, req AttemptRequest) {
+	if req.SendDeadline <= req.Deadline {
+		c.schedule(timer{at: req.SendDeadline, kind: sendDeadlineTimer, attempt: a})
+	}
 	c.requestBarriers(a.request, req.Endpoint)
 	if c.mayStartNext(a.request, req.Endpoint) {
 		c.upstream.Send(req)
@@ -61,9 +64,6 @@
 	}
 	c.stats.Deferred++
 	a.deferred = &req
-	if a.request.idempotentByKey {
-		c.schedule(timer{at: req.SendDeadline, kind: sendDeadlineTimer, attempt: a})
-	}
 }
 
 // requestBarriers has the upstream send an endpoint a barrier ping for each unconfirmed cancellation there. If the
@@ -160,6 +160,17 @@
 	}
 }
 
+// endUnsent ends an attempt whose send deadline has passed, unless it may have been sent: it waits for a connection, or is deferred.
+func (c *Core) endUnsent(a *attempt) {
+	switch {
+	case a.ended:
+	case a.deferred != nil:
+		c.cancelDeferred(a)
+	default:
+		c.upstream.CancelUnsent(a.key)
+	}
+}
+
 // cancelDeferred ends a deferred attempt with the outcome NotSent.
 func (c *Core) cancelDeferred(a *attempt) {
 	a.deferred = nil
--- a/core/cancellation_test.go
+++ b/core/cancellation_test.go
@@ -63,7 +63,11 @@
 				t.Fatalf("%d attempts are deferred", c.stats.Deferred)
 			}
 			request.Canceled.Store(!x.expires)
-			clk.Advance(defaultCancelGraceMs + 1)
+			if x.expires { // it is answered at once, not after the grace period
+				clk.Advance(20)
+			} else {
+				clk.Advance(defaultCancelGraceMs + 1)
+			}
 			c.Tick()
 			if got := h.answers[1]; len(h.sent) != 1 || len(got) != 1 || got[0].Reason != x.want {
 				t.Errorf("%d attempts, answers %+v, want %v", len(h.sent), got, x.want)
--- a/core/harness_test.go
+++ b/core/harness_test.go
@@ -16,12 +16,13 @@
 	t     testing.TB
 	clock *clock.Clock
 
-	answers    map[uint64][]Answer                          // by request tag
-	open       map[control.RequestID]map[int]AttemptRequest // attempts without a result
-	sent       []AttemptRequest
-	canceled   []AttemptKey // canceled by the core, and without a result yet
-	barriers   []AttemptKey // passed to ConfirmCancel, and without an answer yet
-	excludedAt []int        // number of attempts sent before each call of Exclude
+	answers        map[uint64][]Answer                          // by request tag
+	open           map[control.RequestID]map[int]AttemptRequest // attempts without a result
+	sent           []AttemptRequest
+	canceled       []AttemptKey // canceled by the core, and without a result yet
+	canceledUnsent []AttemptKey // passed to CancelUnsent
+	barriers       []AttemptKey // passed to ConfirmCancel, and without an answer yet
+	excludedAt     []int        // number of attempts sent before each call of Exclude
 
 	graceEnds     map[control.RequestID]float64 // end of the grace period after the last attempt
 	localFailures map[control.RequestID]int     // attempts that failed on this host, which don't count towards MaxAttempts
@@ -43,6 +44,9 @@
 // UpdateEndpoints implements Upstream.
 func (h *harness) UpdateEndpoints(EndpointList) {}
 
+// CancelUnsent implements Upstream.
+func (h *harness) CancelUnsent(k AttemptKey) { h.canceledUnsent = append(h.canceledUnsent, k) }
+
 // LimitCopyAge implements Upstream.
 func (h *harness) LimitCopyAge(AttemptKey, float64) {}
 
--- a/core/timers.go
+++ b/core/timers.go
@@ -22,7 +22,7 @@
 const (
 	controllerTimer   timerKind = iota // requested by the controller, with a token
 	attemptTimer                       // an attempt's time-out
-	sendDeadlineTimer                  // from now on, endpoints may have discarded the idempotency key of a deferred attempt
+	sendDeadlineTimer                  // an attempt must not be sent from now on
 	cancelGraceTimer                   // the grace period of an unconfirmed cancellation ends
 )
 
@@ -89,9 +89,7 @@
 			c.timeOutAttempt(t.attempt)
 		}
 	case sendDeadlineTimer:
-		if !t.attempt.ended && t.attempt.deferred != nil {
-			c.timeOutAttempt(t.attempt)
-		}
+		c.endUnsent(t.attempt)
 	}
 }
 
--- a/core/upstream.go
+++ b/core/upstream.go
@@ -18,6 +18,8 @@
 	// the connection has been closed. Such a result is Unconfirmed, because the endpoint may read this later than data
 	// written to another connection. The parameter as is the outcome to report.
 	Cancel(k AttemptKey, as control.Outcome)
+	// CancelUnsent ends an attempt that is not sent yet, with the outcome NotSent. It has no effect on one that may have been sent.
+	CancelUnsent(k AttemptKey)
 	// LimitCopyAge has an unsent attempt accept no copy older than maxAge ms, because its object was purged or the age of
 	// copies was limited since the attempt was started.
 	LimitCopyAge(k AttemptKey, maxAge float64)
--- a/internal/hollow/upstream.go
+++ b/internal/hollow/upstream.go
@@ -33,6 +33,9 @@
 // Cancel does nothing: there are no attempts to cancel.
 func (*nullUpstream) Cancel(core.AttemptKey, control.Outcome) {}
 
+// CancelUnsent does nothing: there are no attempts.
+func (*nullUpstream) CancelUnsent(core.AttemptKey) {}
+
 // LimitCopyAge does nothing: there are no attempts.
 func (*nullUpstream) LimitCopyAge(core.AttemptKey, float64) {}
 
--- a/upstream/httpstore/httpstore.go
+++ b/upstream/httpstore/httpstore.go
@@ -169,7 +169,10 @@
 }
 
 // LimitCopyAge cancels an attempt that is not sent yet, as its headers are already set: the core routes the request again.
-func (u *Upstream) LimitCopyAge(k core.AttemptKey, _ float64) {
+func (u *Upstream) LimitCopyAge(k core.AttemptKey, _ float64) { u.CancelUnsent(k) }
+
+// CancelUnsent ends an attempt that is not sent yet, with the outcome NotSent.
+func (u *Upstream) CancelUnsent(k core.AttemptKey) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	a := u.open[k]
--- a/upstream/httpstore/httpstore_test.go
+++ b/upstream/httpstore/httpstore_test.go
@@ -205,6 +205,24 @@
 	}
 }
 
+// An attempt that the endpoint may have received goes on.
+func TestCancelUnsentKeepsSentAttempt(t *testing.T) {
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(arrived)
+		<-respond
+	}))
+	defer srv.Close()
+	u, got := startUpstream(t, Endpoint{Base: srv.URL}, Options{})
+	u.Send(get(1))
+	<-arrived
+	u.CancelUnsent(core.AttemptKey{ID: 1})
+	close(respond)
+	if e := (<-got).(core.AttemptResult); e.Outcome != control.OK {
+		t.Errorf("%+v", e)
+	}
+}
+
 // Changes that become known while an attempt waits for a connection must apply to it. The endpoint has one connection, which
 // another request uses until the change is made.
 func TestLastCheckBeforeSend(t *testing.T) {
@@ -215,6 +233,7 @@
 		"nothing":                  {func(*Upstream, core.AttemptRequest) {}, true},
 		"the client cancels":       {func(_ *Upstream, s core.AttemptRequest) { s.Canceled.Store(true) }, false},
 		"it is excluded":           {func(u *Upstream, s core.AttemptRequest) { u.Exclude(s.Endpoint, true) }, false},
+		"it is canceled if unsent": {func(u *Upstream, s core.AttemptRequest) { u.CancelUnsent(s.AttemptKey) }, false},
 		"the object is purged":     {func(u *Upstream, s core.AttemptRequest) { u.LimitCopyAge(s.AttemptKey, 77) }, false}, // the core routes it again
 		"another is purged":        {func(u *Upstream, s core.AttemptRequest) { u.LimitCopyAge(core.AttemptKey{ID: 9}, 77) }, true},
 		"little time is left":      {func(u *Upstream, s core.AttemptRequest) { u.opt.Clock.Set(s.Deadline - 1) }, true},
--- a/upstream/mux/mux.go
+++ b/upstream/mux/mux.go
@@ -43,6 +43,9 @@
 	u.ofAttempt(key).Cancel(key, result)
 }
 
+// CancelUnsent ends an attempt that is not sent yet.
+func (u *Upstream) CancelUnsent(key core.AttemptKey) { u.ofAttempt(key).CancelUnsent(key) }
+
 // LimitCopyAge makes an attempt that is not yet written ask for no copy older than maxAge.
 func (u *Upstream) LimitCopyAge(key core.AttemptKey, maxAge float64) {
 	u.ofAttempt(key).LimitCopyAge(key, maxAge)
--- a/upstream/mux/mux_test.go
+++ b/upstream/mux/mux_test.go
@@ -24,6 +24,7 @@
 func (r *recorder) Has(endpoint uint32) bool                { return r.endpoints[endpoint] }
 func (r *recorder) Send(core.AttemptRequest)                { r.calls["Send"]++ }
 func (r *recorder) Cancel(core.AttemptKey, control.Outcome) { r.calls["Cancel"]++ }
+func (r *recorder) CancelUnsent(core.AttemptKey)            { r.calls["CancelUnsent"]++ }
 func (r *recorder) LimitCopyAge(core.AttemptKey, float64)   { r.calls["LimitCopyAge"]++ }
 func (r *recorder) ConfirmCancel(core.AttemptKey, uint32) bool {
 	r.calls["ConfirmCancel"]++
@@ -49,6 +50,7 @@
 	}{
 		{"send", func(u *Upstream, endpoint uint32) { send(u, endpoint) }, "Send", false},
 		{"cancel", func(u *Upstream, endpoint uint32) { u.Cancel(send(u, endpoint), 0) }, "Cancel", false},
+		{"cancel if unsent", func(u *Upstream, endpoint uint32) { u.CancelUnsent(send(u, endpoint)) }, "CancelUnsent", false},
 		{"limit of the copy's age", func(u *Upstream, endpoint uint32) { u.LimitCopyAge(send(u, endpoint), 1) }, "LimitCopyAge", false},
 		{"confirmation", func(u *Upstream, endpoint uint32) { u.ConfirmCancel(core.AttemptKey{}, endpoint) }, "ConfirmCancel", false},
 		{"health check", func(u *Upstream, endpoint uint32) { u.CheckHealth(endpoint) }, "CheckHealth", false},
--- a/upstream/resp/resp.go
+++ b/upstream/resp/resp.go
@@ -264,6 +264,19 @@
 		(a.SendDeadline <= 0 || p.now() < a.SendDeadline) && (a.Deadline <= 0 || a.Deadline-p.now() >= minTTL)
 }
 
+// CancelUnsent ends an attempt that is not sent yet, with the outcome NotSent.
+func (p *Pool) CancelUnsent(k core.AttemptKey) {
+	p.mu.Lock()
+	var ended core.Event
+	if a := p.attempts[k]; a != nil && !a.mayBeSent {
+		ended = p.endCanceled(a, control.NotSent)
+	}
+	p.mu.Unlock()
+	if ended != nil {
+		p.postAsync(ended)
+	}
+}
+
 // LimitCopyAge makes an attempt that is not yet sent ask for no copy older than maxAge.
 func (p *Pool) LimitCopyAge(k core.AttemptKey, maxAge float64) {
 	p.mu.Lock()
@@ -373,6 +386,11 @@
 func (p *Pool) cancelAttempt(a *attempt, outcome control.Outcome) core.Event {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.endCanceled(a, outcome)
+}
+
+// endCanceled is cancelAttempt for callers that hold the lock.
+func (p *Pool) endCanceled(a *attempt, outcome control.Outcome) core.Event {
 	if a.ended || a.cancelRequested {
 		return nil
 	}
--- a/upstream/resp/unsent_test.go
+++ b/upstream/resp/unsent_test.go
@@ -44,6 +44,7 @@
 		{"the source is excluded", func(b *testPool, _ string, _ core.AttemptRequest) { b.pool.Exclude(source, true) }, false},
 		{"the client cancels", func(_ *testPool, _ string, s core.AttemptRequest) { s.Canceled.Store(true) }, false},
 		{"the send deadline passes", func(b *testPool, _ string, _ core.AttemptRequest) { b.clock.Advance(1000) }, false},
+		{"it is canceled if unsent", func(b *testPool, _ string, s core.AttemptRequest) { b.pool.CancelUnsent(s.AttemptKey) }, false},
 		{"the object is purged", func(b *testPool, _ string, s core.AttemptRequest) { b.pool.LimitCopyAge(s.AttemptKey, 77) }, true},
 	}
 	for _, delay := range []string{"dial", "full socket"} {
@@ -103,6 +104,29 @@
 	}
 }
 
+// An attempt that the endpoint may have received goes on.
+func TestCancelUnsentKeepsSentAttempt(t *testing.T) {
+	arrived, respond := make(chan struct{}), make(chan struct{})
+	s, err := fakestore.Listen("127.0.0.1:0", func(fakestore.Command) (string, string, []byte, bool) {
+		close(arrived)
+		<-respond
+		return "ACK", "tag=0a,minted=1", nil, true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	b := newTestPool(t, s.Addr())
+	request := newRequest(1, 0, 1)
+	b.pool.Send(request)
+	<-arrived
+	b.pool.CancelUnsent(request.AttemptKey)
+	close(respond)
+	if e := b.awaitResult(request.AttemptKey); e.Outcome != control.OK {
+		t.Errorf("%+v", e)
+	}
+}
+
 // A request that is partly written when the send buffer is full never reaches its endpoint completely if its client cancels
 // it then.
 func TestClientCancelsDuringWrite(t *testing.T) {
