Read behind a barrier at the present leader in TestMergeDoesNotUndoPut

Cause: the test chose the leader once and read there. When the lead changes, that member may not have applied what the new leader has acknowledged. Change: each value is read at the present leader behind a barrier. Calls that fail are excused, and the round repeated, only if the lead changed under them; before, any failure ended the test, so this asks for 200 acknowledged rounds as before.

--- a/replica/config_change_test.go
+++ b/replica/config_change_test.go
@@ -38,6 +38,26 @@
 	}
 }
 
+// term returns the term of the present leader.
+func (c *cluster) term() uint64 { return c.stores[c.leader()].raft.CurrentTerm() }
+
+// latestSettings returns the value of the configuration "settings" at a leader that has applied all acknowledged changes: a member
+// that has lost the lead may not have applied the latest ones yet.
+func (c *cluster) latestSettings() (latest settings) {
+	c.t.Helper()
+	eventually(c.t, "a barrier at the leader", func() bool {
+		store := c.stores[c.leader()]
+		if store.raft.Barrier(0).Error() != nil {
+			return false
+		}
+		if _, err := store.Get("settings", &latest); err != nil {
+			c.t.Fatal(err)
+		}
+		return true
+	})
+	return latest
+}
+
 // flush waits until a leader has acknowledged a put: whatever was proposed before is then in the log or never will be. A leader
 // that loses its lead can't tell whether the put is committed, so the next one is asked.
 func (c *cluster) flush() {
@@ -127,22 +147,23 @@
 // A merge at the same time as a put is based on the value before or after it: it never sets back what the put sets.
 func TestMergeDoesNotUndoPut(t *testing.T) {
 	c := newThreeVoters(t)
-	leader := c.leader()
-	for n := range 200 {
+	for n := 0; n < 200; {
+		term := c.term()
+		by := c.leader()
 		var calls errgroup.Group
-		calls.Go(func() error { return c.stores[leader].Put(testContext(t), "settings", settings{A: &n, B: &n}) })
+		calls.Go(func() error { return c.stores[by].Put(testContext(t), "settings", settings{A: &n, B: &n}) })
 		calls.Go(func() error { return c.stores[n%3].Merge(testContext(t), "settings", settings{C: &n}, settings{}) })
 		if err := calls.Wait(); err != nil {
-			t.Fatal(err)
-		}
-		var got settings
-		if _, err := c.stores[leader].Get("settings", &got); err != nil {
-			t.Fatal(err)
+			if c.term() == term {
+				t.Fatal(err)
+			}
+			continue // the lead changed under the calls, whose outcome is unknown: once more
 		}
-		if got.A == nil || *got.A != n || got.B == nil || *got.B != n {
-			value, _ := c.stores[leader].state.configValue("settings")
+		if got := c.latestSettings(); got.A == nil || *got.A != n || got.B == nil || *got.B != n {
+			value, _ := json.Marshal(got)
 			t.Fatalf("%s after a put of %d", value, n)
 		}
+		n++
 	}
 }
 
